--- /dev/null
+++ b/machinelist/machinelist.go
@@ -0,0 +1,83 @@
+// Package machinelist reads the platform's list of machines. The list lags: a
+// machine may be gone before it is shown as leaving, and live before it is shown.
+package machinelist
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Path of the list.
+const Path = "/machines"
+
+// State of a machine.
+type State string
+
+// The states of a machine; one that is gone is no longer listed.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+)
+
+// Machine is a machine that runs an engine.
+type Machine struct {
+	ID      string `json:"id"`
+	Address string `json:"address"` // host:port of the engine
+	Region  string `json:"region"`
+	Zone    string `json:"zone"`
+	Service string `json:"service"`
+	State   State  `json:"state"`
+}
+
+// List is the answer of the service.
+type List struct {
+	Machines []Machine `json:"machines"`
+}
+
+const (
+	timeout       = 2 * time.Second
+	maxListBytes  = 16 << 20
+	idleTimeout   = time.Minute
+	idleConnCount = 2
+)
+
+// Client reads the list.
+type Client struct {
+	url  string
+	http *http.Client
+}
+
+// NewClient returns a client of the service at host:port.
+func NewClient(address string) *Client {
+	return &Client{
+		url: "http://" + address + Path,
+		http: &http.Client{Timeout: timeout, Transport: &http.Transport{
+			MaxIdleConnsPerHost: idleConnCount, IdleConnTimeout: idleTimeout}},
+	}
+}
+
+// Machines returns the machines of a region.
+func (c *Client) Machines(ctx context.Context, region string) ([]Machine, error) {
+	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url+"?region="+region, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	response, err := c.http.Do(httpRequest)
+	if err != nil {
+		return nil, errors.Wrap(err, "read machine list")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("machine list answered status %d", response.StatusCode)
+	}
+	var list List
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&list); err != nil {
+		return nil, errors.Wrap(err, "read machine list")
+	}
+	return list.Machines, nil
+}
--- /dev/null
+++ b/standin/keyvalue/store.go
@@ -0,0 +1,219 @@
+// Package keyvalue is a stand-in of the platform's key-value service: the subset
+// of the etcd v3 JSON gateway that finchspoke uses, in memory, with faults.
+package keyvalue
+
+import (
+	"bytes"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/finchspoke/finchspoke/kv"
+)
+
+// eventsKept bounds the events a watch can start back from.
+const eventsKept = 10_000
+
+type lease struct {
+	expires time.Time
+	keys    map[string]bool
+}
+
+// store is the key space with its revisions, leases and recent events.
+type store struct {
+	mutex     sync.Mutex
+	now       func() time.Time
+	revision  int64
+	compacted int64 // events up to this revision are no longer kept
+	pairs     map[string]kv.WirePair
+	events    []kv.WireEvent
+	leases    map[int64]*lease
+	nextLease int64
+	changed   chan struct{} // closed and replaced on each change
+}
+
+func newStore(now func() time.Time) *store {
+	return &store{
+		now: now, revision: 1, pairs: map[string]kv.WirePair{},
+		leases: map[int64]*lease{}, nextLease: 1, changed: make(chan struct{}),
+	}
+}
+
+func inRange(key string, ask kv.WireRange) bool {
+	if len(ask.RangeEnd) == 0 {
+		return key == string(ask.Key)
+	}
+	end := ask.RangeEnd
+	open := bytes.Equal(end, []byte{0})
+	return key >= string(ask.Key) && (open || key < string(end))
+}
+
+func (s *store) read(ask kv.WireRange) kv.WireRangeAnswer {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.expire()
+	return s.readLocked(ask)
+}
+
+func (s *store) readLocked(ask kv.WireRange) kv.WireRangeAnswer {
+	answer := kv.WireRangeAnswer{Header: kv.WireHeader{Revision: kv.Int64(s.revision)}}
+	if len(ask.RangeEnd) == 0 {
+		if pair, found := s.pairs[string(ask.Key)]; found {
+			answer.Pairs = []kv.WirePair{pair}
+		}
+	} else {
+		for key, pair := range s.pairs {
+			if inRange(key, ask) {
+				answer.Pairs = append(answer.Pairs, pair)
+			}
+		}
+		sort.Slice(answer.Pairs, func(i, j int) bool { return bytes.Compare(answer.Pairs[i].Key, answer.Pairs[j].Key) < 0 })
+	}
+	answer.Count = kv.Int64(len(answer.Pairs))
+	return answer
+}
+
+func (s *store) transact(txn kv.WireTxn) kv.WireTxnAnswer {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.expire()
+	succeeded := true
+	for _, compare := range txn.Compare {
+		succeeded = succeeded && s.pairs[string(compare.Key)].ModRevision == compare.ModRevision
+	}
+	operations := txn.Failure
+	if succeeded {
+		operations = txn.Success
+	}
+	if writes(operations) {
+		s.revision++
+	}
+	answer := kv.WireTxnAnswer{Succeeded: succeeded}
+	for _, operation := range operations {
+		answer.Responses = append(answer.Responses, s.apply(operation))
+	}
+	answer.Header.Revision = kv.Int64(s.revision)
+	return answer
+}
+
+func writes(operations []kv.WireOperation) bool {
+	for _, operation := range operations {
+		if operation.Put != nil || operation.Delete != nil {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *store) apply(operation kv.WireOperation) kv.WireOperationAnswer {
+	switch {
+	case operation.Put != nil:
+		s.put(*operation.Put)
+	case operation.Delete != nil:
+		for key := range s.pairs {
+			if inRange(key, *operation.Delete) {
+				s.remove(key)
+			}
+		}
+	case operation.Range != nil:
+		answer := s.readLocked(*operation.Range)
+		return kv.WireOperationAnswer{Range: &answer}
+	}
+	return kv.WireOperationAnswer{}
+}
+
+func (s *store) put(put kv.WirePut) {
+	key := string(put.Key)
+	previous, existed := s.pairs[key]
+	pair := kv.WirePair{
+		Key: put.Key, Value: put.Value, Lease: put.Lease, Version: previous.Version + 1,
+		CreateRevision: previous.CreateRevision, ModRevision: kv.Int64(s.revision),
+	}
+	if !existed {
+		pair.CreateRevision = pair.ModRevision
+	}
+	if old := s.leases[int64(previous.Lease)]; old != nil {
+		delete(old.keys, key)
+	}
+	if bound := s.leases[int64(put.Lease)]; bound != nil {
+		bound.keys[key] = true
+	}
+	s.pairs[key] = pair
+	s.record(kv.WireEvent{Pair: pair})
+}
+
+func (s *store) remove(key string) {
+	if bound := s.leases[int64(s.pairs[key].Lease)]; bound != nil {
+		delete(bound.keys, key)
+	}
+	delete(s.pairs, key)
+	s.record(kv.WireEvent{Type: kv.WireEventDelete, Pair: kv.WirePair{Key: []byte(key), ModRevision: kv.Int64(s.revision)}})
+}
+
+func (s *store) record(event kv.WireEvent) {
+	s.events = append(s.events, event)
+	if len(s.events) > eventsKept {
+		s.compacted = int64(s.events[eventsKept/2-1].Pair.ModRevision)
+		s.events = append([]kv.WireEvent(nil), s.events[eventsKept/2:]...)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire removes the keys of leases that have ended.
+func (s *store) expire() {
+	now := s.now()
+	for id, ended := range s.leases {
+		if now.Before(ended.expires) {
+			continue
+		}
+		delete(s.leases, id)
+		if len(ended.keys) > 0 {
+			s.revision++
+		}
+		for key := range ended.keys {
+			s.remove(key)
+		}
+	}
+}
+
+func (s *store) grant(ttl time.Duration) int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.expire()
+	id := s.nextLease
+	s.nextLease++
+	s.leases[id] = &lease{expires: s.now().Add(ttl), keys: map[string]bool{}}
+	return id
+}
+
+func (s *store) hasLease(id int64) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.expire()
+	return id == 0 || s.leases[id] != nil
+}
+
+// since returns the events in a range after a revision, whether those are still
+// kept, and a channel that closes at the next change.
+func (s *store) since(ask kv.WireRange, revision int64) (events []kv.WireEvent, kept bool, changed <-chan struct{}) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.expire()
+	if revision < s.compacted {
+		return nil, false, nil
+	}
+	first := sort.Search(len(s.events), func(i int) bool { return int64(s.events[i].Pair.ModRevision) > revision })
+	for _, event := range s.events[first:] {
+		if inRange(string(event.Pair.Key), ask) {
+			events = append(events, event)
+		}
+	}
+	return events, true, s.changed
+}
+
+func (s *store) currentRevision() int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.revision
+}
