--- /dev/null
+++ b/placement/decide.go
@@ -0,0 +1,562 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/finchspoke/finchspoke/engine"
+	"github.com/finchspoke/finchspoke/settings"
+)
+
+// Decide returns the next plan. The plan's fence is that of the snapshot with the
+// next revision; a plan that did not change keeps its fence.
+func Decide(snapshot Snapshot) Decision {
+	next := engine.Fence{Epoch: snapshot.Plan.Fence.Epoch, Revision: snapshot.Plan.Fence.Revision + 1}
+	planner := &planner{
+		Snapshot: snapshot, plan: snapshot.Plan.Clone(), state: snapshot.State.Clone(), fence: next,
+		changed: map[string]bool{}, promised: map[string][]int64{},
+	}
+	planner.refillBudget()
+	planner.dropConfirmed()
+	planner.retire()
+	planner.removeSurplus()
+	planner.loadAll()
+	planner.placeAdapters()
+	decision := Decision{Plan: planner.plan, State: planner.state}
+	for id := range planner.changed {
+		decision.Changed = append(decision.Changed, id)
+	}
+	slices.Sort(decision.Changed)
+	if len(decision.Changed) > 0 {
+		decision.Plan.Fence = next
+	}
+	return decision
+}
+
+type planner struct {
+	Snapshot
+	plan    Plan
+	state   State
+	fence   engine.Fence
+	changed map[string]bool
+	// promised is memory on each accelerator of an engine that is still to be
+	// freed and already meant for a model, so that no two evict for one place.
+	promised map[string][]int64
+}
+
+// refillBudget adds the load starts that became allowed since last time.
+func (p *planner) refillBudget() {
+	region := p.Tree.Regions[p.Region]
+	most := max(1, region.LoadsPerSecond)
+	if p.state.TokensAt.IsZero() {
+		p.state.LoadTokens = most
+	} else {
+		p.state.LoadTokens += p.Now.Sub(p.state.TokensAt).Seconds() * region.LoadsPerSecond
+	}
+	p.state.LoadTokens = min(p.state.LoadTokens, most)
+	p.state.TokensAt = p.Now
+}
+
+// update replaces an engine's assignments.
+func (p *planner) update(engineID string, assignments []Assignment) {
+	planned := p.plan.Engines[engineID]
+	planned.Assignments = assignments
+	p.plan.Engines[engineID] = planned
+	p.changed[engineID] = true
+}
+
+// dropConfirmed forgets removed replicas that are certainly gone, and whatever
+// was on an engine that no longer exists.
+func (p *planner) dropConfirmed() {
+	for _, id := range sortedKeys(p.plan.Engines) {
+		planned := p.plan.Engines[id]
+		known := p.Engines[id]
+		if !known.Listed && !known.Reachable {
+			if len(planned.Assignments) > 0 {
+				p.update(id, nil)
+			}
+			continue
+		}
+		kept := slices.DeleteFunc(slices.Clone(planned.Assignments), func(assignment Assignment) bool {
+			return assignment.Wish == Remove && confirmedGone(known, assignment)
+		})
+		if len(kept) != len(planned.Assignments) {
+			p.update(id, kept)
+		}
+	}
+}
+
+// confirmedGone tells whether a removed replica is not on its engine and cannot
+// come back: once the engine has seen the fence of the removal, it refuses any
+// order to load that was on its way before.
+func confirmedGone(known Engine, assignment Assignment) bool {
+	if !known.Reachable || known.Inventory == nil || known.Inventory.Fence.Less(assignment.Fence) {
+		return false
+	}
+	return !slices.ContainsFunc(known.Inventory.Replicas, func(held engine.Replica) bool {
+		return held.ID == assignment.ReplicaID
+	})
+}
+
+// retire removes replicas on leaving engines, of models no longer declared, and
+// of versions that have a ready successor.
+func (p *planner) retire() {
+	for _, id := range sortedKeys(p.plan.Engines) {
+		for index, assignment := range p.plan.Engines[id].Assignments {
+			if assignment.Wish == Keep && p.retired(id, assignment) {
+				p.remove(id, index)
+			}
+		}
+	}
+}
+
+func (p *planner) retired(engineID string, assignment Assignment) bool {
+	model := p.Tree.Models[assignment.Model]
+	if model == nil || !slices.Contains(model.ServiceRegions, p.Region) {
+		return true
+	}
+	known := p.Engines[engineID]
+	if known.Leaving || (known.Listed && known.Service != model.Service) {
+		return true
+	}
+	outdated := assignment.Version != model.Version || assignment.MemoryBytes != model.MemoryBytes ||
+		len(assignment.Accelerators) != model.Accelerators
+	return outdated && p.readyReplicas(model, true) > 0
+}
+
+// remove turns the wish for an assignment into a removal.
+func (p *planner) remove(engineID string, index int) {
+	assignments := slices.Clone(p.plan.Engines[engineID].Assignments)
+	assignments[index].Wish = Remove
+	assignments[index].Since = p.Now
+	assignments[index].Fence = p.fence
+	p.update(engineID, assignments)
+}
+
+func current(model *settings.Model, assignment Assignment) bool {
+	return assignment.Model == model.Name && assignment.Version == model.Version &&
+		assignment.MemoryBytes == model.MemoryBytes && len(assignment.Accelerators) == model.Accelerators
+}
+
+// place is an assignment in the plan.
+type place struct {
+	engineID   string
+	index      int
+	assignment Assignment
+	ready      bool
+}
+
+// kept lists the assignments of a model that are to be kept, on engines that can
+// be reached: one that cannot keeps its charge on memory but serves nobody.
+func (p *planner) kept(model *settings.Model) []place {
+	var places []place
+	for _, id := range sortedKeys(p.plan.Engines) {
+		known := p.Engines[id]
+		if !known.Reachable {
+			continue
+		}
+		for index, assignment := range p.plan.Engines[id].Assignments {
+			if assignment.Wish == Keep && assignment.Model == model.Name {
+				places = append(places, place{id, index, assignment, isReady(known, assignment.ReplicaID)})
+			}
+		}
+	}
+	return places
+}
+
+func isReady(known Engine, replicaID string) bool {
+	if known.Inventory == nil {
+		return false
+	}
+	return slices.ContainsFunc(known.Inventory.Replicas, func(held engine.Replica) bool {
+		return held.ID == replicaID && held.State == engine.Ready
+	})
+}
+
+func (p *planner) readyReplicas(model *settings.Model, currentOnly bool) int {
+	count := 0
+	for _, kept := range p.kept(model) {
+		if kept.ready && (!currentOnly || current(model, kept.assignment)) {
+			count++
+		}
+	}
+	return count
+}
+
+// need is how many replicas a model should have, and how much it matters.
+type need struct {
+	model    *settings.Model
+	replicas int
+	urgent   int
+	waiting  int
+	lastUsed time.Time
+}
+
+// needOf works out a model's need from the demand for it and its adapters.
+func (p *planner) needOf(model *settings.Model) need {
+	result := need{model: model, replicas: model.MinReplicas}
+	running := 0
+	for _, target := range append([]string{model.Name}, model.Adapters...) {
+		demand := p.Demand[target]
+		result.urgent += demand.Urgent
+		result.waiting += demand.Waiting
+		running += demand.Running
+		if demand.LastUsed.After(result.lastUsed) {
+			result.lastUsed = demand.LastUsed
+		}
+	}
+	wanted := (result.waiting + running + model.Concurrency - 1) / model.Concurrency
+	result.replicas = min(max(result.replicas, wanted), model.MaxReplicas)
+	recent := !result.lastUsed.IsZero() && p.Now.Sub(result.lastUsed) < model.IdleAfter
+	if recent && result.replicas == 0 && len(p.kept(model)) > 0 {
+		result.replicas = 1 // scale to zero only after IdleAfter
+	}
+	return result
+}
+
+func (p *planner) needs() []need {
+	var needs []need
+	for _, name := range sortedKeys(p.Tree.Models) {
+		if model := p.Tree.Models[name]; slices.Contains(model.ServiceRegions, p.Region) {
+			needs = append(needs, p.needOf(model))
+		}
+	}
+	// Those that people wait for come first, then any that wait, then the rest.
+	slices.SortStableFunc(needs, func(a, b need) int {
+		return cmp.Or(cmp.Compare(b.urgent, a.urgent), cmp.Compare(b.waiting, a.waiting))
+	})
+	return needs
+}
+
+// removeSurplus unloads replicas that a model has not needed for its IdleAfter.
+func (p *planner) removeSurplus() {
+	for _, need := range p.needs() {
+		places := p.kept(need.model)
+		if len(places) <= need.replicas {
+			delete(p.state.SurplusSince, need.model.Name)
+			continue
+		}
+		since, known := p.state.SurplusSince[need.model.Name]
+		if !known {
+			p.state.SurplusSince[need.model.Name] = p.Now
+			since = p.Now
+		}
+		if need.replicas > 0 && p.Now.Sub(since) < need.model.IdleAfter {
+			continue
+		}
+		// The newest goes first: older ones have warmer prefix caches.
+		slices.SortFunc(places, func(a, b place) int { return b.assignment.Since.Compare(a.assignment.Since) })
+		for _, surplus := range places[:len(places)-need.replicas] {
+			p.removeReplica(surplus.assignment.ReplicaID)
+		}
+		delete(p.state.SurplusSince, need.model.Name)
+	}
+}
+
+func (p *planner) removeReplica(replicaID string) {
+	for id, planned := range p.plan.Engines {
+		for index, assignment := range planned.Assignments {
+			if assignment.ReplicaID == replicaID && assignment.Wish == Keep {
+				p.remove(id, index)
+				return
+			}
+		}
+	}
+}
+
+// loadAll places the replicas that are missing, the most urgent models first and
+// one replica each before any gets a second.
+func (p *planner) loadAll() {
+	needs := p.needs()
+	for round := 1; ; round++ {
+		placedOrPending := false
+		for _, need := range needs {
+			if need.replicas < round {
+				continue
+			}
+			placedOrPending = true
+			if p.currentCount(need.model) < round {
+				p.load(need)
+			}
+		}
+		if !placedOrPending {
+			return
+		}
+	}
+}
+
+func (p *planner) currentCount(model *settings.Model) int {
+	count := 0
+	for _, kept := range p.kept(model) {
+		if current(model, kept.assignment) {
+			count++
+		}
+	}
+	return count
+}
+
+// spot is a possible place of a new replica.
+type spot struct {
+	engineID     string
+	accelerators []int
+	remote       bool
+	cost         float64
+}
+
+// Costs of a spot, in seconds: loading, then what tells equal ones apart.
+const (
+	costMemory    = 0.5
+	costDisk      = 3
+	costRemote    = 15
+	costSameZone  = 2   // another replica of the model in the zone
+	costFullness  = 0.5 // times the share of memory left: fill engines up
+	costColocated = 30  // another replica on the same engine
+)
+
+// load places one replica, or frees memory for it.
+func (p *planner) load(need need) {
+	best, found := p.bestSpot(need.model, false)
+	if !found {
+		p.makeRoom(need)
+		return
+	}
+	if best.remote && !p.takeLoadToken() {
+		return
+	}
+	assignments := append(slices.Clone(p.plan.Engines[best.engineID].Assignments), Assignment{
+		ReplicaID: p.NewReplicaID(), Model: need.model.Name, Version: need.model.Version,
+		Accelerators: best.accelerators, MemoryBytes: need.model.MemoryBytes,
+		Wish: Keep, Remote: best.remote, Since: p.Now, Fence: p.fence,
+	})
+	if _, known := p.plan.Engines[best.engineID]; !known {
+		p.plan.Engines[best.engineID] = EnginePlan{EngineID: best.engineID}
+	}
+	planned := p.plan.Engines[best.engineID]
+	planned.Address = p.Engines[best.engineID].Address
+	p.plan.Engines[best.engineID] = planned
+	p.update(best.engineID, assignments)
+}
+
+// takeLoadToken spends one start of the weight store's budget, if there is one
+// and not too many loads run.
+func (p *planner) takeLoadToken() bool {
+	running := 0
+	for id, planned := range p.plan.Engines {
+		for _, assignment := range planned.Assignments {
+			if assignment.Remote && assignment.Wish == Keep && !isReady(p.Engines[id], assignment.ReplicaID) {
+				running++
+			}
+		}
+	}
+	if running >= p.Tree.Regions[p.Region].ConcurrentLoads || p.state.LoadTokens < 1 {
+		return false
+	}
+	p.state.LoadTokens--
+	return true
+}
+
+// bestSpot returns the cheapest engine with room; with future set, room that is
+// being freed counts too.
+func (p *planner) bestSpot(model *settings.Model, future bool) (spot, bool) {
+	var best spot
+	found := false
+	zones := map[string]int{}
+	engines := map[string]int{}
+	for _, kept := range p.kept(model) {
+		zones[p.Engines[kept.engineID].Zone]++
+		engines[kept.engineID]++
+	}
+	for _, id := range sortedKeys(p.Engines) {
+		candidate := p.Engines[id]
+		if !candidate.usable() || candidate.Service != model.Service {
+			continue
+		}
+		free := p.free(candidate, future)
+		accelerators := fitting(free, model)
+		if accelerators == nil {
+			continue
+		}
+		tierCost, remote := loadCost(candidate, model)
+		cost := tierCost + costSameZone*float64(zones[candidate.Zone]) +
+			costColocated*float64(engines[id]) + costFullness*freeShare(candidate, free)
+		if !found || cost < best.cost {
+			best = spot{engineID: id, accelerators: accelerators, remote: remote, cost: cost}
+			found = true
+		}
+	}
+	return best, found
+}
+
+func loadCost(candidate Engine, model *settings.Model) (cost float64, remote bool) {
+	for _, cached := range candidate.Inventory.Cached {
+		if cached.Model == model.Name && cached.Version == model.Version {
+			if cached.Tier == engine.InMemory {
+				return costMemory, false
+			}
+			return costDisk, false
+		}
+	}
+	return costRemote, true
+}
+
+// free returns the free bytes on each accelerator: what neither the plan nor the
+// inventory has taken. A replica that the plan does not know is charged as well.
+func (p *planner) free(candidate Engine, future bool) []int64 {
+	free := make([]int64, len(candidate.Inventory.Accelerators))
+	for index, accelerator := range candidate.Inventory.Accelerators {
+		free[index] = accelerator.MemoryBytes
+	}
+	planned := map[string]bool{}
+	for _, assignment := range p.plan.Engines[candidate.ID].Assignments {
+		planned[assignment.ReplicaID] = true
+		if future && assignment.Wish == Remove {
+			continue
+		}
+		charge(free, assignment.Accelerators, assignment.MemoryBytes)
+	}
+	for _, held := range candidate.Inventory.Replicas {
+		if !planned[held.ID] {
+			charge(free, held.Accelerators, held.MemoryBytes)
+		}
+	}
+	for index, promised := range p.promised[candidate.ID] {
+		free[index] -= promised
+	}
+	return free
+}
+
+func charge(free []int64, accelerators []int, bytes int64) {
+	for _, index := range accelerators {
+		if index >= 0 && index < len(free) {
+			free[index] -= bytes
+		}
+	}
+}
+
+// fitting returns the fullest accelerators that still hold the model, or nil.
+func fitting(free []int64, model *settings.Model) []int {
+	var fits []int
+	for index, bytes := range free {
+		if bytes >= model.MemoryBytes {
+			fits = append(fits, index)
+		}
+	}
+	if len(fits) < model.Accelerators {
+		return nil
+	}
+	slices.SortStableFunc(fits, func(a, b int) int { return cmp.Compare(free[a], free[b]) })
+	chosen := fits[:model.Accelerators]
+	slices.Sort(chosen)
+	return chosen
+}
+
+func freeShare(candidate Engine, free []int64) float64 {
+	total, left := int64(0), int64(0)
+	for index, accelerator := range candidate.Inventory.Accelerators {
+		total += accelerator.MemoryBytes
+		left += free[index]
+	}
+	if total == 0 {
+		return 0
+	}
+	return float64(left) / float64(total)
+}
+
+// makeRoom evicts idle replicas for a model that has demand, unless memory that
+// is being freed already will do.
+func (p *planner) makeRoom(need need) {
+	if need.waiting == 0 {
+		return
+	}
+	if coming, found := p.bestSpot(need.model, true); found {
+		p.promise(coming, need.model)
+		return
+	}
+	victims := p.idlePlaces()
+	for _, id := range sortedKeys(p.Engines) {
+		candidate := p.Engines[id]
+		if candidate.usable() && candidate.Service == need.model.Service {
+			if chosen, enough := p.victimsOn(candidate, need.model, victims); enough {
+				for _, victim := range chosen {
+					p.removeReplica(victim.assignment.ReplicaID)
+				}
+				if coming, found := p.bestSpot(need.model, true); found {
+					p.promise(coming, need.model)
+				}
+				return
+			}
+		}
+	}
+}
+
+func (p *planner) promise(coming spot, model *settings.Model) {
+	if p.promised[coming.engineID] == nil {
+		p.promised[coming.engineID] = make([]int64, len(p.Engines[coming.engineID].Inventory.Accelerators))
+	}
+	for _, index := range coming.accelerators {
+		p.promised[coming.engineID][index] += model.MemoryBytes
+	}
+}
+
+// idlePlaces lists replicas that nobody waits for or uses and that exceed their
+// model's least number, those used longest ago first.
+func (p *planner) idlePlaces() []place {
+	type idle struct {
+		place
+		lastUsed time.Time
+	}
+	var all []idle
+	for _, need := range p.needs() {
+		places := p.kept(need.model)
+		if need.waiting > 0 || p.runningOf(need.model) > 0 || len(places) <= need.model.MinReplicas {
+			continue
+		}
+		for _, kept := range places[need.model.MinReplicas:] {
+			if kept.ready {
+				all = append(all, idle{kept, need.lastUsed})
+			}
+		}
+	}
+	sort.SliceStable(all, func(i, j int) bool { return all[i].lastUsed.Before(all[j].lastUsed) })
+	places := make([]place, 0, len(all))
+	for _, one := range all {
+		places = append(places, one.place)
+	}
+	return places
+}
+
+func (p *planner) runningOf(model *settings.Model) int {
+	running := p.Demand[model.Name].Running
+	for _, adapter := range model.Adapters {
+		running += p.Demand[adapter].Running
+	}
+	return running
+}
+
+// victimsOn picks idle replicas on an engine, longest idle first, until the model
+// would fit.
+func (p *planner) victimsOn(candidate Engine, model *settings.Model, idle []place) (chosen []place, enough bool) {
+	free := p.free(candidate, true)
+	for _, victim := range idle {
+		if fitting(free, model) != nil {
+			break
+		}
+		if victim.engineID != candidate.ID {
+			continue
+		}
+		charge(free, victim.assignment.Accelerators, -victim.assignment.MemoryBytes)
+		chosen = append(chosen, victim)
+	}
+	return chosen, fitting(free, model) != nil
+}
+
+func sortedKeys[V any](values map[string]V) []string {
+	keys := make([]string, 0, len(values))
+	for key := range values {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/queue/queue.go
@@ -0,0 +1,569 @@
+// Package queue is the pure core of a home: the one queue of a base model and
+// its adapters in a region, and the slots of the model's replicas.
+//
+// A Queue reads no clock, starts nothing and sends nothing. Each method takes the
+// time and returns the actions to carry out, in order. It is not safe for
+// concurrent use.
+package queue
+
+import (
+	"container/heap"
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/finchspoke/finchspoke/failure"
+	"github.com/finchspoke/finchspoke/request"
+)
+
+// Item is a request that waits for a slot.
+type Item struct {
+	ID         string
+	Owner      string // the gateway that holds the caller's connection
+	Target     string // the model, or one of its adapters
+	Branch     string
+	Share      int // the branch's weight; at least 1
+	MaxWaiting int // the branch's limit of waiting requests in this queue
+	Class      request.Class
+	Zone       string // the gateway's zone
+	Arrived    time.Time
+	Deadline   time.Time // the whole answer is due then
+}
+
+// Replica is a ready replica.
+type Replica struct {
+	EngineID string
+	Address  string
+	Zone     string
+	Adapters map[string]bool
+}
+
+// Action is a Grant or a Refusal.
+type Action interface{ action() }
+
+// Grant gives an item a slot on a replica: it may be dispatched there once.
+type Grant struct {
+	Item    Item
+	Replica Replica
+}
+
+// Refusal ends an item that was never granted.
+type Refusal struct {
+	Item       Item
+	Kind       failure.Kind
+	Message    string
+	RetryAfter time.Duration
+}
+
+func (Grant) action()   {}
+func (Refusal) action() {}
+
+// Demand is what one target asks of the placer.
+type Demand struct {
+	Target   string
+	Waiting  int
+	Urgent   int // of the waiting, those of class interactive
+	Running  int
+	LastUsed time.Time
+}
+
+const (
+	// suspensionFirst and suspensionLast bound how long a replica that failed
+	// gets nothing; it doubles with each failure in a row.
+	suspensionFirst = 500 * time.Millisecond
+	suspensionLast  = 30 * time.Second
+	// dispatchMargin before its deadline an item is no longer worth a dispatch.
+	dispatchMargin = 20 * time.Millisecond
+	// serviceWeight is the weight of a new sample in the mean service time.
+	serviceWeight = 0.1
+	// retryAfterLeast is the least advice when to come back.
+	retryAfterLeast = time.Second
+)
+
+// Queue is the queue of one base model.
+type Queue struct {
+	model       string
+	concurrency int
+	lanes       map[string]*lane
+	items       map[string]*waitingItem
+	branches    map[string]*branchState
+	virtualTime float64 // of the branch served last
+	replicas    map[string]*slots
+	running     map[string]runningItem
+	lastUsed    map[string]time.Time // by target
+	meanService time.Duration        // zero until the first sample
+	readyAt     time.Time            // when a first replica is expected; zero unknown
+	byClass     [request.ClassCount]int
+	sequence    uint64
+}
+
+type runningItem struct {
+	owner    string
+	target   string
+	engineID string
+}
+
+// slots is a replica with what runs on it.
+type slots struct {
+	Replica
+	ready          bool
+	running        int
+	failures       int
+	suspendedUntil time.Time
+}
+
+// lane holds what waits for one target, by class and branch.
+type lane struct {
+	target  string
+	classes [request.ClassCount]map[string]*itemHeap
+}
+
+type branchState struct {
+	virtual float64
+	waiting int
+}
+
+// New returns an empty queue of a base model.
+func New(model string, concurrency int) *Queue {
+	return &Queue{
+		model: model, concurrency: max(1, concurrency),
+		lanes: map[string]*lane{}, items: map[string]*waitingItem{}, branches: map[string]*branchState{},
+		replicas: map[string]*slots{}, running: map[string]runningItem{}, lastUsed: map[string]time.Time{},
+	}
+}
+
+// SetConcurrency changes how many requests run at once on a replica.
+func (q *Queue) SetConcurrency(now time.Time, concurrency int) []Action {
+	q.concurrency = max(1, concurrency)
+	return q.fill(now)
+}
+
+// Submit adds an item, or refuses it at once if its branch has too many waiting
+// or its deadline cannot be met. Submitting a known id again does nothing.
+func (q *Queue) Submit(now time.Time, item Item) []Action {
+	if q.items[item.ID] != nil {
+		return nil
+	}
+	if _, running := q.running[item.ID]; running {
+		return nil
+	}
+	item.Share = max(1, item.Share)
+	q.lastUsed[item.Target] = now
+	state := q.branch(item.Branch)
+	wait, known := q.estimate(now, item)
+	switch {
+	case item.MaxWaiting > 0 && state.waiting >= item.MaxWaiting:
+		return []Action{Refusal{Item: item, Kind: failure.LimitExceeded, RetryAfter: max(wait, retryAfterLeast),
+			Message: fmt.Sprintf("branch %s already has %d requests waiting for %s", item.Branch, state.waiting, q.model)}}
+	case !item.Deadline.After(now.Add(dispatchMargin)):
+		return []Action{expired(item, wait)}
+	case known && now.Add(wait).After(item.Deadline):
+		return []Action{Refusal{Item: item, Kind: failure.DeadlineTooShort, RetryAfter: max(wait, retryAfterLeast),
+			Message: fmt.Sprintf("%s is expected to be free in %s, after the deadline", item.Target, wait.Round(time.Millisecond))}}
+	}
+	q.push(item)
+	return q.fill(now)
+}
+
+func expired(item Item, wait time.Duration) Refusal {
+	return Refusal{Item: item, Kind: failure.DeadlineExceeded, RetryAfter: max(wait, retryAfterLeast),
+		Message: fmt.Sprintf("the deadline passed while the request waited for %s", item.Target)}
+}
+
+// estimate is the time until an item would be granted, and whether enough is
+// known to say so.
+func (q *Queue) estimate(now time.Time, item Item) (wait time.Duration, known bool) {
+	ready := 0
+	free := 0
+	for _, replica := range q.replicas {
+		if q.usable(replica, now) {
+			ready++
+			free += max(0, q.concurrency-replica.running)
+		}
+	}
+	ahead := q.ahead(item)
+	if ready == 0 {
+		if q.readyAt.IsZero() {
+			return 0, false
+		}
+		turns := ahead / q.concurrency
+		return max(0, q.readyAt.Sub(now)) + time.Duration(turns)*q.meanService, true
+	}
+	if ahead < free {
+		return 0, true
+	}
+	if q.meanService == 0 {
+		return 0, false
+	}
+	perSlot := float64(ahead-free+1) / float64(ready*q.concurrency)
+	return time.Duration(perSlot * float64(q.meanService)), true
+}
+
+// ahead counts the items served before a new one: all of a higher class, and of
+// its own class no more than its branch's share lets through.
+func (q *Queue) ahead(item Item) int {
+	higher, own := 0, q.byClass[item.Class]
+	for class := range item.Class {
+		higher += q.byClass[class]
+	}
+	ownBranch, shares := 0, 0
+	for _, waiting := range q.lanes {
+		for branch, items := range waiting.classes[item.Class] {
+			if branch == item.Branch {
+				ownBranch += items.Len()
+			} else if items.Len() > 0 {
+				shares += (*items)[0].item.Share
+			}
+		}
+	}
+	fair := ownBranch + (ownBranch+1)*shares/item.Share
+	return higher + min(own, fair)
+}
+
+// Cancel withdraws a waiting item of an owner.
+func (q *Queue) Cancel(id string) {
+	if waiting := q.items[id]; waiting != nil {
+		q.remove(waiting)
+	}
+}
+
+// Release gives a slot back. service is how long the request ran; zero when it
+// did not. engineFailed suspends the replica for a while.
+func (q *Queue) Release(now time.Time, id string, engineFailed bool, service time.Duration) []Action {
+	held, found := q.running[id]
+	if !found {
+		return nil
+	}
+	delete(q.running, id)
+	q.lastUsed[held.target] = now
+	if replica := q.replicas[held.engineID]; replica != nil {
+		replica.running = max(0, replica.running-1)
+		if engineFailed {
+			q.suspend(replica, now)
+		} else {
+			replica.failures = 0
+		}
+		q.dropIfGone(replica)
+	}
+	if service > 0 && !engineFailed {
+		q.observe(service)
+	}
+	return q.fill(now)
+}
+
+func (q *Queue) observe(service time.Duration) {
+	if q.meanService == 0 {
+		q.meanService = service
+		return
+	}
+	q.meanService += time.Duration(serviceWeight * float64(service-q.meanService))
+}
+
+func (q *Queue) suspend(replica *slots, now time.Time) {
+	pause := suspensionLast
+	const doublings = 6
+	if replica.failures < doublings {
+		pause = suspensionFirst << replica.failures
+	}
+	replica.failures++
+	replica.suspendedUntil = now.Add(min(pause, suspensionLast))
+}
+
+// Restore counts a request that a gateway runs already, after this queue was
+// made or lost touch with the gateway.
+func (q *Queue) Restore(now time.Time, id, owner, target, engineID string) {
+	if _, known := q.running[id]; known {
+		return
+	}
+	q.Cancel(id)
+	q.lastUsed[target] = now
+	q.run(id, owner, target, engineID)
+}
+
+func (q *Queue) run(id, owner, target, engineID string) {
+	q.running[id] = runningItem{owner: owner, target: target, engineID: engineID}
+	replica := q.replicas[engineID]
+	if replica == nil {
+		replica = &slots{Replica: Replica{EngineID: engineID}}
+		q.replicas[engineID] = replica
+	}
+	replica.running++
+}
+
+// DropOwner forgets all items of a gateway whose link broke. The gateway submits
+// them again, and names what it runs, when it is back.
+func (q *Queue) DropOwner(now time.Time, owner string) []Action {
+	for _, waiting := range q.items {
+		if waiting.item.Owner == owner {
+			q.remove(waiting)
+		}
+	}
+	for id, held := range q.running {
+		if held.owner != owner {
+			continue
+		}
+		delete(q.running, id)
+		if replica := q.replicas[held.engineID]; replica != nil {
+			replica.running = max(0, replica.running-1)
+			q.dropIfGone(replica)
+		}
+	}
+	return q.fill(now)
+}
+
+// SetReplicas replaces the ready replicas. readyIn is when a first replica is
+// expected where there is none; negative when unknown.
+func (q *Queue) SetReplicas(now time.Time, replicas []Replica, readyIn time.Duration) []Action {
+	for _, replica := range q.replicas {
+		replica.ready = false
+	}
+	for _, ready := range replicas {
+		replica := q.replicas[ready.EngineID]
+		if replica == nil {
+			replica = &slots{}
+			q.replicas[ready.EngineID] = replica
+		}
+		replica.Replica = ready
+		replica.ready = true
+	}
+	for _, replica := range q.replicas {
+		q.dropIfGone(replica)
+	}
+	q.readyAt = time.Time{}
+	if readyIn >= 0 {
+		q.readyAt = now.Add(readyIn)
+	}
+	return append(q.fill(now), q.refuseHopeless(now)...)
+}
+
+func (q *Queue) dropIfGone(replica *slots) {
+	if !replica.ready && replica.running == 0 {
+		delete(q.replicas, replica.EngineID)
+	}
+}
+
+// refuseHopeless ends the items whose deadline is before the first replica can
+// be ready: the caller learns it now rather than at the deadline.
+func (q *Queue) refuseHopeless(now time.Time) []Action {
+	if len(q.replicas) > 0 || q.readyAt.IsZero() {
+		return nil
+	}
+	var actions []Action
+	wait := q.readyAt.Sub(now)
+	for _, waiting := range q.sortedItems() {
+		if q.readyAt.After(waiting.item.Deadline) {
+			q.remove(waiting)
+			actions = append(actions, Refusal{Item: waiting.item, Kind: failure.DeadlineTooShort, RetryAfter: max(wait, retryAfterLeast),
+				Message: fmt.Sprintf("%s is expected to be loaded in %s, after the deadline", waiting.item.Target, wait.Round(time.Millisecond))})
+		}
+	}
+	return actions
+}
+
+// Tick refuses what has passed its deadline and uses replicas whose suspension
+// has ended.
+func (q *Queue) Tick(now time.Time) []Action {
+	var actions []Action
+	for _, waiting := range q.lanes {
+		for class := range waiting.classes {
+			for _, items := range waiting.classes[class] {
+				for items.Len() > 0 && !(*items)[0].item.Deadline.After(now.Add(dispatchMargin)) {
+					late := (*items)[0]
+					wait, _ := q.estimate(now, late.item)
+					q.remove(late)
+					actions = append(actions, expired(late.item, wait))
+				}
+			}
+		}
+	}
+	return append(actions, q.fill(now)...)
+}
+
+// Waiting is the number of items that wait.
+func (q *Queue) Waiting() int { return len(q.items) }
+
+// Running is the number of items that hold a slot.
+func (q *Queue) Running() int { return len(q.running) }
+
+// Demands lists the demand of every target used, sorted by name.
+func (q *Queue) Demands() []Demand {
+	byTarget := map[string]*Demand{}
+	for target, used := range q.lastUsed {
+		byTarget[target] = &Demand{Target: target, LastUsed: used}
+	}
+	for _, waiting := range q.items {
+		demand := byTarget[waiting.item.Target]
+		demand.Waiting++
+		if waiting.item.Class == request.Interactive {
+			demand.Urgent++
+		}
+	}
+	for _, held := range q.running {
+		byTarget[held.target].Running++
+	}
+	demands := make([]Demand, 0, len(byTarget))
+	for _, demand := range byTarget {
+		demands = append(demands, *demand)
+	}
+	sort.Slice(demands, func(i, j int) bool { return demands[i].Target < demands[j].Target })
+	return demands
+}
+
+func (q *Queue) usable(replica *slots, now time.Time) bool {
+	return replica.ready && !now.Before(replica.suspendedUntil)
+}
+
+// fill grants items while any has a replica with a free slot.
+func (q *Queue) fill(now time.Time) []Action {
+	var actions []Action
+	for {
+		next, replica := q.next(now)
+		if next == nil {
+			return actions
+		}
+		state := q.branch(next.item.Branch)
+		q.virtualTime = state.virtual
+		state.virtual += 1 / float64(next.item.Share)
+		q.remove(next)
+		q.run(next.item.ID, next.item.Owner, next.item.Target, replica.EngineID)
+		actions = append(actions, Grant{Item: next.item, Replica: replica.Replica})
+	}
+}
+
+// next picks the item to grant: the highest class, of it the branch furthest
+// below its share, of that the earliest deadline.
+func (q *Queue) next(now time.Time) (*waitingItem, *slots) {
+	var best *waitingItem
+	var bestReplica *slots
+	for _, waiting := range q.lanes {
+		candidate := q.head(waiting)
+		if candidate == nil || (best != nil && !q.before(candidate, best)) {
+			continue
+		}
+		if replica := q.pick(candidate.item, now); replica != nil {
+			best, bestReplica = candidate, replica
+		}
+	}
+	return best, bestReplica
+}
+
+func (q *Queue) head(waiting *lane) *waitingItem {
+	for class := range waiting.classes {
+		var best *waitingItem
+		for _, items := range waiting.classes[class] {
+			if items.Len() > 0 && (best == nil || q.before((*items)[0], best)) {
+				best = (*items)[0]
+			}
+		}
+		if best != nil {
+			return best
+		}
+	}
+	return nil
+}
+
+// before orders two items for service.
+func (q *Queue) before(a, b *waitingItem) bool {
+	if a.item.Class != b.item.Class {
+		return a.item.Class < b.item.Class
+	}
+	virtualA, virtualB := q.branch(a.item.Branch).virtual, q.branch(b.item.Branch).virtual
+	if a.item.Branch != b.item.Branch && virtualA != virtualB {
+		return virtualA < virtualB
+	}
+	return a.earlier(b)
+}
+
+// pick returns the replica with the most free slots that has the target, one in
+// the gateway's zone first among equals.
+func (q *Queue) pick(item Item, now time.Time) *slots {
+	var best *slots
+	for _, replica := range q.replicas {
+		fits := item.Target == q.model || replica.Adapters[item.Target]
+		if !fits || !q.usable(replica, now) || replica.running >= q.concurrency {
+			continue
+		}
+		if best == nil || preferred(replica, best, item.Zone) {
+			best = replica
+		}
+	}
+	return best
+}
+
+func preferred(a, b *slots, zone string) bool {
+	if a.running != b.running {
+		return a.running < b.running
+	}
+	if (a.Zone == zone) != (b.Zone == zone) {
+		return a.Zone == zone
+	}
+	return a.EngineID < b.EngineID
+}
+
+func (q *Queue) branch(name string) *branchState {
+	state := q.branches[name]
+	if state == nil {
+		state = &branchState{virtual: q.virtualTime}
+		q.branches[name] = state
+	}
+	return state
+}
+
+func (q *Queue) push(item Item) {
+	waiting := q.lanes[item.Target]
+	if waiting == nil {
+		waiting = &lane{target: item.Target}
+		for class := range waiting.classes {
+			waiting.classes[class] = map[string]*itemHeap{}
+		}
+		q.lanes[item.Target] = waiting
+	}
+	items := waiting.classes[item.Class][item.Branch]
+	if items == nil {
+		items = &itemHeap{}
+		waiting.classes[item.Class][item.Branch] = items
+	}
+	state := q.branch(item.Branch)
+	if state.waiting == 0 {
+		// A branch that was idle has no claim on the time it did not use.
+		state.virtual = max(state.virtual, q.virtualTime)
+	}
+	state.waiting++
+	q.byClass[item.Class]++
+	q.sequence++
+	added := &waitingItem{item: item, heap: items, sequence: q.sequence}
+	heap.Push(items, added)
+	q.items[item.ID] = added
+}
+
+func (q *Queue) remove(waiting *waitingItem) {
+	heap.Remove(waiting.heap, waiting.index)
+	delete(q.items, waiting.item.ID)
+	q.branches[waiting.item.Branch].waiting--
+	q.byClass[waiting.item.Class]--
+	if waiting.heap.Len() == 0 {
+		held := q.lanes[waiting.item.Target]
+		delete(held.classes[waiting.item.Class], waiting.item.Branch)
+		if held.empty() {
+			delete(q.lanes, waiting.item.Target)
+		}
+	}
+}
+
+func (l *lane) empty() bool {
+	for _, branches := range l.classes {
+		if len(branches) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (q *Queue) sortedItems() []*waitingItem {
+	sorted := make([]*waitingItem, 0, len(q.items))
+	for _, waiting := range q.items {
+		sorted = append(sorted, waiting)
+	}
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i].sequence < sorted[j].sequence })
+	return sorted
+}
