--- a/engine/client.go
+++ b/engine/client.go
@@ -18,8 +18,8 @@
 const (
 	dialTimeout       = time.Second
 	orderTimeout      = 3 * time.Second
-	inventoryWait     = 10 * time.Second
-	inventoryTimeout  = inventoryWait + 5*time.Second
+	inventoryWait     = 3 * time.Second
+	inventoryTimeout  = inventoryWait + 2*time.Second
 	cancelTimeout     = 2 * time.Second
 	idleTimeout       = 90 * time.Second
 	idleConnsPerHost  = 128
@@ -72,7 +72,7 @@
 }
 
 // Inventory returns the engine's inventory once its version differs from after
-// or about ten seconds have passed. Zero returns it at once.
+// or about three seconds have passed. Zero returns it at once.
 func (c *Client) Inventory(ctx context.Context, address string, after uint64) (Inventory, error) {
 	ctx, cancel := context.WithTimeout(ctx, inventoryTimeout)
 	defer cancel()
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -44,6 +44,8 @@
 	// promised is memory on each accelerator of an engine that is still to be
 	// freed and already meant for a model, so that no two evict for one place.
 	promised map[string][]int64
+	// byModel indexes the kept assignments; nil when it has to be made anew.
+	byModel map[string][]place
 }
 
 // refillBudget adds the load starts that became allowed since last time.
@@ -65,6 +67,7 @@
 	planned.Assignments = assignments
 	p.plan.Engines[engineID] = planned
 	p.changed[engineID] = true
+	p.byModel = nil
 }
 
 // dropConfirmed forgets removed replicas that are certainly gone, and whatever
@@ -151,19 +154,26 @@
 // kept lists the assignments of a model that are to be kept, on engines that can
 // be reached: one that cannot keeps its charge on memory but serves nobody.
 func (p *planner) kept(model *settings.Model) []place {
-	var places []place
+	if p.byModel == nil {
+		p.index()
+	}
+	return p.byModel[model.Name]
+}
+
+func (p *planner) index() {
+	p.byModel = map[string][]place{}
 	for _, id := range sortedKeys(p.plan.Engines) {
 		known := p.Engines[id]
 		if !known.Reachable {
 			continue
 		}
-		for index, assignment := range p.plan.Engines[id].Assignments {
-			if assignment.Wish == Keep && assignment.Model == model.Name {
-				places = append(places, place{id, index, assignment, isReady(known, assignment.ReplicaID)})
+		for number, assignment := range p.plan.Engines[id].Assignments {
+			if assignment.Wish == Keep {
+				kept := place{id, number, assignment, isReady(known, assignment.ReplicaID)}
+				p.byModel[assignment.Model] = append(p.byModel[assignment.Model], kept)
 			}
 		}
 	}
-	return places
 }
 
 func isReady(known Engine, replicaID string) bool {
@@ -233,7 +243,7 @@
 // removeSurplus unloads replicas that a model has not needed for its IdleAfter.
 func (p *planner) removeSurplus() {
 	for _, need := range p.needs() {
-		places := p.kept(need.model)
+		places := slices.Clone(p.kept(need.model))
 		if len(places) <= need.replicas {
 			delete(p.state.SurplusSince, need.model.Name)
 			continue
@@ -243,7 +253,9 @@
 			p.state.SurplusSince[need.model.Name] = p.Now
 			since = p.Now
 		}
-		if need.replicas > 0 && p.Now.Sub(since) < need.model.IdleAfter {
+		// A new placer has not heard of past use yet and waits as well.
+		knownIdle := need.replicas == 0 && !need.lastUsed.IsZero()
+		if !knownIdle && p.Now.Sub(since) < need.model.IdleAfter {
 			continue
 		}
 		// The newest goes first: older ones have warmer prefix caches.
--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/finchspoke/finchspoke/engine"
-	"github.com/finchspoke/finchspoke/settings"
 )
 
 // speedWeight is the weight of a new sample in the remote speed.
@@ -28,12 +27,12 @@
 
 // ReadyIn estimates when a model's first replica is ready: zero if one is, and
 // Unknown if no load runs or no load was seen yet to judge by.
-func ReadyIn(now time.Time, plan Plan, engines map[string]Engine, state State, model *settings.Model) time.Duration {
+func ReadyIn(now time.Time, plan Plan, engines map[string]Engine, state State, model string) time.Duration {
 	best := Unknown
 	for id, planned := range plan.Engines {
 		known := engines[id]
 		for _, assignment := range planned.Assignments {
-			if assignment.Model != model.Name || assignment.Wish != Keep || !known.Reachable {
+			if assignment.Model != model || assignment.Wish != Keep || !known.Reachable {
 				continue
 			}
 			left := loadLeft(now, known, assignment, state)
--- a/settings/registry.go
+++ b/settings/registry.go
@@ -1,12 +1,9 @@
 package settings
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"strconv"
 	"strings"
 	"time"
@@ -14,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/finchspoke/finchspoke/failure"
+	"github.com/finchspoke/finchspoke/gzipped"
 	"github.com/finchspoke/finchspoke/kv"
 )
 
@@ -99,7 +97,7 @@
 	}
 	record := Record{
 		Number: number, OperationID: application.OperationID, Author: application.Author,
-		AppliedAt: r.now().UTC(), Compressed: compress(text),
+		AppliedAt: r.now().UTC(), Compressed: gzipped.Compress(text),
 	}
 	value, err := json.Marshal(record)
 	if err != nil {
@@ -267,7 +265,7 @@
 
 // Decode checks and resolves a stored record.
 func Decode(record Record) (*Revision, error) {
-	text, err := decompress(record.Compressed)
+	text, err := gzipped.Decompress(record.Compressed, maxYAML)
 	if err != nil {
 		return nil, err
 	}
@@ -294,7 +292,7 @@
 func Encode(revision *Revision) Record {
 	return Record{
 		Number: revision.Number, OperationID: revision.OperationID, Author: revision.Author,
-		AppliedAt: revision.AppliedAt, Compressed: compress(revision.YAML),
+		AppliedAt: revision.AppliedAt, Compressed: gzipped.Compress(revision.YAML),
 	}
 }
 
@@ -316,20 +314,3 @@
 	return failure.Wrap(err, failure.Unavailable, "try again when the key-value service answers",
 		"the key-value service did not answer; nothing was changed")
 }
-
-func compress(text []byte) []byte {
-	var buffer bytes.Buffer
-	writer := gzip.NewWriter(&buffer)
-	_, _ = writer.Write(text) // a bytes.Buffer takes every write
-	_ = writer.Close()
-	return buffer.Bytes()
-}
-
-func decompress(data []byte) ([]byte, error) {
-	reader, err := gzip.NewReader(bytes.NewReader(data))
-	if err != nil {
-		return nil, errors.Wrap(err, "decompress settings")
-	}
-	text, err := io.ReadAll(io.LimitReader(reader, maxYAML))
-	return text, errors.Wrap(err, "decompress settings")
-}
