--- /dev/null
+++ b/command/settings_apply.go
@@ -0,0 +1,175 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/finchspoke/finchspoke/adminapi"
+	"github.com/finchspoke/finchspoke/cli"
+	"github.com/finchspoke/finchspoke/failure"
+	"github.com/finchspoke/finchspoke/settings"
+)
+
+// inForce returns the revision in force at the daemon, with its tree.
+func inForce(ctx context.Context, client adminapi.Client) (adminapi.Revision, *settings.Tree, error) {
+	var current adminapi.Revision
+	if err := client.Get(ctx, adminapi.PathCurrent, &current); err != nil {
+		return current, nil, err
+	}
+	tree, err := settings.Parse(settings.Source{Name: fmt.Sprintf("settings@%d", current.Number), Data: []byte(current.YAML)})
+	return current, tree, err
+}
+
+// diffCommand compares files with what is in force.
+type diffCommand struct {
+	daemonOption
+	cli.Output
+	filesArgument
+}
+
+// diffResult is the result of a diff.
+type diffResult struct {
+	BaseRevision uint64            `json:"base_revision"`
+	Changes      []settings.Change `json:"changes"`
+}
+
+// Execute implements flags.Commander.
+func (c *diffCommand) Execute([]string) error {
+	ctx, stop := interruptible()
+	defer stop()
+	wanted, err := c.tree()
+	if err != nil {
+		return err
+	}
+	current, tree, err := inForce(ctx, c.client())
+	if err != nil {
+		return err
+	}
+	result := diffResult{current.Number, settings.Diff(tree.Document(), wanted.Document())}
+	return c.Write(result, func(writer io.Writer) error {
+		_, _ = fmt.Fprintf(writer, "against revision %d: %d change(s)\n", result.BaseRevision, len(result.Changes))
+		for _, change := range result.Changes {
+			_, _ = fmt.Fprintln(writer, change)
+		}
+		return nil
+	})
+}
+
+// applyCommand puts files in force.
+type applyCommand struct {
+	daemonOption
+	cli.Output
+	BaseRevision uint64        `long:"base-revision" required:"true" description:"revision that the files were diffed against; 0 for the first"`
+	OperationID  string        `long:"operation-id" description:"makes a repeat safe; made up if not given, and printed"`
+	Author       string        `long:"author" env:"USER" default:"unknown" description:"who makes the change"`
+	Wait         time.Duration `long:"wait" description:"wait so long until every running daemon has the revision in force"`
+	filesArgument
+}
+
+// applyResult is the result of an apply.
+type applyResult struct {
+	Revision    uint64            `json:"revision"`
+	OperationID string            `json:"operation_id"`
+	InForce     map[string]uint64 `json:"in_force,omitempty"` // revision by daemon
+}
+
+const applyPoll = 100 * time.Millisecond
+
+// Execute implements flags.Commander.
+func (c *applyCommand) Execute([]string) error {
+	ctx, stop := interruptible()
+	defer stop()
+	tree, err := c.tree()
+	if err != nil {
+		return err
+	}
+	text, err := settings.Marshal(tree.Document())
+	if err != nil {
+		return err
+	}
+	if c.OperationID == "" {
+		c.OperationID = uuid.NewString()
+		_, _ = fmt.Fprintf(os.Stderr, "operation id %s\n", c.OperationID)
+	}
+	var accepted adminapi.Revision
+	err = c.client().Post(ctx, adminapi.PathApply, adminapi.Application{
+		BaseRevision: c.BaseRevision, OperationID: c.OperationID, Author: c.Author, YAML: string(text)}, &accepted)
+	if err != nil {
+		return err
+	}
+	result := applyResult{Revision: accepted.Number, OperationID: c.OperationID}
+	waited := error(nil)
+	if c.Wait > 0 {
+		result.InForce, waited = c.waitInForce(ctx, accepted.Number)
+	}
+	err = c.Write(result, func(writer io.Writer) error {
+		_, _ = fmt.Fprintf(writer, "accepted as revision %d\n", result.Revision)
+		for daemon, revision := range result.InForce {
+			_, _ = fmt.Fprintf(writer, "  %s has revision %d in force\n", daemon, revision)
+		}
+		return nil
+	})
+	if waited != nil {
+		return waited
+	}
+	return err
+}
+
+// waitInForce polls what the daemon heard from the running members.
+func (c *applyCommand) waitInForce(ctx context.Context, revision uint64) (map[string]uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.Wait)
+	defer cancel()
+	seen := map[string]uint64{}
+	for {
+		var status adminapi.Status
+		if err := c.client().Get(ctx, adminapi.PathStatus, &status); err == nil {
+			behind := 0
+			for _, member := range status.Members {
+				if member.Status != "alive" {
+					continue
+				}
+				seen[member.ID] = member.SettingsRevision
+				if member.SettingsRevision < revision {
+					behind++
+				}
+			}
+			if behind == 0 {
+				return seen, nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return seen, failure.New(failure.Unavailable, "see `finchspoke status` for the daemons that lag",
+				"revision %d is accepted and not seen in force at every daemon yet", revision).WithExecution(failure.Completed)
+		case <-time.After(applyPoll):
+		}
+	}
+}
+
+// historyCommand lists accepted revisions.
+type historyCommand struct {
+	daemonOption
+	cli.Output
+}
+
+// Execute implements flags.Commander.
+func (c *historyCommand) Execute([]string) error {
+	ctx, stop := interruptible()
+	defer stop()
+	var revisions []adminapi.Revision
+	if err := c.client().Get(ctx, adminapi.PathHistory, &revisions); err != nil {
+		return err
+	}
+	return c.Write(revisions, func(writer io.Writer) error {
+		for _, revision := range revisions {
+			_, _ = fmt.Fprintf(writer, "%6d  %s  %-20s  %s\n", revision.Number,
+				revision.AppliedAt.Format(time.RFC3339), revision.Author, revision.OperationID)
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/daemon/admin.go
@@ -0,0 +1,213 @@
+package daemon
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/finchspoke/finchspoke/adminapi"
+	"github.com/finchspoke/finchspoke/failure"
+	"github.com/finchspoke/finchspoke/settings"
+)
+
+const (
+	maxApplyBytes        = 64 << 20
+	maxOperationID       = 128
+	adminHeaderTimeout   = 5 * time.Second
+	adminShutdownTimeout = 2 * time.Second
+)
+
+// adminServer is the operator interface. It is a suture service.
+type adminServer struct {
+	daemon   *Daemon
+	listener net.Listener
+}
+
+// String names the service in the supervisor's events.
+func (a *adminServer) String() string { return "admin" }
+
+// Serve implements suture.Service.
+func (a *adminServer) Serve(ctx context.Context) error {
+	server := &http.Server{Handler: a.routes(), ReadHeaderTimeout: adminHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() {
+		closing, cancel := context.WithTimeout(context.Background(), adminShutdownTimeout)
+		defer cancel()
+		_ = server.Shutdown(closing)
+	})
+	defer stop()
+	err := server.Serve(a.listener)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return errors.Wrap(err, "serve operators")
+}
+
+func (a *adminServer) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(writer http.ResponseWriter, _ *http.Request) {
+		_, _ = writer.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("GET /readyz", a.readyz)
+	mux.Handle("GET /metrics", promhttp.HandlerFor(a.daemon.metrics, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET "+adminapi.PathStatus, a.guarded(a.status))
+	mux.HandleFunc("GET "+adminapi.PathCurrent, a.guarded(a.current))
+	mux.HandleFunc("GET "+adminapi.PathRevisions+"{number}", a.guarded(a.revision))
+	mux.HandleFunc("GET "+adminapi.PathHistory, a.guarded(a.history))
+	mux.HandleFunc("POST "+adminapi.PathApply, a.guarded(a.apply))
+	mux.HandleFunc("POST "+adminapi.PathDrain, a.guarded(a.drain))
+	return mux
+}
+
+func (a *adminServer) readyz(writer http.ResponseWriter, _ *http.Request) {
+	if reason := a.daemon.notReady(); reason != "" {
+		http.Error(writer, reason, http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = writer.Write([]byte("ready\n"))
+}
+
+// guarded asks for the operator token, where there is one, and turns the result
+// of a call into its answer.
+func (a *adminServer) guarded(call func(*http.Request) (any, error)) http.HandlerFunc {
+	return func(writer http.ResponseWriter, httpRequest *http.Request) {
+		writer.Header().Set("Content-Type", "application/json")
+		answer, err := any(nil), a.authorize(httpRequest)
+		if err == nil {
+			answer, err = call(httpRequest)
+		}
+		if err != nil {
+			failed := failure.As(err)
+			writer.WriteHeader(adminStatus(failed.Kind))
+			answer = adminapi.Error{Kind: failed.Kind, Message: failed.Message, Remedy: failed.Remedy, Execution: failed.Execution}
+		}
+		_ = json.NewEncoder(writer).Encode(answer) // the operator may be gone
+	}
+}
+
+func (a *adminServer) authorize(httpRequest *http.Request) error {
+	wanted := a.daemon.config.OperatorToken
+	given := strings.TrimPrefix(httpRequest.Header.Get("Authorization"), "Bearer ")
+	if wanted != "" && subtle.ConstantTimeCompare([]byte(wanted), []byte(given)) != 1 {
+		return failure.New(failure.Unauthenticated, "give the operator token with --token", "the operator token is missing or wrong")
+	}
+	return nil
+}
+
+func adminStatus(kind failure.Kind) int {
+	switch kind {
+	case failure.Unauthenticated:
+		return http.StatusUnauthorized
+	case failure.InvalidRequest, failure.InvalidSettings:
+		return http.StatusBadRequest
+	case failure.SettingsConflict:
+		return http.StatusConflict
+	case failure.Unavailable, failure.SettingsUncertain:
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusInternalServerError
+}
+
+func (a *adminServer) status(*http.Request) (any, error) {
+	d := a.daemon
+	self := d.members.View().Self()
+	status := adminapi.Status{
+		ID: self.ID, Region: self.Region, Zone: self.Zone, Ready: d.notReady() == "", Draining: d.draining.Load(), Version: Version,
+		SettingsRevision: d.settings.Number(), GatewayAddress: d.Addresses().Gateway, Queues: d.home.Status(),
+	}
+	sort.Slice(status.Queues, func(i, j int) bool { return status.Queues[i].Model < status.Queues[j].Model })
+	for _, member := range d.members.View().Members {
+		heard := d.members.HeardRevision(member.ID)
+		if member.ID == self.ID {
+			heard = d.settings.Number()
+		}
+		status.Members = append(status.Members, adminapi.Member{
+			ID: member.ID, Region: member.Region, Zone: member.Zone, Status: member.Status.String(),
+			RPCAddress: member.RPCAddress, SettingsRevision: heard})
+	}
+	if shown, leads := d.placer.Picture(); leads {
+		status.Placement = &adminapi.Placement{Region: self.Region, Epoch: shown.Epoch, Plan: shown.Plan.Fence.Revision}
+		for _, planned := range shown.Plan.Engines {
+			status.Placement.Engines = append(status.Placement.Engines, planned)
+		}
+		sort.Slice(status.Placement.Engines, func(i, j int) bool {
+			return status.Placement.Engines[i].EngineID < status.Placement.Engines[j].EngineID
+		})
+	}
+	return status, nil
+}
+
+func (a *adminServer) current(*http.Request) (any, error) {
+	current := a.daemon.settings.Current()
+	if current == nil {
+		return adminapi.Revision{}, nil
+	}
+	return describe(current), nil
+}
+
+func describe(revision *settings.Revision) adminapi.Revision {
+	return adminapi.Revision{
+		Number: revision.Number, OperationID: revision.OperationID, Author: revision.Author,
+		AppliedAt: revision.AppliedAt, YAML: string(revision.YAML),
+	}
+}
+
+func (a *adminServer) revision(httpRequest *http.Request) (any, error) {
+	number, err := strconv.ParseUint(httpRequest.PathValue("number"), 10, 64)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.InvalidRequest, "give a revision number", "the revision is not a number")
+	}
+	revision, err := a.daemon.registry.Get(httpRequest.Context(), number)
+	if err != nil {
+		return nil, err
+	}
+	return describe(revision), nil
+}
+
+func (a *adminServer) history(httpRequest *http.Request) (any, error) {
+	records, err := a.daemon.registry.History(httpRequest.Context())
+	if err != nil {
+		return nil, err
+	}
+	revisions := make([]adminapi.Revision, 0, len(records))
+	for _, record := range records {
+		revisions = append(revisions, adminapi.Revision{
+			Number: record.Number, OperationID: record.OperationID, Author: record.Author, AppliedAt: record.AppliedAt})
+	}
+	return revisions, nil
+}
+
+func (a *adminServer) apply(httpRequest *http.Request) (any, error) {
+	var wanted adminapi.Application
+	body := http.MaxBytesReader(nil, httpRequest.Body, maxApplyBytes)
+	if err := json.NewDecoder(body).Decode(&wanted); err != nil {
+		return nil, failure.Wrap(err, failure.InvalidRequest, "use `finchspoke settings apply`", "the application is not understood")
+	}
+	if wanted.OperationID == "" || len(wanted.OperationID) > maxOperationID {
+		return nil, failure.New(failure.InvalidRequest, "give an operation id of 1 to 128 bytes", "the operation id is not valid")
+	}
+	tree, err := settings.Parse(settings.Source{Name: "settings", Data: []byte(wanted.YAML)})
+	if err != nil {
+		return nil, err
+	}
+	revision, err := a.daemon.registry.Apply(httpRequest.Context(), settings.Application{
+		BaseRevision: wanted.BaseRevision, OperationID: wanted.OperationID, Author: wanted.Author, Tree: tree})
+	if err != nil {
+		return nil, err
+	}
+	a.daemon.settings.Advance(revision)
+	return describe(revision), nil
+}
+
+func (a *adminServer) drain(*http.Request) (any, error) {
+	a.daemon.BeginDrain()
+	return struct{}{}, nil
+}
--- /dev/null
+++ b/gateway/keyed.go
@@ -0,0 +1,155 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/finchspoke/finchspoke/failure"
+	"github.com/finchspoke/finchspoke/runonce"
+)
+
+const (
+	// keyedGrace is how long a keyed request may go on after its deadline, so that
+	// its outcome can be stored and asked for.
+	keyedGrace = 2 * time.Minute
+	// settleMargin is the time allowed to store an outcome.
+	settleMargin = 30 * time.Second
+	// lookInterval is how often a repeat looks whether the first has ended.
+	lookInterval = 250 * time.Millisecond
+	// maxLookTime is how long a repeat waits before it is told to come back.
+	maxLookTime = 10 * time.Second
+	storeTries  = 20
+	storePause  = time.Second
+)
+
+// runKeyed serves a call with an idempotency key: it runs only under a claim, and
+// goes on to its end without its caller, so that a repeat gets the outcome.
+func (s *Server) runKeyed(ctx context.Context, made *call, out *sink) *failure.Error {
+	claim, standing, err := s.Ledger.Claim(ctx, made.branch.Path, made.idempotencyKey, runonce.Record{
+		RequestID:   made.id,
+		Fingerprint: runonce.Fingerprint([]byte(made.path), made.body),
+		ClaimedAt:   time.Now().UTC(),
+		SettledBy:   made.deadline.Add(keyedGrace + settleMargin).UTC(),
+	})
+	if err != nil {
+		return failure.As(err)
+	}
+	if standing != nil {
+		return s.repeat(ctx, made, standing, out)
+	}
+	ended := make(chan endedCall, 1)
+	running := *made // what runs on must not share what is logged meanwhile
+	detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), made.deadline.Add(keyedGrace))
+	s.background.Add(1)
+	go func() {
+		defer s.background.Done()
+		defer cancel()
+		failed := s.runClaimed(detached, &running, claim, out)
+		ended <- endedCall{failed, running.log}
+	}()
+	select {
+	case last := <-ended:
+		made.log = last.log
+		return last.failed
+	case <-ctx.Done():
+	}
+	return failure.New(failure.KeyInUse, "repeat the request with the same key to get its outcome",
+		"the request still runs and its outcome will be stored").WithExecution(failure.Unknown).WithRetryAfter(retryAfterDeadline)
+}
+
+// endedCall is the end of a keyed call that its caller waited for.
+type endedCall struct {
+	failed *failure.Error
+	log    callLog
+}
+
+// runClaimed runs a call under its claim and stores what came of it.
+func (s *Server) runClaimed(ctx context.Context, made *call, claim *runonce.Claim, out *sink) *failure.Error {
+	failed, execution := s.run(ctx, made, out)
+	ctx = context.WithoutCancel(ctx)
+	s.store(ctx, made, func() error {
+		switch {
+		case failed == nil:
+			return s.Ledger.Complete(ctx, claim, runonce.Outcome{
+				Status: out.record.status, ContentType: out.record.contentType, Body: out.record.body})
+		case execution == failure.NotRun:
+			return s.Ledger.Release(ctx, claim)
+		}
+		return s.Ledger.Unsettle(ctx, claim)
+	})
+	return failed
+}
+
+// store tries to write an outcome until it is written or hope is lost; the claim
+// then stands, and turns unsettled by its time.
+func (s *Server) store(ctx context.Context, made *call, write func() error) {
+	var err error
+	for range storeTries {
+		if err = write(); err == nil {
+			return
+		}
+		wait(ctx, storePause)
+	}
+	s.Log.WithError(err).WithField("request_id", made.id).Error("outcome of a keyed request was not stored")
+}
+
+// repeat answers a repeat of a claimed key without running anything.
+func (s *Server) repeat(ctx context.Context, made *call, standing *runonce.Record, out *sink) *failure.Error {
+	until := time.Now().Add(maxLookTime)
+	for standing.State == runonce.Claimed {
+		if ctx.Err() != nil || time.Now().After(until) {
+			return failure.New(failure.KeyInUse, "repeat the request with the same key to get its outcome",
+				"the first request with this key still runs").WithExecution(failure.Unknown).WithRetryAfter(retryAfterDeadline)
+		}
+		wait(ctx, lookInterval)
+		looked, err := s.Ledger.Look(ctx, made.branch.Path, made.idempotencyKey)
+		switch {
+		case err != nil:
+			continue // the service may be back before the time is up
+		case looked == nil:
+			return failure.New(failure.ClaimUnavailable, "repeat the request with the same key",
+				"the first request with this key ended without running").WithRetryAfter(time.Second)
+		}
+		standing = looked
+	}
+	if standing.State == runonce.Unsettled {
+		return failure.New(failure.OutcomeUnknown, "find out by other means whether it took effect before using a new key",
+			"the first request with this key may have run; its outcome was lost").WithExecution(failure.Unknown)
+	}
+	if standing.Outcome.Dropped {
+		return failure.New(failure.KeyInUse, "none: it ran once; its answer cannot be given again",
+			"the request completed and its answer was too long to keep").WithExecution(failure.Completed)
+	}
+	out.begin(standing.Outcome.Status, standing.Outcome.ContentType, map[string]string{HeaderReplayed: "true"})
+	_ = out.write(standing.Outcome.Body) // the caller may be gone; it can repeat
+	return nil
+}
+
+// serveCall is the handler of both completion interfaces.
+func (s *Server) serveCall(path string) http.HandlerFunc {
+	return func(writer http.ResponseWriter, httpRequest *http.Request) {
+		made, err := s.readCall(writer, httpRequest, path)
+		if err != nil {
+			s.refuse(writer, failure.As(err))
+			return
+		}
+		writer.Header().Set(headerRequestID, made.id)
+		s.budget.earn()
+		s.metrics.inFlight.Inc()
+		defer s.metrics.inFlight.Dec()
+		ctx, cancel := context.WithDeadline(httpRequest.Context(), made.deadline)
+		defer cancel()
+		out := newSink(writer, made.id, made.idempotencyKey != "")
+		var failed *failure.Error
+		if made.idempotencyKey != "" {
+			failed = s.runKeyed(ctx, made, out)
+		} else {
+			failed, _ = s.run(ctx, made, out)
+		}
+		if failed != nil {
+			out.fail(failed)
+		}
+		s.finish(made, failed)
+	}
+}
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics are the gateway's Prometheus metrics.
+type metrics struct {
+	requests    *prometheus.CounterVec
+	firstByte   *prometheus.HistogramVec
+	waited      *prometheus.HistogramVec
+	dispatches  *prometheus.CounterVec
+	inFlight    prometheus.Gauge
+	relayEvents prometheus.Counter
+}
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	buckets := prometheus.ExponentialBuckets(0.001, 2, 16) // 1 ms to 33 s
+	created := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "finchspoke_requests_total", Help: "Requests ended, by class and outcome.",
+		}, []string{"class", "outcome"}),
+		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "finchspoke_first_byte_seconds", Help: "Time from arrival to the first byte of the answer.", Buckets: buckets,
+		}, []string{"class"}),
+		waited: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "finchspoke_queue_wait_seconds", Help: "Time from arrival to the grant of a slot.", Buckets: buckets,
+		}, []string{"class"}),
+		dispatches: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "finchspoke_dispatches_total", Help: "Dispatches to engines, by result.",
+		}, []string{"result"}),
+		inFlight: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "finchspoke_requests_in_flight", Help: "Requests being served by this gateway.",
+		}),
+		relayEvents: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "finchspoke_relay_events_total", Help: "Stream events passed on to callers.",
+		}),
+	}
+	registerer.MustRegister(created.requests, created.firstByte, created.waited, created.dispatches, created.inFlight, created.relayEvents)
+	return created
+}
+
+// String names the result in metrics and logs.
+func (r dispatchResult) String() string {
+	return [...]string{"answered", "not_written", "not_started", "lost", "broken"}[r]
+}
--- /dev/null
+++ b/gateway/run.go
@@ -0,0 +1,218 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/finchspoke/finchspoke/engine"
+	"github.com/finchspoke/finchspoke/failure"
+	"github.com/finchspoke/finchspoke/home"
+)
+
+const (
+	maxWholeAnswer   = 64 << 20
+	maxEngineError   = 64 << 10
+	contentTypeJSON  = "application/json"
+	contentTypeEvent = "text/event-stream"
+	// redispatchPause is the wait before a request goes back to its home.
+	redispatchPause = 10 * time.Millisecond
+)
+
+// run serves a call to its one end: the whole answer, or the failure returned.
+// The answer goes to out; the failure is left to the caller of run. The second
+// value is what may be said of the execution either way.
+func (s *Server) run(ctx context.Context, made *call, out *sink) (*failure.Error, failure.Execution) {
+	life := &lifecycle{repeatable: made.repeatable, deadline: made.deadline}
+	for {
+		slot, err := s.homes.Acquire(ctx, home.Ask{
+			RequestID: made.id, Model: made.model.Name, Regions: made.model.ServiceRegions, Target: made.target.Name,
+			Branch: made.branch.Path, Class: made.class, Arrived: made.arrived, Deadline: made.deadline,
+		})
+		if err != nil {
+			return s.notGranted(ctx, made, life, err), life.execution()
+		}
+		made.log.home, made.log.engine, made.log.waited = slot.HomeID, slot.EngineID, time.Since(made.arrived)
+		s.metrics.waited.WithLabelValues(made.class.String()).Observe(made.log.waited.Seconds())
+		dispatched := s.dispatch(ctx, made, slot, out)
+		s.metrics.dispatches.WithLabelValues(dispatched.result.String()).Inc()
+		if dispatched.rejection != nil {
+			return dispatched.rejection, life.execution()
+		}
+		next := life.after(time.Now(), dispatched.result, s.budget.spend)
+		if next.done {
+			return nil, life.execution()
+		}
+		if !next.retry || ctx.Err() != nil {
+			return s.ended(ctx, made, life, next.kind, dispatched.cause), life.execution()
+		}
+		s.Log.WithError(dispatched.cause).WithField("request_id", made.id).WithField("engine", slot.EngineID).
+			WithField("result", dispatched.result.String()).Debug("dispatch is tried again")
+		wait(ctx, redispatchPause)
+	}
+}
+
+func wait(ctx context.Context, pause time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause):
+	}
+}
+
+// notGranted explains why a call got no slot (this time).
+func (s *Server) notGranted(ctx context.Context, made *call, life *lifecycle, err error) *failure.Error {
+	var refusal *failure.Error
+	if errors.As(err, &refusal) {
+		if life.mayHaveRun {
+			return s.ended(ctx, made, life, failure.OutcomeUnknown, err)
+		}
+		return refusal
+	}
+	return s.ended(ctx, made, life, failure.NoCapacity, err)
+}
+
+// ended is the failure of a call that is not tried again.
+func (s *Server) ended(ctx context.Context, made *call, life *lifecycle, kind failure.Kind, cause error) *failure.Error {
+	execution := life.execution()
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return failure.Wrap(cause, failure.CallerLeft, "none: the caller closed the connection", "the caller left").WithExecution(execution)
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		kind = failure.DeadlineExceeded
+	}
+	switch kind {
+	case failure.AnswerBroken:
+		return failure.Wrap(cause, kind, "the part received is not the whole answer; ask again if it may be repeated",
+			"the engine's answer broke off").WithExecution(execution)
+	case failure.OutcomeUnknown:
+		return failure.Wrap(cause, kind, "find out by other means whether it took effect before asking again",
+			"the request was sent to an engine and its outcome is not known").WithExecution(execution)
+	case failure.DeadlineExceeded:
+		return failure.Wrap(cause, kind, "allow a longer deadline, or come back later",
+			"the deadline passed before %s answered", made.target.Name).WithExecution(execution).WithRetryAfter(retryAfterDeadline)
+	}
+	return failure.Wrap(cause, kind, "come back after the time given", "no engine took the request").
+		WithExecution(execution).WithRetryAfter(retryAfterDeadline)
+}
+
+// retryAfterDeadline is the advice when no better estimate is at hand.
+const retryAfterDeadline = 2 * time.Second
+
+// dispatchOutcome is the result of a dispatch with its cause.
+type dispatchOutcome struct {
+	result dispatchResult
+	cause  error
+	// rejection is the engine's word that the request itself is not valid.
+	rejection *failure.Error
+}
+
+// dispatch sends the call to the slot's engine and relays the answer; the slot is
+// released in any case.
+func (s *Server) dispatch(ctx context.Context, made *call, slot *home.Slot, out *sink) dispatchOutcome {
+	began := time.Now()
+	response, err := s.Engines.Dispatch(ctx, engine.Dispatch{
+		Address: slot.Address, Path: made.path, RequestID: made.id, Priority: int(made.class), Body: made.body})
+	if err != nil {
+		var failed *engine.DispatchError
+		outcome := dispatchOutcome{result: lost, cause: err}
+		if errors.As(err, &failed) && !failed.Written {
+			outcome.result = notWritten
+		}
+		s.abandon(ctx, made, slot, outcome.result)
+		slot.Release(ctx.Err() == nil, 0)
+		return outcome
+	}
+	defer func() { _ = response.Body.Close() }()
+	outcome := s.takeAnswer(made, slot, response, out)
+	if outcome.result == lost || outcome.result == broken {
+		s.abandon(ctx, made, slot, outcome.result)
+	}
+	engineFailed := outcome.rejection == nil && outcome.result != answered && ctx.Err() == nil
+	service := time.Duration(0)
+	if outcome.result == answered {
+		service = time.Since(began)
+	}
+	slot.Release(engineFailed, service)
+	return outcome
+}
+
+// abandon tells the engine that nobody waits for the request any more.
+func (s *Server) abandon(ctx context.Context, made *call, slot *home.Slot, result dispatchResult) {
+	if result == notWritten {
+		return
+	}
+	background := context.WithoutCancel(ctx)
+	go func() { _ = s.Engines.Cancel(background, slot.Address, made.id) }()
+}
+
+// takeAnswer passes an engine's answer on.
+func (s *Server) takeAnswer(made *call, slot *home.Slot, response *http.Response, out *sink) dispatchOutcome {
+	if response.Header.Get(engine.HeaderRequestID) != made.id {
+		return dispatchOutcome{result: lost, cause: errors.New("the engine answered for another request")}
+	}
+	if response.StatusCode != http.StatusOK {
+		return engineRefused(response)
+	}
+	headers := map[string]string{HeaderHome: slot.HomeID, HeaderEngine: slot.EngineID}
+	if made.stream {
+		return s.takeStream(made, response, out, headers)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxWholeAnswer+1))
+	if err != nil {
+		return dispatchOutcome{result: lost, cause: err}
+	}
+	if len(body) > maxWholeAnswer {
+		return dispatchOutcome{result: lost, cause: errors.New("the engine's answer is too long")}
+	}
+	s.firstByte(made)
+	out.begin(http.StatusOK, contentTypeJSON, headers)
+	if err := out.write(body); err != nil {
+		return dispatchOutcome{result: broken, cause: err}
+	}
+	return dispatchOutcome{result: answered}
+}
+
+func (s *Server) takeStream(made *call, response *http.Response, out *sink, headers map[string]string) dispatchOutcome {
+	ended := relay(response.Body, func() {
+		s.firstByte(made)
+		out.begin(http.StatusOK, contentTypeEvent, headers)
+	}, out.write, out.flush)
+	s.metrics.relayEvents.Add(float64(ended.events))
+	switch {
+	case ended.whole:
+		return dispatchOutcome{result: answered}
+	case ended.events == 0:
+		return dispatchOutcome{result: lost, cause: ended.readErr}
+	case ended.writeErr != nil:
+		return dispatchOutcome{result: broken, cause: ended.writeErr}
+	}
+	return dispatchOutcome{result: broken, cause: ended.readErr}
+}
+
+// engineRefused reads an answer that is not 200. Only the engine's own word makes
+// it "not started".
+func engineRefused(response *http.Response) dispatchOutcome {
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxEngineError))
+	if err != nil {
+		return dispatchOutcome{result: lost, cause: err}
+	}
+	message := strings.TrimSpace(string(text))
+	cause := errors.Errorf("engine answered status %d: %s", response.StatusCode, message)
+	if response.Header.Get(engine.HeaderExecution) != engine.ExecutionNotStarted {
+		return dispatchOutcome{result: lost, cause: cause}
+	}
+	if response.StatusCode == http.StatusBadRequest {
+		return dispatchOutcome{result: notStarted, cause: cause,
+			rejection: failure.New(failure.InvalidRequest, "mend the request", "the engine does not accept the request: %s", message)}
+	}
+	return dispatchOutcome{result: notStarted, cause: cause}
+}
+
+func (s *Server) firstByte(made *call) {
+	made.log.firstByte = time.Since(made.arrived)
+	s.metrics.firstByte.WithLabelValues(made.class.String()).Observe(made.log.firstByte.Seconds())
+}
--- /dev/null
+++ b/gateway/sink.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"net/http"
+	"sync"
+
+	"github.com/finchspoke/finchspoke/failure"
+)
+
+// sink is where an answer goes: to the caller, and for a keyed request also into
+// a record that outlives the caller.
+type sink struct {
+	mutex     sync.Mutex
+	writer    http.ResponseWriter
+	flusher   http.Flusher
+	requestID string
+	detached  bool // the caller is answered otherwise or gone
+	began     bool // the head was written
+	record    *recorded
+}
+
+// recorded is a copy of an answer.
+type recorded struct {
+	status      int
+	contentType string
+	body        []byte
+}
+
+func newSink(writer http.ResponseWriter, requestID string, record bool) *sink {
+	made := &sink{writer: writer, requestID: requestID}
+	made.flusher, _ = writer.(http.Flusher)
+	if record {
+		made.record = &recorded{}
+	}
+	return made
+}
+
+// begin writes the head of an answer.
+func (s *sink) begin(status int, contentType string, headers map[string]string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.record != nil {
+		s.record.status, s.record.contentType = status, contentType
+	}
+	if s.detached {
+		return
+	}
+	s.began = true
+	header := s.writer.Header()
+	header.Set("Content-Type", contentType)
+	for name, value := range headers {
+		header.Set(name, value)
+	}
+	s.writer.WriteHeader(status)
+}
+
+// write passes data on; its error says that the caller is gone, which only
+// matters where nothing is recorded.
+func (s *sink) write(data []byte) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.record != nil {
+		s.record.body = append(s.record.body, data...)
+	}
+	if s.detached {
+		return nil
+	}
+	if _, err := s.writer.Write(data); err != nil && s.record == nil {
+		return err
+	}
+	return nil
+}
+
+func (s *sink) flush() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !s.detached && s.flusher != nil {
+		s.flusher.Flush()
+	}
+}
+
+// fail ends the answer with an error: in its place if it has not begun, and as a
+// last event of a stream if it has. After it nothing reaches the caller.
+func (s *sink) fail(err *failure.Error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.detached {
+		return
+	}
+	s.detached = true
+	if !s.began {
+		writeError(s.writer, err, s.requestID)
+		return
+	}
+	event := append([]byte("data: "), errorText(err, s.requestID)...)
+	_, _ = s.writer.Write(append(event, "\n\n"...)) // the caller may be gone
+	if s.flusher != nil {
+		s.flusher.Flush()
+	}
+}
+
+// hasBegun tells whether part of the answer went out.
+func (s *sink) hasBegun() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.began
+}
--- /dev/null
+++ b/lab/ask.go
@@ -0,0 +1,80 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Answer is what came back to a request.
+type Answer struct {
+	Status    int
+	Header    http.Header
+	Text      string // of the answer, or the error's body
+	Whole     bool   // the answer came to its end
+	FirstByte time.Duration
+	Total     time.Duration
+}
+
+// AskOptions describe one request.
+type AskOptions struct {
+	Address   string // of a gateway
+	Key       string
+	Model     string
+	Prompt    string
+	MaxTokens int
+	Stream    bool
+	Headers   map[string]string
+	Client    *http.Client // http.DefaultClient if nil
+}
+
+type askBody struct {
+	Model     string       `json:"model"`
+	Stream    bool         `json:"stream"`
+	MaxTokens int          `json:"max_tokens"`
+	Messages  []askMessage `json:"messages"`
+}
+
+type askMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Ask sends one chat completion and reads its answer to the end.
+func Ask(ctx context.Context, options AskOptions) (Answer, error) {
+	body, err := json.Marshal(askBody{options.Model, options.Stream, options.MaxTokens, []askMessage{{"user", options.Prompt}}})
+	if err != nil {
+		return Answer{}, errors.Wrap(err, "encode request")
+	}
+	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+options.Address+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return Answer{}, errors.Wrap(err, "make request")
+	}
+	httpRequest.Header.Set("Authorization", "Bearer "+options.Key)
+	for name, value := range options.Headers {
+		httpRequest.Header.Set(name, value)
+	}
+	client := options.Client
+	if client == nil {
+		client = http.DefaultClient
+	}
+	began := time.Now()
+	response, err := client.Do(httpRequest)
+	if err != nil {
+		return Answer{}, errors.Wrap(err, "ask")
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer := Answer{Status: response.StatusCode, Header: response.Header, FirstByte: time.Since(began)}
+	text, err := io.ReadAll(response.Body)
+	answer.Total = time.Since(began)
+	if err != nil {
+		return answer, errors.Wrap(err, "read answer")
+	}
+	answer.Text, answer.Whole = decodeAnswer(response, text)
+	return answer, nil
+}
--- /dev/null
+++ b/lab/command/dev.go
@@ -0,0 +1,41 @@
+// Package command holds the subcommands of finchlab, a file each.
+package command
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/finchspoke/finchspoke/cli"
+	"github.com/finchspoke/finchspoke/lab"
+	"github.com/finchspoke/finchspoke/logging"
+)
+
+// Commands returns finchlab's subcommands.
+func Commands() []cli.Command {
+	return []cli.Command{
+		{Name: "dev", Short: "Run the whole system in this process", Data: &devCommand{},
+			Long: "Runs three daemons in two zones with stand-ins of the platform, sends sample requests, prints the answers and stays up."},
+		{Name: "standin", Short: "Run one stand-in of a platform system", Commands: standinCommands(),
+			Long: "Runs a stand-in in the foreground. It prints its address as the first line."},
+		{Name: "load", Short: "Send requests to a running system and measure", Data: &loadCommand{},
+			Long: "Sends requests at a fixed rate, whatever the answers take (open loop), and reports times and outcomes."},
+	}
+}
+
+type devCommand struct {
+	Once     bool   `long:"once" description:"stop after the sample requests; exit 0 only if all behaved"`
+	LogLevel string `long:"log-level" default:"error" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"what daemons log to standard error"`
+}
+
+// Execute implements flags.Commander.
+func (c *devCommand) Execute([]string) error {
+	ctx, stop := interruptible()
+	defer stop()
+	return lab.Dev(ctx, lab.DevOptions{Output: os.Stdout, Log: logging.New(os.Stderr, c.LogLevel), Hold: !c.Once})
+}
+
+func interruptible() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+}
