--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -317,4 +317,3 @@
 	}
 	return nil
 }
-
--- a/gateway/sink.go
+++ b/gateway/sink.go
@@ -98,10 +98,3 @@
 		s.flusher.Flush()
 	}
 }
-
-// hasBegun tells whether part of the answer went out.
-func (s *sink) hasBegun() bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.began
-}
--- a/home/client.go
+++ b/home/client.go
@@ -303,7 +303,6 @@
 	home   membership.Member
 	ctx    context.Context
 	cancel context.CancelFunc
-	local  *Session
 	inbox  *mailbox[*rpc.GatewayMessage] // to the local home
 
 	outgoing *mailbox[*rpc.GatewayMessage] // nil while not connected
--- a/lab/command/dev.go
+++ b/lab/command/dev.go
@@ -25,7 +25,8 @@
 }
 
 type devCommand struct {
-	Once     bool   `long:"once" description:"stop after the sample requests; exit 0 only if all behaved"`
+	Once bool `long:"once" description:"stop after the sample requests; exit 0 only if all behaved"`
+	//lint:ignore SA5008 go-flags reads a choice from each tag
 	LogLevel string `long:"log-level" default:"error" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"what daemons log to standard error"`
 }
 
--- a/lab/command/load.go
+++ b/lab/command/load.go
@@ -16,8 +16,9 @@
 	Rate      float64       `long:"rate" default:"20" description:"requests sent a second"`
 	Duration  time.Duration `long:"duration" default:"10s" description:"how long to send"`
 	Tokens    int           `long:"tokens" default:"32" description:"tokens of each answer"`
-	Class     string        `long:"class" default:"interactive" choice:"interactive" choice:"standard" choice:"bulk" description:"priority class"`
-	Deadline  time.Duration `long:"deadline" default:"30s" description:"time to the whole answer"`
+	//lint:ignore SA5008 go-flags reads a choice from each tag
+	Class    string        `long:"class" default:"interactive" choice:"interactive" choice:"standard" choice:"bulk" description:"priority class"`
+	Deadline time.Duration `long:"deadline" default:"30s" description:"time to the whole answer"`
 }
 
 // Execute implements flags.Commander.
--- a/lab/dev.go
+++ b/lab/dev.go
@@ -172,7 +172,9 @@
 	return text
 }
 
-func milliseconds(duration time.Duration) float64 { return float64(duration) / float64(time.Millisecond) }
+func milliseconds(duration time.Duration) float64 {
+	return float64(duration) / float64(time.Millisecond)
+}
 
 func (r *devRun) printHints() {
 	gatewayAddress := r.system.Daemons[0].Addresses().Gateway
--- a/placer/cell.go
+++ b/placer/cell.go
@@ -24,7 +24,6 @@
 	lastUsed map[string]time.Time                         // by target
 	plan     placement.Plan
 	state    placement.State
-	version  uint64 // grows when plan or engines change
 }
 
 // engineState is an engine with how it is doing.
@@ -89,9 +88,6 @@
 	}
 	for _, machine := range machines {
 		state := c.engine(machine.ID)
-		if state.machine != machine || !state.listed {
-			c.version++
-		}
 		state.machine = machine
 		state.listed = true
 	}
@@ -125,7 +121,6 @@
 		c.observeLoads(state, now)
 	}
 	if inventory != nil || state.reachable() != wasReachable {
-		c.version++
 		c.markDirty()
 	}
 }
@@ -226,14 +221,10 @@
 	c.plan = decision.Plan
 	c.state = decision.State
 	c.state.RemoteBytesPerSecond = speed
-	if len(decision.Changed) > 0 {
-		c.version++
-	}
 }
 
 // picture is the standing plan with the engines, for publishing and status.
 type picture struct {
-	Version uint64
 	Plan    placement.Plan
 	Engines map[string]placement.Engine
 	State   placement.State
@@ -242,11 +233,5 @@
 func (c *cell) picture() picture {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return picture{Version: c.version, Plan: c.plan, Engines: c.enginesLocked(), State: c.state}
-}
-
-func (c *cell) pictureVersion() uint64 {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.version
+	return picture{Plan: c.plan, Engines: c.enginesLocked(), State: c.state}
 }
