Keep the slots of a gateway whose link broke until it says otherwise

Cause: the request core's state machine granted beyond a replica's concurrency: when a link broke, the home freed the slots of requests that the gateway, alive and only cut off, still ran. The home now keeps them until the gateway's next hello, which names all that it runs, or until the gateway is known dead.

--- a/home/client.go
+++ b/home/client.go
@@ -193,7 +193,7 @@
 			c.send(held.homeID, releaseOf(held, false, 0))
 			held.homeID = home.ID
 			c.link(home)
-			c.send(home.ID, helloOf(c.gatewayID, held))
+			c.send(home.ID, &rpc.GatewayMessage{Kind: &rpc.GatewayMessage_Restore{Restore: runningMessage(held)}})
 			continue
 		}
 		c.send(held.homeID, cancelOf(held))
@@ -210,11 +210,15 @@
 func helloOf(gatewayID string, running ...*ask) *rpc.GatewayMessage {
 	hello := &rpc.Hello{GatewayId: gatewayID}
 	for _, held := range running {
-		hello.Running = append(hello.Running, &rpc.Running{RequestId: held.RequestID, BaseModel: held.Model, EngineId: held.engineID})
+		hello.Running = append(hello.Running, runningMessage(held))
 	}
 	return &rpc.GatewayMessage{Kind: &rpc.GatewayMessage_Hello{Hello: hello}}
 }
 
+func runningMessage(held *ask) *rpc.Running {
+	return &rpc.Running{RequestId: held.RequestID, BaseModel: held.Model, Target: held.Target, EngineId: held.engineID}
+}
+
 // deliver takes a home's message in.
 func (c *Client) deliver(homeID string, message *rpc.HomeMessage) {
 	c.mutex.Lock()
--- a/home/server.go
+++ b/home/server.go
@@ -40,6 +40,7 @@
 	mutex    sync.Mutex
 	queues   map[string]*queue.Queue // by base model
 	sessions map[string]*Session     // by gateway id
+	orphans  map[string]bool         // gateways without a session that may still run requests
 	dirty    map[string]bool         // base models whose demand changed
 	urgent   chan struct{}           // signals demand that must not wait
 }
@@ -48,7 +49,7 @@
 func NewServer(selfID string, store *settings.Store, view func() *membership.View, log logrus.FieldLogger) *Server {
 	return &Server{
 		settings: store, view: view, selfID: selfID, log: log,
-		queues: map[string]*queue.Queue{}, sessions: map[string]*Session{}, dirty: map[string]bool{},
+		queues: map[string]*queue.Queue{}, sessions: map[string]*Session{}, orphans: map[string]bool{}, dirty: map[string]bool{},
 		urgent: make(chan struct{}, 1),
 	}
 }
@@ -96,6 +97,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.sessions[gatewayID] = session
+	delete(s.orphans, gatewayID)
 	return session
 }
 
@@ -109,12 +111,47 @@
 		return // a newer session of the gateway has taken over
 	}
 	delete(s.sessions, l.gatewayID)
+	for _, held := range s.queues {
+		held.DropWaiting(l.gatewayID)
+	}
+	s.orphans[l.gatewayID] = true
+	s.forgetDead(s.view())
+}
+
+// MembersChanged frees what gateways held that are known dead now.
+func (s *Server) MembersChanged(view *membership.View) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.forgetDead(view)
+}
+
+func (s *Server) forgetDead(view *membership.View) {
+	for gatewayID := range s.orphans {
+		if member, known := view.Member(gatewayID); known && member.Status != membership.Dead {
+			continue // one that left still finishes what it runs
+		}
+		delete(s.orphans, gatewayID)
+		s.reconcile(gatewayID, nil)
+	}
+}
+
+// reconcile takes in all that a gateway runs, over all queues.
+func (s *Server) reconcile(gatewayID string, running []*rpc.Running) {
+	byModel := map[string][]queue.Running{}
+	for _, one := range running {
+		s.queue(one.GetBaseModel())
+		byModel[one.GetBaseModel()] = append(byModel[one.GetBaseModel()], runningOf(one))
+	}
 	now := time.Now()
 	for model, held := range s.queues {
-		s.carryOut(model, held.DropOwner(now, l.gatewayID))
+		s.carryOut(model, held.Reconcile(now, gatewayID, byModel[model]))
 	}
 }
 
+func runningOf(message *rpc.Running) queue.Running {
+	return queue.Running{ID: message.GetRequestId(), Target: message.GetTarget(), EngineID: message.GetEngineId()}
+}
+
 // Handle takes a gateway's message in.
 func (l *Session) Handle(message *rpc.GatewayMessage) {
 	s := l.server
@@ -123,10 +160,11 @@
 	defer s.mutex.Unlock()
 	switch {
 	case message.GetHello() != nil:
-		for _, running := range message.GetHello().GetRunning() {
-			s.queue(running.GetBaseModel()).Restore(now, running.GetRequestId(), l.gatewayID, running.GetBaseModel(), running.GetEngineId())
-			s.dirty[running.GetBaseModel()] = true
-		}
+		s.reconcile(l.gatewayID, message.GetHello().GetRunning())
+	case message.GetRestore() != nil:
+		restored := message.GetRestore()
+		s.queue(restored.GetBaseModel()).Restore(now, l.gatewayID, runningOf(restored))
+		s.dirty[restored.GetBaseModel()] = true
 	case message.GetSubmit() != nil:
 		submit := message.GetSubmit()
 		s.carryOut(submit.GetBaseModel(), s.queue(submit.GetBaseModel()).Submit(now, s.item(l.gatewayID, submit, now)))
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -269,15 +269,22 @@
 	replica.suspendedUntil = now.Add(min(pause, suspensionLast))
 }
 
-// Restore counts a request that a gateway runs already, after this queue was
-// made or lost touch with the gateway.
-func (q *Queue) Restore(now time.Time, id, owner, target, engineID string) {
-	if _, known := q.running[id]; known {
+// Running is a request that a gateway runs already.
+type Running struct {
+	ID       string
+	Target   string
+	EngineID string
+}
+
+// Restore counts a request that a gateway runs already, after this queue was made
+// or lost touch with the gateway.
+func (q *Queue) Restore(now time.Time, owner string, running Running) {
+	if _, known := q.running[running.ID]; known {
 		return
 	}
-	q.Cancel(id)
-	q.lastUsed[target] = now
-	q.run(id, owner, target, engineID)
+	q.Cancel(running.ID)
+	q.lastUsed[running.Target] = now
+	q.run(running.ID, owner, running.Target, running.EngineID)
 }
 
 func (q *Queue) run(id, owner, target, engineID string) {
@@ -290,27 +297,41 @@
 	replica.running++
 }
 
-// DropOwner forgets all items of a gateway whose link broke. The gateway submits
-// them again, and names what it runs, when it is back.
-func (q *Queue) DropOwner(now time.Time, owner string) []Action {
+// DropWaiting forgets what a gateway has waiting, after its link broke: it submits
+// that again when it is back. What it runs keeps its slots until it says otherwise
+// or is known dead.
+func (q *Queue) DropWaiting(owner string) {
 	for _, waiting := range q.items {
 		if waiting.item.Owner == owner {
 			q.remove(waiting)
 		}
 	}
+}
+
+// Reconcile takes in all that a gateway runs in this queue; whatever else of it
+// holds a slot has ended. With nothing running it forgets a dead gateway.
+func (q *Queue) Reconcile(now time.Time, owner string, running []Running) []Action {
+	still := make(map[string]bool, len(running))
+	for _, one := range running {
+		still[one.ID] = true
+		q.Restore(now, owner, one)
+	}
 	for id, held := range q.running {
-		if held.owner != owner {
-			continue
-		}
-		delete(q.running, id)
-		if replica := q.replicas[held.engineID]; replica != nil {
-			replica.running = max(0, replica.running-1)
-			q.dropIfGone(replica)
+		if held.owner == owner && !still[id] {
+			q.free(id, held)
 		}
 	}
 	return q.fill(now)
 }
 
+func (q *Queue) free(id string, held runningItem) {
+	delete(q.running, id)
+	if replica := q.replicas[held.engineID]; replica != nil {
+		replica.running = max(0, replica.running-1)
+		q.dropIfGone(replica)
+	}
+}
+
 // SetReplicas replaces the ready replicas. readyIn is when a first replica is
 // expected where there is none; negative when unknown.
 func (q *Queue) SetReplicas(now time.Time, replicas []Replica, readyIn time.Duration) []Action {
--- /dev/null
+++ b/settings/check_test.go
@@ -0,0 +1,163 @@
+package settings_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/finchspoke/finchspoke/examples"
+	"github.com/finchspoke/finchspoke/request"
+	"github.com/finchspoke/finchspoke/settings"
+)
+
+const base = `regions:
+  - name: sk-west
+    zones: [nitra-a]
+    weight_store: {loads_per_second: 2, concurrent_loads: 8}
+services:
+  - name: lm
+    regions: [sk-west]
+    replicas: 1
+    accelerators: 2
+    accelerator_memory: 24GiB
+branches:
+  - name: root
+    class: bulk
+    models:
+      - name: shared
+        service: lm
+        version: "1"
+        accelerators: 1
+        memory: 6GiB
+        adapters:
+          - name: shared.dairy
+    branches:
+      - name: child
+        keys: [` + "%KEY%" + `]
+        deadlines: {interactive: 5s}
+        models:
+          - name: private
+            service: lm
+            version: "1"
+            accelerators: 1
+            memory: 6GiB
+      - name: narrow
+        allow: ["shared.*"]
+`
+
+func tree(text string) string {
+	return strings.Replace(text, "%KEY%", settings.HashKey("secret"), 1)
+}
+
+func parse(t *testing.T, text string) *settings.Tree {
+	t.Helper()
+	parsed, err := settings.Parse(settings.Source{Name: "tree.yaml", Data: []byte(tree(text))})
+	require.NoError(t, err)
+	return parsed
+}
+
+func TestCheckNamesPlaceAndRemedy(t *testing.T) {
+	for _, test := range []struct {
+		name, old, new string
+		line, column   int
+		message        string
+	}{
+		{"unknown key", "    class: bulk", "    klass: bulk", 13, 5, "unknown field"},
+		{"class", "class: bulk", "class: quick", 13, 12, "unknown class"},
+		{"size without unit", "accelerator_memory: 24GiB", "accelerator_memory: 24", 10, 25, "no unit"},
+		{"unknown service", "service: lm\n        version", "service: ml\n        version", 16, 18, "not declared"},
+		{"too large a model", "memory: 6GiB\n        adapters", "memory: 60GiB\n        adapters", 19, 17, "needs 60GiB"},
+		{"too many accelerators", "accelerators: 1\n        memory", "accelerators: 3\n        memory", 18, 23, "have 2"},
+		{"name twice", "name: private", "name: shared", 27, 19, "already declared at tree.yaml:15"},
+		{"duration", "interactive: 5s", "interactive: 5", 25, 34, "not valid"},
+		{"unknown region", "regions: [sk-west]", "regions: [sk-east]", 7, 15, "not declared"},
+		{"no loads", "concurrent_loads: 8", "concurrent_loads: 0", 4, 59, "never load"},
+		{"plain key", "%KEY%", "secret", 24, 16, "hash"},
+		{"key twice in YAML", "    class: bulk", "    class: bulk\n    class: bulk", 14, 5, "class"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			text := strings.Replace(base, test.old, test.new, 1)
+			require.NotEqual(t, base, text)
+			_, problems := settings.Check(settings.Source{Name: "tree.yaml", Data: []byte(tree(text))})
+			require.NotEmpty(t, problems)
+			problem := problems[0]
+			require.Contains(t, problem.Message, test.message)
+			require.NotEmpty(t, problem.Remedy)
+			require.Equal(t, "tree.yaml", problem.File)
+			require.Equal(t, test.line, problem.Line, problem.String())
+			require.Equal(t, test.column, problem.Column, problem.String())
+		})
+	}
+}
+
+func TestBranchesInheritAndOverride(t *testing.T) {
+	parsed := parse(t, base)
+	child, found := parsed.BranchForKey("secret")
+	require.True(t, found)
+	require.Equal(t, "root/child", child.Path)
+	require.Equal(t, request.Bulk, child.Values.Class, "inherited")
+	require.Equal(t, 5*time.Second, child.Values.Deadlines[request.Interactive], "overridden")
+	require.Equal(t, 8*time.Hour, child.Values.Deadlines[request.Bulk], "built-in")
+	for _, value := range parsed.Resolve(child) {
+		switch value.Name {
+		case "class":
+			require.Equal(t, "root at tree.yaml:13", value.Origin.String())
+		case "deadlines.interactive":
+			require.Equal(t, "root/child at tree.yaml:25", value.Origin.String())
+		case "share":
+			require.Equal(t, "built-in default", value.Origin.String())
+		}
+	}
+	_, found = parsed.BranchForKey("another")
+	require.False(t, found)
+}
+
+func TestAllowedFollowsDeclarationAndPatterns(t *testing.T) {
+	parsed := parse(t, base)
+	for _, test := range []struct {
+		branch, model string
+		allowed       bool
+	}{
+		{"root", "shared", true},
+		{"root", "private", false}, // declared below
+		{"root/child", "private", true},
+		{"root/child", "shared.dairy", true},
+		{"root/narrow", "shared.dairy", true},
+		{"root/narrow", "shared", false}, // not matched
+		{"root/child", "absent", false},
+	} {
+		_, _, allowed := parsed.Allowed(parsed.Branches[test.branch], test.model)
+		require.Equal(t, test.allowed, allowed, "%s on %s", test.model, test.branch)
+	}
+}
+
+func TestDiffTellsListItemsByName(t *testing.T) {
+	before := parse(t, base).Document()
+	after := parse(t, strings.Replace(base, "interactive: 5s", "interactive: 6s", 1)).Document()
+	require.Empty(t, settings.Diff(before, before))
+	require.Equal(t, []settings.Change{{Path: "branches.root.branches.child.deadlines.interactive", Before: "5s", After: "6s"}},
+		settings.Diff(before, after))
+}
+
+func TestExamplesAreValidAtTheirTrueSize(t *testing.T) {
+	parsed, err := settings.Parse(examples.Sources()...)
+	require.NoError(t, err)
+	require.Len(t, parsed.Models, 50+65)
+	require.Len(t, parsed.Targets, 50+65+60+75)
+	text, err := settings.Marshal(parsed.Document())
+	require.NoError(t, err)
+	again, err := settings.Parse(settings.Source{Name: "again", Data: text})
+	require.NoError(t, err)
+	require.Empty(t, settings.Diff(parsed.Document(), again.Document()), "canonical YAML loses nothing")
+}
+
+// FuzzCheck looks for input that breaks the checker rather than being refused.
+func FuzzCheck(f *testing.F) {
+	f.Add(tree(base))
+	f.Add("branches: [{name: a, branches: [{name: b}]}]")
+	f.Fuzz(func(_ *testing.T, text string) {
+		settings.Check(settings.Source{Name: "fuzz", Data: []byte(text)})
+	})
+}
--- /dev/null
+++ b/settings/registry_test.go
@@ -0,0 +1,97 @@
+package settings_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/finchspoke/finchspoke/failure"
+	"github.com/finchspoke/finchspoke/kv"
+	"github.com/finchspoke/finchspoke/settings"
+	"github.com/finchspoke/finchspoke/standin/keyvalue"
+)
+
+func newRegistry(t *testing.T) (*settings.Registry, *keyvalue.Server) {
+	t.Helper()
+	service := keyvalue.New(100_000)
+	server := httptest.NewServer(service)
+	t.Cleanup(server.Close)
+	return settings.NewRegistry(kv.NewClient(strings.TrimPrefix(server.URL, "http://")), time.Now), service
+}
+
+func apply(registry *settings.Registry, base uint64, operation string, parsed *settings.Tree) (*settings.Revision, error) {
+	return registry.Apply(context.Background(), settings.Application{
+		BaseRevision: base, OperationID: operation, Author: "test", Tree: parsed})
+}
+
+func TestApplyRefusesARacerAndNamesThePaths(t *testing.T) {
+	registry, _ := newRegistry(t)
+	first, err := apply(registry, 0, "one", parse(t, base))
+	require.NoError(t, err)
+	require.EqualValues(t, 1, first.Number)
+	_, err = apply(registry, 1, "two", parse(t, strings.Replace(base, "interactive: 5s", "interactive: 6s", 1)))
+	require.NoError(t, err)
+	_, err = apply(registry, 1, "three", parse(t, base))
+	require.True(t, failure.Is(err, failure.SettingsConflict))
+	require.Contains(t, err.Error(), "branches.root.branches.child.deadlines.interactive")
+	require.Contains(t, err.Error(), "--base-revision 2")
+	history, err := registry.History(context.Background())
+	require.NoError(t, err)
+	require.Len(t, history, 2)
+}
+
+func TestApplyIsSafeToRepeat(t *testing.T) {
+	registry, _ := newRegistry(t)
+	_, err := apply(registry, 0, "one", parse(t, base))
+	require.NoError(t, err)
+	again, err := apply(registry, 0, "one", parse(t, base))
+	require.NoError(t, err)
+	require.EqualValues(t, 1, again.Number)
+	_, err = apply(registry, 0, "one", parse(t, strings.Replace(base, "class: bulk", "class: standard", 1)))
+	require.True(t, failure.Is(err, failure.SettingsConflict), "an id names one change")
+}
+
+func TestApplySettlesLostAnswers(t *testing.T) {
+	registry, service := newRegistry(t)
+	service.Faults.Set(keyvalue.Faults{LoseAnswers: 60})
+	parsed := parse(t, base)
+	for number := range uint64(20) {
+		revision, err := apply(registry, number, "operation-"+string(rune('a'+number)), parsed)
+		require.NoError(t, err)
+		require.Equal(t, number+1, revision.Number, "accepted once")
+	}
+	lost := 0
+	for _, entry := range service.History.Entries() {
+		if entry.AnswerLost {
+			lost++
+		}
+	}
+	require.Positive(t, lost, "the fault was active")
+}
+
+func TestFollowNeverGoesBack(t *testing.T) {
+	registry, service := newRegistry(t)
+	parsed := parse(t, base)
+	_, err := apply(registry, 0, "one", parsed)
+	require.NoError(t, err)
+	store := &settings.Store{}
+	seen := make(chan uint64, 10)
+	store.Listen(func(revision *settings.Revision) { seen <- revision.Number })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = registry.Follow(ctx, store, func(error) {}) }()
+	require.EqualValues(t, 1, <-seen)
+	service.Faults.Set(keyvalue.Faults{Outage: true})
+	_, err = apply(registry, 1, "two", parsed)
+	require.Error(t, err)
+	service.Faults.Set(keyvalue.Faults{})
+	_, err = apply(registry, 1, "two", parsed)
+	require.NoError(t, err)
+	require.EqualValues(t, 2, <-seen)
+	require.False(t, store.Advance(&settings.Revision{Number: 1}))
+	require.EqualValues(t, 2, store.Number())
+}
