Let a woken member refute its death at its first ping; prove planner and membership

Cause: the membership state machine found that a member paused past its suspicion, once awake, stayed dead to its peers: it pinged them, and they answered without the claim it had to refute. An answer to a ping now carries what is held against the sender. Map order no longer decides what is sent, so a seed replays.

--- /dev/null
+++ b/gateway/main_test.go
@@ -0,0 +1,9 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/finchspoke/finchspoke/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Run(m) }
--- a/membership/core.go
+++ b/membership/core.go
@@ -8,6 +8,7 @@
 package membership
 
 import (
+	"cmp"
 	"math/bits"
 	"math/rand/v2"
 	"slices"
@@ -217,7 +218,8 @@
 
 func (c *Core) lateProbes(now time.Time) []Envelope {
 	var envelopes []Envelope
-	for sequence, pending := range c.probes {
+	for _, sequence := range sortedKeys(c.probes) {
+		pending := c.probes[sequence]
 		target := c.members[pending.memberID]
 		age := now.Sub(pending.sentAt)
 		switch {
@@ -244,9 +246,20 @@
 	return envelopes
 }
 
+// sortedKeys keeps the order of maps out of what is sent and drawn.
+func sortedKeys[K cmp.Ordered, V any](values map[K]V) []K {
+	keys := make([]K, 0, len(values))
+	for key := range values {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 // overdue declares suspects dead and forgets the long dead.
 func (c *Core) overdue(now time.Time) {
-	for id, member := range c.members {
+	for _, id := range sortedKeys(c.members) {
+		member := c.members[id]
 		age := now.Sub(member.Since)
 		switch {
 		case member.Status == Suspect && age >= c.config.SuspicionTimeout:
@@ -309,6 +322,11 @@
 	}
 	switch PacketKind(packet.GetKind()) {
 	case Ping:
+		// One that was taken for dead, and woke, hears of it with the answer and
+		// refutes it.
+		if sender := c.members[packet.GetFromId()]; sender != nil && sender.Status != Alive {
+			c.spread(*sender)
+		}
 		return []Envelope{c.envelope(packet.GetFromAddress(), &rpc.Packet{Kind: uint32(Ack), Sequence: packet.GetSequence()})}
 	case PingRequest:
 		c.sequence++
--- /dev/null
+++ b/membership/main_test.go
@@ -0,0 +1,9 @@
+package membership
+
+import (
+	"testing"
+
+	"github.com/finchspoke/finchspoke/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Run(m) }
--- /dev/null
+++ b/placement/main_test.go
@@ -0,0 +1,9 @@
+package placement_test
+
+import (
+	"testing"
+
+	"github.com/finchspoke/finchspoke/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Run(m) }
