Tell replicas apart by their own id; try the only replica however often it failed

Cause: in about one of four runs of TestRequestsUnderFaults requests for an adapter waited 20 s to their deadline. The planner had put two replicas of one model on one engine, and the queue kept replicas by engine, so the one without the adapter hid the one with it. Ruled out first: the suspension of a failing replica, which could also hold back the only replica for up to 30 s. Change: grants, slots and dispatches name the replica, an engine refuses (not started) a request for a replica it does not have ready; where all replicas are suspended, one request at a time tries again after half a second; a further replica evicts only what was idle for 15 s.

--- a/engine/client.go
+++ b/engine/client.go
@@ -117,6 +117,7 @@
 // Dispatch is a request to run on an engine.
 type Dispatch struct {
 	Address   string // host:port
+	ReplicaID string
 	Path      string // PathChat or PathCompletion
 	RequestID string
 	Priority  int
@@ -152,6 +153,7 @@
 	}
 	httpRequest.Header.Set("Content-Type", "application/json")
 	httpRequest.Header.Set(HeaderRequestID, dispatch.RequestID)
+	httpRequest.Header.Set(HeaderReplicaID, dispatch.ReplicaID)
 	httpRequest.Header.Set(HeaderPriority, strconv.Itoa(dispatch.Priority))
 	response, err := c.data.Do(httpRequest)
 	if err != nil {
--- a/engine/wire.go
+++ b/engine/wire.go
@@ -33,6 +33,9 @@
 	// HeaderRequestID names the request in both directions; an answer that
 	// carries another id is not used.
 	HeaderRequestID = "X-Request-Id"
+	// HeaderReplicaID names the replica to use; an engine that does not have it
+	// ready does not start the request.
+	HeaderReplicaID = "X-Replica-Id"
 	// HeaderPriority carries the class; lower numbers go first.
 	HeaderPriority = "X-Priority"
 	// HeaderExecution with ExecutionNotStarted is the engine's word that it did
--- a/gateway/core_test.go
+++ b/gateway/core_test.go
@@ -163,7 +163,7 @@
 	m.queue = queue.New(coreModel, coreConcurrency)
 	for _, id := range m.order {
 		if held := m.requests[id]; dispatched(held) {
-			m.queue.Restore(m.now, held.item.Owner, queue.Running{ID: id, Target: held.item.Target, EngineID: held.grantedTo})
+			m.queue.Restore(m.now, held.item.Owner, queue.Running{ID: id, Target: held.item.Target, ReplicaID: held.grantedTo})
 		}
 	}
 	m.setReplicas(t)
@@ -181,7 +181,7 @@
 	var running []queue.Running
 	for _, id := range m.order {
 		if held := m.requests[id]; held.item.Owner == owner && dispatched(held) {
-			running = append(running, queue.Running{ID: id, Target: held.item.Target, EngineID: held.grantedTo})
+			running = append(running, queue.Running{ID: id, Target: held.item.Target, ReplicaID: held.grantedTo})
 		}
 	}
 	m.carryOut(t, m.queue.Reconcile(m.now, owner, running))
@@ -196,7 +196,7 @@
 	var replicas []queue.Replica
 	for _, engineID := range coreEngines {
 		if m.ready[engineID] {
-			replicas = append(replicas, queue.Replica{EngineID: engineID, Adapters: map[string]bool{coreAdapter: m.adapters[engineID]}})
+			replicas = append(replicas, queue.Replica{ID: engineID, EngineID: engineID, Adapters: map[string]bool{coreAdapter: m.adapters[engineID]}})
 		}
 	}
 	readyIn := time.Duration(rapid.IntRange(-1, 8000).Draw(t, "ready in")) * time.Millisecond
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -115,7 +115,7 @@
 func (s *Server) dispatch(ctx context.Context, made *call, slot *home.Slot, out *sink) dispatchOutcome {
 	began := time.Now()
 	response, err := s.Engines.Dispatch(ctx, engine.Dispatch{
-		Address: slot.Address, Path: made.path, RequestID: made.id, Priority: int(made.class), Body: made.body})
+		Address: slot.Address, ReplicaID: slot.ReplicaID, Path: made.path, RequestID: made.id, Priority: int(made.class), Body: made.body})
 	if err != nil {
 		var failed *engine.DispatchError
 		outcome := dispatchOutcome{result: lost, cause: err}
--- a/home/client.go
+++ b/home/client.go
@@ -29,13 +29,14 @@
 
 // Slot is the right to dispatch once to an engine. It must be released.
 type Slot struct {
-	EngineID string
-	Address  string
-	HomeID   string
-	Waited   time.Duration // in the queue, by the home's clock
-	client   *Client
-	ask      *ask
-	released bool
+	ReplicaID string
+	EngineID  string
+	Address   string
+	HomeID    string
+	Waited    time.Duration // in the queue, by the home's clock
+	client    *Client
+	ask       *ask
+	released  bool
 }
 
 // Client asks homes for slots on behalf of a gateway.
@@ -56,10 +57,10 @@
 // ask is a request in the client's hands, until its slot is released.
 type ask struct {
 	Ask
-	homeID   string
-	granted  bool
-	engineID string
-	outcome  chan outcome // of size one
+	homeID    string
+	granted   bool
+	replicaID string
+	outcome   chan outcome // of size one
 }
 
 // outcome is a grant or a refusal.
@@ -132,7 +133,7 @@
 		return nil, decided.refusal
 	}
 	return &Slot{
-		EngineID: decided.grant.GetEngineId(), Address: decided.grant.GetAddress(), HomeID: waiting.homeID,
+		ReplicaID: decided.grant.GetReplicaId(), EngineID: decided.grant.GetEngineId(), Address: decided.grant.GetAddress(), HomeID: waiting.homeID,
 		Waited: time.Duration(decided.grant.GetWaitedMs()) * time.Millisecond, client: c, ask: waiting,
 	}, nil
 }
@@ -216,7 +217,7 @@
 }
 
 func runningMessage(held *ask) *rpc.Running {
-	return &rpc.Running{RequestId: held.RequestID, BaseModel: held.Model, Target: held.Target, EngineId: held.engineID}
+	return &rpc.Running{RequestId: held.RequestID, BaseModel: held.Model, Target: held.Target, ReplicaId: held.replicaID}
 }
 
 // deliver takes a home's message in.
@@ -250,7 +251,7 @@
 		return
 	}
 	waiting.granted = true
-	waiting.engineID = grant.GetEngineId()
+	waiting.replicaID = grant.GetReplicaId()
 	waiting.outcome <- outcome{grant: grant}
 }
 
--- a/home/placement.go
+++ b/home/placement.go
@@ -114,7 +114,7 @@
 func replicasOf(model *rpc.ModelReplicas) []queue.Replica {
 	replicas := make([]queue.Replica, 0, len(model.GetReplicas()))
 	for _, info := range model.GetReplicas() {
-		replica := queue.Replica{EngineID: info.GetEngineId(), Address: info.GetAddress(), Zone: info.GetZone(), Adapters: map[string]bool{}}
+		replica := queue.Replica{ID: info.GetReplicaId(), EngineID: info.GetEngineId(), Address: info.GetAddress(), Zone: info.GetZone(), Adapters: map[string]bool{}}
 		for _, adapter := range info.GetAdapters() {
 			replica.Adapters[adapter] = true
 		}
--- a/home/server.go
+++ b/home/server.go
@@ -149,7 +149,7 @@
 }
 
 func runningOf(message *rpc.Running) queue.Running {
-	return queue.Running{ID: message.GetRequestId(), Target: message.GetTarget(), EngineID: message.GetEngineId()}
+	return queue.Running{ID: message.GetRequestId(), Target: message.GetTarget(), ReplicaID: message.GetReplicaId()}
 }
 
 // Handle takes a gateway's message in.
@@ -239,7 +239,7 @@
 		switch done := action.(type) {
 		case queue.Grant:
 			s.send(done.Item.Owner, &rpc.HomeMessage{Kind: &rpc.HomeMessage_Grant{Grant: &rpc.Grant{
-				RequestId: done.Item.ID, EngineId: done.Replica.EngineID, Address: done.Replica.Address,
+				RequestId: done.Item.ID, ReplicaId: done.Replica.ID, EngineId: done.Replica.EngineID, Address: done.Replica.Address,
 				WaitedMs: time.Since(done.Item.Arrived).Milliseconds()}}})
 		case queue.Refusal:
 			s.send(done.Item.Owner, &rpc.HomeMessage{Kind: &rpc.HomeMessage_Refusal{Refusal: &rpc.Refusal{
--- a/lab/ask.go
+++ b/lab/ask.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -69,8 +70,10 @@
 		return Answer{}, errors.Wrap(err, "ask")
 	}
 	defer func() { _ = response.Body.Close() }()
+	reader := bufio.NewReader(response.Body)
+	_, _ = reader.Peek(1) // an error comes again below
 	answer := Answer{Status: response.StatusCode, Header: response.Header, FirstByte: time.Since(began)}
-	text, err := io.ReadAll(response.Body)
+	text, err := io.ReadAll(reader)
 	answer.Total = time.Since(began)
 	if err != nil {
 		return answer, errors.Wrap(err, "read answer")
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -486,7 +486,11 @@
 		p.promise(coming, need.model)
 		return
 	}
-	victims := p.idlePlaces()
+	least := time.Duration(0)
+	if p.readyReplicas(need.model, false) > 0 {
+		least = evictionIdle
+	}
+	victims := p.idlePlaces(least)
 	for _, id := range sortedKeys(p.Engines) {
 		candidate := p.Engines[id]
 		if candidate.usable() && candidate.Service == need.model.Service {
@@ -512,9 +516,13 @@
 	}
 }
 
-// idlePlaces lists replicas that nobody waits for or uses and that exceed their
-// model's least number, those used longest ago first.
-func (p *planner) idlePlaces() []place {
+// evictionIdle is how long a replica must be unused to make room for a further
+// replica of another model. A model without any may take what is idle just now.
+const evictionIdle = 15 * time.Second
+
+// idlePlaces lists replicas that nobody waits for or has used for a while and that
+// exceed their model's least number, those used longest ago first.
+func (p *planner) idlePlaces(least time.Duration) []place {
 	type idle struct {
 		place
 		lastUsed time.Time
@@ -522,7 +530,8 @@
 	var all []idle
 	for _, need := range p.needs() {
 		places := p.kept(need.model)
-		if need.waiting > 0 || p.runningOf(need.model) > 0 || len(places) <= need.model.MinReplicas {
+		inUse := need.waiting > 0 || p.runningOf(need.model) > 0 || p.Now.Sub(need.lastUsed) < least
+		if inUse || len(places) <= need.model.MinReplicas {
 			continue
 		}
 		for _, kept := range places[need.model.MinReplicas:] {
--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -73,7 +73,7 @@
 			}
 			for _, held := range known.Inventory.Replicas {
 				if held.ID == assignment.ReplicaID && held.State == engine.Ready {
-					ready = append(ready, ReadyReplica{known, held.Adapters})
+					ready = append(ready, ReadyReplica{held.ID, known, held.Adapters})
 				}
 			}
 		}
@@ -83,6 +83,7 @@
 
 // ReadyReplica is a replica that can serve.
 type ReadyReplica struct {
-	Engine   Engine
-	Adapters []string
+	ReplicaID string
+	Engine    Engine
+	Adapters  []string
 }
--- a/placer/watch.go
+++ b/placer/watch.go
@@ -45,7 +45,7 @@
 
 // sentState is what a home was last told of a model.
 type sentState struct {
-	replicas []string // engine and adapters, as one text each
+	replicas []string // id, address and adapters, as one text each
 	readyAt  time.Time
 	known    bool
 }
@@ -149,8 +149,8 @@
 	state := sentState{}
 	for _, ready := range placement.Ready(shown.Plan, shown.Engines, model) {
 		message.Replicas = append(message.Replicas, &rpc.ReplicaInfo{
-			EngineId: ready.Engine.ID, Address: ready.Engine.Address, Zone: ready.Engine.Zone, Adapters: ready.Adapters})
-		text := ready.Engine.ID + " " + ready.Engine.Address
+			ReplicaId: ready.ReplicaID, EngineId: ready.Engine.ID, Address: ready.Engine.Address, Zone: ready.Engine.Zone, Adapters: ready.Adapters})
+		text := ready.ReplicaID + " " + ready.Engine.Address
 		for _, adapter := range ready.Adapters {
 			text += " " + adapter
 		}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -32,6 +32,7 @@
 
 // Replica is a ready replica.
 type Replica struct {
+	ID       string // an engine may hold several replicas of a model
 	EngineID string
 	Address  string
 	Zone     string
@@ -69,9 +70,9 @@
 
 const (
 	// suspensionFirst and suspensionLast bound how long a replica that failed
-	// gets nothing; it doubles with each failure in a row.
+	// gets nothing while others can serve; it doubles with each failure in a row.
 	suspensionFirst = 500 * time.Millisecond
-	suspensionLast  = 30 * time.Second
+	suspensionLast  = 10 * time.Second
 	// dispatchMargin before its deadline an item is no longer worth a dispatch.
 	dispatchMargin = 20 * time.Millisecond
 	// serviceWeight is the weight of a new sample in the mean service time.
@@ -87,8 +88,8 @@
 	lanes       map[string]*lane
 	items       map[string]*waitingItem
 	branches    map[string]*branchState
-	virtualTime float64 // of the branch served last
-	replicas    map[string]*slots
+	virtualTime float64           // of the branch served last
+	replicas    map[string]*slots // by replica id
 	running     map[string]runningItem
 	lastUsed    map[string]time.Time // by target
 	meanService time.Duration        // zero until the first sample
@@ -98,9 +99,9 @@
 }
 
 type runningItem struct {
-	owner    string
-	target   string
-	engineID string
+	owner     string
+	target    string
+	replicaID string
 }
 
 // slots is a replica with what runs on it.
@@ -108,7 +109,8 @@
 	Replica
 	ready          bool
 	running        int
-	failures       int
+	failures       int // in a row
+	failedAt       time.Time
 	suspendedUntil time.Time
 }
 
@@ -236,7 +238,7 @@
 	}
 	delete(q.running, id)
 	q.lastUsed[held.target] = now
-	if replica := q.replicas[held.engineID]; replica != nil {
+	if replica := q.replicas[held.replicaID]; replica != nil {
 		replica.running = max(0, replica.running-1)
 		if engineFailed {
 			q.suspend(replica, now)
@@ -266,14 +268,15 @@
 		pause = suspensionFirst << replica.failures
 	}
 	replica.failures++
+	replica.failedAt = now
 	replica.suspendedUntil = now.Add(min(pause, suspensionLast))
 }
 
 // Running is a request that a gateway runs already.
 type Running struct {
-	ID       string
-	Target   string
-	EngineID string
+	ID        string
+	Target    string
+	ReplicaID string
 }
 
 // Restore counts a request that a gateway runs already, after this queue was made
@@ -284,15 +287,15 @@
 	}
 	q.Cancel(running.ID)
 	q.lastUsed[running.Target] = now
-	q.run(running.ID, owner, running.Target, running.EngineID)
+	q.run(running.ID, owner, running.Target, running.ReplicaID)
 }
 
-func (q *Queue) run(id, owner, target, engineID string) {
-	q.running[id] = runningItem{owner: owner, target: target, engineID: engineID}
-	replica := q.replicas[engineID]
+func (q *Queue) run(id, owner, target, replicaID string) {
+	q.running[id] = runningItem{owner: owner, target: target, replicaID: replicaID}
+	replica := q.replicas[replicaID]
 	if replica == nil {
-		replica = &slots{Replica: Replica{EngineID: engineID}}
-		q.replicas[engineID] = replica
+		replica = &slots{Replica: Replica{ID: replicaID}}
+		q.replicas[replicaID] = replica
 	}
 	replica.running++
 }
@@ -326,7 +329,7 @@
 
 func (q *Queue) free(id string, held runningItem) {
 	delete(q.running, id)
-	if replica := q.replicas[held.engineID]; replica != nil {
+	if replica := q.replicas[held.replicaID]; replica != nil {
 		replica.running = max(0, replica.running-1)
 		q.dropIfGone(replica)
 	}
@@ -339,10 +342,10 @@
 		replica.ready = false
 	}
 	for _, ready := range replicas {
-		replica := q.replicas[ready.EngineID]
+		replica := q.replicas[ready.ID]
 		if replica == nil {
 			replica = &slots{}
-			q.replicas[ready.EngineID] = replica
+			q.replicas[ready.ID] = replica
 		}
 		replica.Replica = ready
 		replica.ready = true
@@ -359,7 +362,7 @@
 
 func (q *Queue) dropIfGone(replica *slots) {
 	if !replica.ready && replica.running == 0 {
-		delete(q.replicas, replica.EngineID)
+		delete(q.replicas, replica.ID)
 	}
 }
 
@@ -446,7 +449,7 @@
 		q.virtualTime = state.virtual
 		state.virtual += 1 / float64(next.item.Share)
 		q.remove(next)
-		q.run(next.item.ID, next.item.Owner, next.item.Target, replica.EngineID)
+		q.run(next.item.ID, next.item.Owner, next.item.Target, replica.ID)
 		actions = append(actions, Grant{Item: next.item, Replica: replica.Replica})
 	}
 }
@@ -496,18 +499,30 @@
 }
 
 // pick returns the replica with the most free slots that has the target, one in
-// the gateway's zone first among equals.
+// the gateway's zone first among equals. Where every such replica is suspended,
+// one request at a time tries the one that failed longest ago: holding all back
+// would only turn a short fault into a long one.
 func (q *Queue) pick(item Item, now time.Time) *slots {
-	var best *slots
+	var best, trial *slots
+	allSuspended := true
 	for _, replica := range q.replicas {
-		fits := item.Target == q.model || replica.Adapters[item.Target]
-		if !fits || !q.usable(replica, now) || replica.running >= q.concurrency {
+		if !replica.ready || (item.Target != q.model && !replica.Adapters[item.Target]) {
+			continue
+		}
+		if !q.usable(replica, now) {
+			if replica.running == 0 && (trial == nil || replica.failedAt.Before(trial.failedAt)) {
+				trial = replica
+			}
 			continue
 		}
-		if best == nil || preferred(replica, best, item.Zone) {
+		allSuspended = false
+		if replica.running < q.concurrency && (best == nil || preferred(replica, best, item.Zone)) {
 			best = replica
 		}
 	}
+	if allSuspended && trial != nil && now.Sub(trial.failedAt) >= suspensionFirst {
+		return trial
+	}
 	return best
 }
 
@@ -518,7 +533,7 @@
 	if (a.Zone == zone) != (b.Zone == zone) {
 		return a.Zone == zone
 	}
-	return a.EngineID < b.EngineID
+	return a.ID < b.ID
 }
 
 func (q *Queue) branch(name string) *branchState {
--- /dev/null
+++ b/queue/queue_test.go
@@ -0,0 +1,148 @@
+package queue_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/finchspoke/finchspoke/failure"
+	"github.com/finchspoke/finchspoke/queue"
+	"github.com/finchspoke/finchspoke/request"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func item(id string, class request.Class, branch string, deadline time.Duration) queue.Item {
+	return queue.Item{ID: id, Owner: "gateway", Target: "m", Branch: branch, Share: 1, MaxWaiting: 100_000, Class: class,
+		Arrived: start, Deadline: start.Add(deadline)}
+}
+
+func replicas(ids ...string) []queue.Replica {
+	var ready []queue.Replica
+	for _, id := range ids {
+		ready = append(ready, queue.Replica{ID: id, EngineID: id})
+	}
+	return ready
+}
+
+// grants returns the ids granted, in order.
+func grants(actions []queue.Action) []string {
+	var ids []string
+	for _, action := range actions {
+		if grant, ok := action.(queue.Grant); ok {
+			ids = append(ids, grant.Item.ID)
+		}
+	}
+	return ids
+}
+
+func TestOrderIsClassThenShareThenDeadline(t *testing.T) {
+	held := queue.New("m", 100)
+	held.Submit(start, item("bulk", request.Bulk, "a", time.Hour))
+	held.Submit(start, item("a-late", request.Standard, "a", 50*time.Second))
+	held.Submit(start, item("a-soon", request.Standard, "a", 20*time.Second))
+	held.Submit(start, item("b", request.Standard, "b", 40*time.Second))
+	held.Submit(start, item("interactive", request.Interactive, "a", time.Minute))
+	order := grants(held.SetReplicas(start, replicas("e"), -1))
+	require.Equal(t, "interactive", order[0])
+	require.Equal(t, "bulk", order[4])
+	require.Equal(t, "b", order[1], "branch a had its turn")
+	require.Equal(t, []string{"a-soon", "a-late"}, order[2:4])
+}
+
+func TestBranchesShareByWeight(t *testing.T) {
+	held := queue.New("m", 1)
+	for number := range 40 {
+		heavy := item(fmt.Sprintf("heavy-%02d", number), request.Standard, "heavy", time.Hour)
+		heavy.Share = 3
+		held.Submit(start, heavy)
+		held.Submit(start, item(fmt.Sprintf("light-%02d", number), request.Standard, "light", time.Hour))
+	}
+	served := map[string]int{}
+	granted := grants(held.SetReplicas(start, replicas("e"), -1))
+	for range 20 {
+		served[granted[0][:5]]++
+		granted = grants(held.Release(start, granted[0], false, 0))
+	}
+	require.Equal(t, map[string]int{"heavy": 15, "light": 5}, served)
+}
+
+func TestHopelessIsRefusedAtOnceWithAnEstimate(t *testing.T) {
+	held := queue.New("m", 1)
+	held.SetReplicas(start, nil, 10*time.Second)
+	refusal := held.Submit(start, item("short", request.Interactive, "a", 5*time.Second))[0].(queue.Refusal)
+	require.Equal(t, failure.DeadlineTooShort, refusal.Kind)
+	require.Equal(t, 10*time.Second, refusal.RetryAfter)
+	require.Empty(t, held.Submit(start, item("long", request.Interactive, "a", 15*time.Second)))
+	refusal = held.SetReplicas(start, nil, 20*time.Second)[0].(queue.Refusal)
+	require.Equal(t, "long", refusal.Item.ID, "told when it became hopeless, not at its deadline")
+}
+
+func TestFailingReplicaRestsWhileOthersServe(t *testing.T) {
+	held := queue.New("m", 10)
+	held.SetReplicas(start, replicas("e1", "e2"), -1)
+	first := held.Submit(start, item("1", request.Standard, "a", time.Minute))[0].(queue.Grant)
+	held.Release(start, "1", true, 0)
+	for number := range 5 {
+		next := held.Submit(start, item(fmt.Sprint("n", number), request.Standard, "a", time.Minute))[0].(queue.Grant)
+		require.NotEqual(t, first.Replica.EngineID, next.Replica.EngineID)
+	}
+}
+
+// TestOnlyReplicaIsTriedSoonHoweverOftenItFailed: requests waited for up to their
+// deadline while the one replica with their adapter was suspended for 16 s.
+func TestOnlyReplicaIsTriedSoonHoweverOftenItFailed(t *testing.T) {
+	held := queue.New("m", 10)
+	held.SetReplicas(start, replicas("e1"), -1)
+	now := start
+	for number := range 10 {
+		id := fmt.Sprint("r", number)
+		held.Submit(now, item(id, request.Standard, "a", time.Hour))
+		now = now.Add(500 * time.Millisecond)
+		if number > 0 {
+			require.Empty(t, grants(held.Tick(now.Add(-time.Millisecond))), "not at once")
+		}
+		held.Tick(now)
+		require.Equal(t, 1, held.Running(), "tried within half a second of the last failure")
+		if number > 1 { // suspended for longer than that, and tried all the same
+			require.Empty(t, held.Submit(now, item(id+"-second", request.Standard, "a", time.Hour)), "one at a time")
+			held.Cancel(id + "-second")
+		}
+		held.Release(now, id, true, 0)
+	}
+}
+
+// TestTwoReplicasOnOneEngineAreKeptApart: an adapter loaded on one of two replicas
+// on the same engine was not seen, and its requests waited to their deadline.
+func TestTwoReplicasOnOneEngineAreKeptApart(t *testing.T) {
+	held := queue.New("m", 1)
+	held.SetReplicas(start, []queue.Replica{
+		{ID: "r1", EngineID: "e", Adapters: map[string]bool{"m.a": true}}, {ID: "r2", EngineID: "e"}}, -1)
+	adapted := item("adapted", request.Standard, "a", time.Minute)
+	adapted.Target = "m.a"
+	require.Equal(t, "r1", held.Submit(start, adapted)[0].(queue.Grant).Replica.ID)
+	require.Equal(t, "r2", held.Submit(start, item("plain", request.Standard, "a", time.Minute))[0].(queue.Grant).Replica.ID)
+}
+
+// BenchmarkDispatch measures one submit, grant and release with many waiting.
+func BenchmarkDispatch(b *testing.B) {
+	for _, waiting := range []int{100, 1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			held := queue.New("m", 1)
+			for number := range waiting {
+				branch := fmt.Sprint("branch-", number%20)
+				held.Submit(start, item(fmt.Sprint(number), request.Class(number%3), branch, time.Hour+time.Duration(number)*time.Millisecond))
+			}
+			running := grants(held.SetReplicas(start, replicas("e"), -1))[0]
+			b.ReportAllocs()
+			number := waiting
+			for b.Loop() {
+				number++
+				held.Submit(start, item(fmt.Sprint(number), request.Standard, "branch-1", time.Hour+time.Duration(number)*time.Millisecond))
+				running = grants(held.Release(start, running, false, 0))[0]
+			}
+		})
+	}
+}
--- a/standin/engines/inference.go
+++ b/standin/engines/inference.go
@@ -91,7 +91,7 @@
 		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
 	}
-	running, reason := e.start(requestID, httpRequest.Header.Get(engine.HeaderPriority), asked)
+	running, reason := e.start(requestID, httpRequest.Header, asked)
 	if reason != "" {
 		e.record(Entry{Kind: RequestRefused, RequestID: requestID, Model: asked.Model, Detail: reason})
 		writer.Header().Set(engine.HeaderExecution, engine.ExecutionNotStarted)
@@ -110,7 +110,7 @@
 }
 
 // start finds a ready replica and begins the request there.
-func (e *Engine) start(requestID, priority string, asked question) (*sequence, string) {
+func (e *Engine) start(requestID string, header http.Header, asked question) (*sequence, string) {
 	faults := e.Faults.Get()
 	if faults.RefuseRequests || faults.Leaving {
 		return nil, "the engine takes no requests"
@@ -121,14 +121,17 @@
 	}
 	count = min(count, e.config.Timing.LongestAnswerInTokens)
 	prompt := asked.text()
-	rank, err := strconv.Atoi(priority)
+	rank, err := strconv.Atoi(header.Get(engine.HeaderPriority))
 	if err != nil {
 		rank = 1
 	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	held := e.find(asked.Model)
-	if held == nil {
+	if replicaID := header.Get(engine.HeaderReplicaID); replicaID != "" {
+		held = e.replicas[replicaID]
+	}
+	if held == nil || !held.serves(asked.Model) {
 		return nil, fmt.Sprintf("model %q is not ready here", asked.Model)
 	}
 	running := &sequence{
@@ -156,7 +159,7 @@
 	var best *replica
 	least := 0
 	for _, held := range e.replicas {
-		if held.state != engine.Ready || (held.order.Model != target && !held.adapters[target]) {
+		if !held.serves(target) {
 			continue
 		}
 		running, waiting := held.batch.load()
@@ -167,6 +170,11 @@
 	return best
 }
 
+// serves tells whether the replica is ready and has the model or adapter.
+func (r *replica) serves(target string) bool {
+	return r.state == engine.Ready && (r.order.Model == target || r.adapters[target])
+}
+
 func (e *Engine) sequence(id string) *sequence {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
