--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"sort"
 	"strconv"
 	"strings"
@@ -64,9 +65,23 @@
 	mux.HandleFunc("GET "+adminapi.PathHistory, a.guarded(a.history))
 	mux.HandleFunc("POST "+adminapi.PathApply, a.guarded(a.apply))
 	mux.HandleFunc("POST "+adminapi.PathDrain, a.guarded(a.drain))
+	mux.HandleFunc("GET /debug/pprof/", a.profiles)
 	return mux
 }
 
+// profiles serves the runtime's profiles, to operators only.
+func (a *adminServer) profiles(writer http.ResponseWriter, httpRequest *http.Request) {
+	if err := a.authorize(httpRequest); err != nil {
+		http.Error(writer, err.Error(), http.StatusUnauthorized)
+		return
+	}
+	if httpRequest.URL.Path == "/debug/pprof/profile" {
+		pprof.Profile(writer, httpRequest)
+		return
+	}
+	pprof.Index(writer, httpRequest)
+}
+
 func (a *adminServer) readyz(writer http.ResponseWriter, _ *http.Request) {
 	if reason := a.daemon.notReady(); reason != "" {
 		http.Error(writer, reason, http.StatusServiceUnavailable)
