Hold run-once claims in groups of daemons instead of the key-value service

Cause: a keyed request wrote twice to the rate-limited key-value service and was refused in its outages. Change: 64 groups a region of up to three processes in different zones hold claims and outcomes in memory; a majority decides; the service holds only each group's view, changed by sealing a majority, copying, and compare-and-swap. A restart is told from a pause by its process number; a group that lost its memory answers older keys as unknown. Before: keyed requests in an outage refused.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -38,6 +38,9 @@
 	// leaveSpread is the time for the news of leaving to spread before the
 	// gateway stops to listen.
 	leaveSpread = 500 * time.Millisecond
+	// handOverTime bounds the wait for others to take over this daemon's claims.
+	handOverTime = 15 * time.Second
+	handOverPoll = 50 * time.Millisecond
 	// suspicionIntervals is how many probe intervals a suspect has to refute.
 	suspicionIntervals  = 3
 	probeTimeoutDivisor = 3
@@ -57,6 +60,8 @@
 	placer     *placer.Service
 	gateway    *gateway.Server
 	engines    *engine.Client
+	pool       *transport.Pool
+	claims     *runonce.Member
 	supervisor *suture.Supervisor
 	draining   atomic.Bool
 	drain      chan struct{}
@@ -187,28 +192,32 @@
 		Region: d.config.Region, SelfID: d.config.ID, View: d.members.View, Settings: d.settings, Store: store,
 		Machines: machinelist.NewClient(d.config.Platform.MachineList), Engines: d.engines, Log: d.log,
 	})
+	d.pool = transport.NewPool()
+	d.claims = runonce.NewMember(d.members.View().Self().Process)
+	manager := runonce.NewManager(d.config.ID, store, d.members.View, d.claims, d.pool, d.log)
 	d.gateway = gateway.New(gateway.Dependencies{
-		Settings: d.settings, Engines: d.engines, Ledger: runonce.NewLedger(store, time.Now), Log: d.log,
+		Settings: d.settings, Engines: d.engines, Ledger: runonce.NewLedger(d.members.View, d.pool), Log: d.log,
 		Registerer: d.metrics, MaxConnections: d.config.MaxConnections,
 	}, d.homes, d.sockets.gateway)
 	spread := newSpreader(d.settings, d.registry, d.members, d.log)
 	d.registerMetrics()
 	server := transport.NewServer(d.sockets.rpc)
-	d.register(server, spread)
+	d.register(server, spread, runonce.NewService(d.claims, manager))
 	d.supervisor = suture.New("finchspoke", suture.Spec{EventHook: d.logEvent})
 	for _, service := range []suture.Service{
-		d.members, server, spread, d.home, home.NewReporter(d.home, d.config.Region), d.placer, d.gateway,
+		d.members, server, spread, d.home, home.NewReporter(d.home, d.config.Region), d.placer, manager, d.gateway,
 		&adminServer{daemon: d, listener: d.sockets.admin},
 	} {
 		d.supervisor.Add(service)
 	}
 }
 
-func (d *Daemon) register(server *transport.Server, spread *spreader) {
+func (d *Daemon) register(server *transport.Server, spread *spreader, claims *runonce.Service) {
 	mux := server.Mux()
 	for _, err := range []error{
 		rpc.DRPCRegisterHome(mux, d.home), rpc.DRPCRegisterPlacer(mux, d.placer),
 		rpc.DRPCRegisterMembership(mux, d.members), rpc.DRPCRegisterSettings(mux, spread),
+		rpc.DRPCRegisterRunOnce(mux, claims),
 	} {
 		if err != nil {
 			panic(err) // a service registered twice: a mistake in this function
@@ -297,20 +306,36 @@
 	<-ended
 	d.homes.Close()
 	d.engines.Close()
+	d.pool.Close()
 	d.sockets.close()
 	d.log.Info("daemon stopped")
 	return err
 }
 
+func wait(ctx context.Context, pause time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause):
+	}
+}
+
+// handClaimsOver waits until other daemons have taken this one's place in the
+// run-once groups, if there are others and they do so soon: a rolling restart must
+// not take two members from one group.
+func (d *Daemon) handClaimsOver(ctx context.Context) {
+	until := time.Now().Add(handOverTime)
+	for d.claims.Serving() && time.Now().Before(until) && ctx.Err() == nil && len(d.members.View().RunningIn(d.config.Region)) > 0 {
+		wait(ctx, handOverPoll)
+	}
+}
+
 // leave tells the members, so that queues move to other homes, and waits for the
 // requests of this gateway.
 func (d *Daemon) leave(ctx context.Context) error {
 	d.log.Info("planned stop: leaving")
 	d.members.Leave()
-	select {
-	case <-ctx.Done():
-	case <-time.After(leaveSpread):
-	}
+	wait(ctx, leaveSpread)
+	d.handClaimsOver(ctx)
 	ctx, cancel := context.WithTimeout(ctx, d.config.DrainTimeout)
 	defer cancel()
 	if err := d.gateway.Drain(ctx); err != nil {
--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -26,17 +27,9 @@
 // runKeyed serves a call with an idempotency key: it runs only under a claim, and
 // goes on to its end without its caller, so that a repeat gets the outcome.
 func (s *Server) runKeyed(ctx context.Context, made *call, out *sink) *failure.Error {
-	claim, standing, err := s.Ledger.Claim(ctx, made.branch.Path, made.idempotencyKey, runonce.Record{
-		RequestID:   made.id,
-		Fingerprint: runonce.Fingerprint([]byte(made.path), made.body),
-		ClaimedAt:   time.Now().UTC(),
-		SettledBy:   made.deadline.Add(keyedGrace + settleMargin).UTC(),
-	})
-	if err != nil {
-		return failure.As(err)
-	}
-	if standing != nil {
-		return s.repeat(ctx, made, standing, out)
+	claim, failed := s.claim(ctx, made, out)
+	if claim == nil {
+		return failed
 	}
 	ended := make(chan endedCall, 1)
 	running := *made // what runs on must not share what is logged meanwhile
@@ -58,6 +51,38 @@
 		"the request still runs and its outcome will be stored").WithExecution(failure.Unknown).WithRetryAfter(retryAfterDeadline)
 }
 
+// claim claims the call's key. Without a claim the call has ended: answered from
+// the outcome that stands, or with the failure returned.
+func (s *Server) claim(ctx context.Context, made *call, out *sink) (*runonce.Claim, *failure.Error) {
+	until := time.Now().Add(maxLookTime)
+	for {
+		claim, standing, err := s.Ledger.Claim(ctx, made.keyAsk(), runonce.Record{
+			RequestID:   made.id,
+			Fingerprint: runonce.Fingerprint([]byte(made.path), made.body),
+			ClaimedAt:   time.Now(),
+			SettledBy:   made.deadline.Add(keyedGrace + settleMargin),
+		})
+		if err != nil {
+			return nil, failure.As(err)
+		}
+		if claim != nil {
+			return claim, nil
+		}
+		ended, failed := s.repeat(ctx, made, standing, out, until)
+		if ended {
+			return nil, failed
+		}
+		// The claim that stood was withdrawn: its request did not run.
+		wait(ctx, rand.N(lookInterval))
+	}
+}
+
+// keyAsk names the call's key. The group is of the first region that serves the
+// model, so that a repeat finds it whichever daemon it comes to.
+func (c *call) keyAsk() runonce.Ask {
+	return runonce.Ask{Region: c.model.ServiceRegions[0], Branch: c.branch.Path, Key: c.idempotencyKey}
+}
+
 // endedCall is the end of a keyed call that its caller waited for.
 type endedCall struct {
 	failed *failure.Error
@@ -94,36 +119,36 @@
 	s.Log.WithError(err).WithField("request_id", made.id).Error("outcome of a keyed request was not stored")
 }
 
-// repeat answers a repeat of a claimed key without running anything.
-func (s *Server) repeat(ctx context.Context, made *call, standing *runonce.Record, out *sink) *failure.Error {
-	until := time.Now().Add(maxLookTime)
+// repeat answers a repeat of a claimed key without running anything, unless the
+// claim that stood is withdrawn: then it has not ended.
+func (s *Server) repeat(ctx context.Context, made *call, standing *runonce.Record, out *sink, until time.Time) (ended bool, failed *failure.Error) {
 	for standing.State == runonce.Claimed {
 		if ctx.Err() != nil || time.Now().After(until) {
-			return failure.New(failure.KeyInUse, "repeat the request with the same key to get its outcome",
+			return true, failure.New(failure.KeyInUse, "repeat the request with the same key to get its outcome",
 				"the first request with this key still runs").WithExecution(failure.Unknown).WithRetryAfter(retryAfterDeadline)
 		}
 		wait(ctx, lookInterval)
-		looked, err := s.Ledger.Look(ctx, made.branch.Path, made.idempotencyKey)
+		looked, err := s.Ledger.Look(ctx, made.keyAsk())
 		switch {
 		case err != nil:
-			continue // the service may be back before the time is up
+			continue // the group may answer before the time is up
 		case looked == nil:
-			return failure.New(failure.ClaimUnavailable, "repeat the request with the same key",
-				"the first request with this key ended without running").WithRetryAfter(time.Second)
+			return false, nil
 		}
 		standing = looked
 	}
 	if standing.State == runonce.Unsettled {
-		return failure.New(failure.OutcomeUnknown, "find out by other means whether it took effect before using a new key",
+		return true, failure.New(failure.OutcomeUnknown, "find out by other means whether it took effect before using a new key",
 			"the first request with this key may have run; its outcome was lost").WithExecution(failure.Unknown)
 	}
-	if standing.Outcome.Dropped {
-		return failure.New(failure.KeyInUse, "none: it ran once; its answer cannot be given again",
+	outcome, err := standing.Plain()
+	if err != nil || outcome.Dropped {
+		return true, failure.New(failure.KeyInUse, "none: it ran once; its answer cannot be given again",
 			"the request completed and its answer was too long to keep").WithExecution(failure.Completed)
 	}
-	out.begin(standing.Outcome.Status, standing.Outcome.ContentType, map[string]string{HeaderReplayed: "true"})
-	_ = out.write(standing.Outcome.Body) // the caller may be gone; it can repeat
-	return nil
+	out.begin(outcome.Status, outcome.ContentType, map[string]string{HeaderReplayed: "true"})
+	_ = out.write(outcome.Body) // the caller may be gone; it can repeat
+	return true, nil
 }
 
 // serveCall is the handler of both completion interfaces.
--- a/membership/core.go
+++ b/membership/core.go
@@ -53,6 +53,7 @@
 	GossipAddress string // host:port, UDP
 	Region        string
 	Zone          string
+	Process       uint64 // start of the process; a restart has a higher one
 	Incarnation   uint64 // only the member itself raises it
 	Status        Status
 	Since         time.Time // of the status, by this daemon's clock
@@ -388,6 +389,7 @@
 	member.GossipAddress = claimed.GetGossipAddress()
 	member.Region = claimed.GetRegion()
 	member.Zone = claimed.GetZone()
+	member.Process = claimed.GetProcess()
 }
 
 // refute answers a claim that this daemon is not alive.
@@ -440,6 +442,6 @@
 func (m Member) Wire() *rpc.Member {
 	return &rpc.Member{
 		Id: m.ID, RpcAddress: m.RPCAddress, GossipAddress: m.GossipAddress, Region: m.Region,
-		Zone: m.Zone, Incarnation: m.Incarnation, Status: uint32(m.Status),
+		Zone: m.Zone, Incarnation: m.Incarnation, Status: uint32(m.Status), Process: m.Process,
 	}
 }
--- a/membership/service.go
+++ b/membership/service.go
@@ -56,7 +56,8 @@
 // NewService returns a service for a daemon on a socket.
 func NewService(config Config, self Member, seeds []string, keys [][]byte, socket net.PacketConn, log logrus.FieldLogger) *Service {
 	now := time.Now()
-	self.Incarnation = uint64(now.UnixMilli())
+	self.Process = uint64(now.UnixMilli())
+	self.Incarnation = self.Process
 	self.Since = now
 	random := rand.New(rand.NewPCG(uint64(now.UnixNano()), xorSeed(self.ID)))
 	service := &Service{config: config, seeds: seeds, keys: keys, socket: socket, log: log, started: now,
--- a/runonce/ledger.go
+++ b/runonce/ledger.go
@@ -1,232 +1,284 @@
-// Package runonce keeps requests that carry an idempotency key from running more
-// than once: a key is claimed before dispatch, and the outcome is kept so that a
-// repeat at any daemon gets it.
-//
-// Claims live in the key-value service for now: one write before dispatch and
-// one after. Without the service a keyed request is refused, not run. Groups of
-// daemons that hold claims without that service are not built yet.
 package runonce
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/finchspoke/finchspoke/failure"
-	"github.com/finchspoke/finchspoke/gzipped"
-	"github.com/finchspoke/finchspoke/kv"
+	"github.com/finchspoke/finchspoke/membership"
+	"github.com/finchspoke/finchspoke/rpc"
+	"github.com/finchspoke/finchspoke/transport"
 )
 
 const (
-	keyPrefix = "/finchspoke/runonce/"
-	// Kept is how long an outcome can be asked for again.
-	Kept = 24 * time.Hour
-	// leaseRenewal is how long one lease is used for new claims.
-	leaseRenewal = time.Hour
-	// maxOutcomeBytes bounds a stored answer; of a longer one only the fact
-	// that it completed is kept.
-	maxOutcomeBytes = 512 << 10
+	claimTime  = 4 * time.Second // in which a claim must count
+	retryPause = 20 * time.Millisecond
+	// viewAskers is how many ranked daemons are asked for a view.
+	viewAskers = 5
+	retryAfter = time.Second
+	// clockMargin is how far a key's own time may differ from this daemon's.
+	clockMargin = 5 * time.Minute
 )
 
-// State of a claim.
-type State string
+// Ledger claims keys for a gateway.
+type Ledger struct {
+	members func() *membership.View
+	pool    *transport.Pool
 
-// The states.
-const (
-	Claimed   State = "claimed"
-	Completed State = "completed"
-	// Unsettled means that the request was dispatched and its outcome was lost.
-	Unsettled State = "unsettled"
-)
+	mutex sync.Mutex
+	views map[SlotKey]View
+}
 
-// Outcome is an answer as it was given.
-type Outcome struct {
-	Status      int    `json:"status"`
-	ContentType string `json:"content_type"`
-	Body        []byte `json:"-"`
-	Compressed  []byte `json:"body_gzip,omitempty"`
-	// Dropped says that the body was too long to keep.
-	Dropped bool `json:"dropped,omitempty"`
-}
-
-// Record is a claim as stored.
-type Record struct {
-	State       State     `json:"state"`
-	RequestID   string    `json:"request_id"`  // unique to the claim
-	Fingerprint string    `json:"fingerprint"` // of what was asked
-	ClaimedAt   time.Time `json:"claimed_at"`
-	// SettledBy is when the outcome is stored at the latest; a claim without one
-	// after that is unsettled.
-	SettledBy time.Time `json:"settled_by"`
-	Outcome   *Outcome  `json:"outcome,omitempty"`
-}
-
-// Claim is a key held by this daemon.
+// Claim is a claim that counted.
 type Claim struct {
-	storeKey string
-	revision int64
-	record   Record
+	slot   SlotKey
+	record Record
 }
 
-// Ledger keeps claims in a key-value service.
-type Ledger struct {
-	store kv.Store
-	now   func() time.Time
-
-	mutex     sync.Mutex
-	lease     kv.LeaseID
-	leaseFrom time.Time
+// NewLedger returns the ledger of a gateway.
+func NewLedger(members func() *membership.View, pool *transport.Pool) *Ledger {
+	return &Ledger{members: members, pool: pool, views: map[SlotKey]View{}}
 }
 
-// NewLedger returns a ledger that takes the time from now.
-func NewLedger(store kv.Store, now func() time.Time) *Ledger {
-	return &Ledger{store: store, now: now}
+// Ask names a key: the branch that uses it and the region whose groups hold it.
+type Ask struct {
+	Region string
+	Branch string
+	Key    string
 }
 
-// Fingerprint identifies what a request asks, so that a key cannot be used for
-// something else.
-func Fingerprint(parts ...[]byte) string {
-	hash := sha256.New()
-	for _, part := range parts {
-		_, _ = hash.Write(part) // never fails
-		_, _ = hash.Write([]byte{0})
+func (a Ask) hashed() string { return HashKey(a.Branch, a.Key) }
+
+func (a Ask) slot() SlotKey { return SlotOf(a.Region, a.hashed()) }
+
+// Claim claims a key. It returns the claim; or the record that stands if the key
+// was claimed before; or a *failure.Error that is true about execution.
+func (l *Ledger) Claim(ctx context.Context, ask Ask, wanted Record) (*Claim, *Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTime)
+	defer cancel()
+	wanted.Key, wanted.State = ask.hashed(), Claimed
+	slot := ask.slot()
+	reason := errors.New("no daemon answered")
+	for ctx.Err() == nil {
+		view, err := l.view(ctx, slot)
+		if err != nil {
+			reason = err
+			pause(ctx)
+			continue
+		}
+		if failed := forgotten(view, ask.Key); failed != nil {
+			return nil, nil, failed
+		}
+		counts := l.claimOnce(ctx, view, wanted)
+		switch counts.decide() {
+		case counted:
+			return &Claim{slot: slot, record: wanted}, nil, nil
+		case taken:
+			l.withdraw(ctx, view, wanted)
+			standing := counts.strongest()
+			if standing.Fingerprint != wanted.Fingerprint {
+				return nil, nil, failure.New(failure.KeyReused, "use a new idempotency key for a new request",
+					"the idempotency key was used for a different request")
+			}
+			return nil, &standing, nil
+		}
+		reason = errors.Errorf("%d of %d members of the key's group accepted", counts.accepted, len(view.Members))
+		l.dropView(slot)
+		pause(ctx)
 	}
-	return hex.EncodeToString(hash.Sum(nil))
+	if view, known := l.cached(slot); known {
+		l.withdraw(context.WithoutCancel(ctx), view, wanted)
+	}
+	return nil, nil, failure.Wrap(reason, failure.ClaimUnavailable, "repeat the request with the same key",
+		"the idempotency key could not be claimed").WithRetryAfter(retryAfter)
 }
 
-// Claim claims a key of a branch. It returns the claim, or the record that stands
-// if the key was claimed before, or a *failure.Error that is true to "not run".
-func (l *Ledger) Claim(ctx context.Context, branch, key string, wanted Record) (*Claim, *Record, error) {
-	lease, err := l.currentLease(ctx)
-	if err != nil {
-		return nil, nil, unavailable(err)
+// forgotten refuses a key whose claim the group may have lost, or no longer keep.
+func forgotten(view View, key string) *failure.Error {
+	made, timed := KeyTime(key)
+	now := time.Now()
+	if timed && now.Sub(made) > Kept+clockMargin {
+		return failure.New(failure.OutcomeUnknown, "find out by other means whether it took effect before using a new key",
+			"the idempotency key is older than claims are kept").WithExecution(failure.Unknown)
 	}
-	wanted.State = Claimed
-	value, err := json.Marshal(wanted)
-	if err != nil {
-		return nil, nil, errors.Wrap(err, "encode claim")
+	if view.LostAt.IsZero() || now.After(view.LostAt.Add(Kept)) || (timed && made.After(view.LostAt)) {
+		return nil
 	}
-	storeKey := keyPrefix + branch + "/" + Fingerprint([]byte(key))
-	result, err := kv.CommitResolved(ctx, l.store, kv.Txn{
-		Conditions: []kv.Condition{{Key: storeKey}},
-		Puts:       []kv.Put{{Key: storeKey, Value: value, Lease: lease}},
-	})
-	if err != nil {
-		return nil, nil, unavailable(err)
-	}
-	if result.Succeeded {
-		return &Claim{storeKey: storeKey, revision: result.Revision, record: wanted}, nil, nil
+	return failure.New(failure.OutcomeUnknown, "for a new request use a UUID version 7 as key; for an old one find out by other means",
+		"the group that kept the key's claim lost its memory; an earlier request with this key may have run").WithExecution(failure.Unknown)
+}
+
+func pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(retryPause + rand.N(retryPause)):
 	}
-	standing, err := l.read(ctx, storeKey)
-	if err != nil {
-		return nil, nil, unavailable(err)
+}
+
+// claimOnce asks all members of a view and counts.
+func (l *Ledger) claimOnce(ctx context.Context, view View, wanted Record) *tally {
+	counts := &tally{view: view}
+	type answer struct {
+		verdict  Verdict
+		standing Record
+		err      error
 	}
-	if standing == nil {
-		return nil, nil, unavailable(errors.New("the claim that stood was released just now"))
+	answers := make(chan answer, len(view.Members))
+	for _, member := range view.Members {
+		go func() {
+			told, err := l.client(ctx, member).Claim(withTimeout(ctx), &rpc.ClaimRequest{View: view.wire(), Record: wanted.wire()})
+			answers <- answer{Verdict(told.GetVerdict()), recordOf(told.GetStanding()), err}
+		}()
 	}
-	if standing.Fingerprint != wanted.Fingerprint {
-		return nil, nil, failure.New(failure.KeyReused, "use a new idempotency key for a new request",
-			"the idempotency key was used for a different request")
+	for range view.Members {
+		told := <-answers
+		counts.add(told.verdict, told.standing, told.err)
+		if counts.decide() != undecided {
+			return counts
+		}
 	}
-	return nil, standing, nil
+	return counts
 }
 
-func unavailable(err error) error {
-	return failure.Wrap(err, failure.ClaimUnavailable, "repeat the request with the same key",
-		"the idempotency key could not be claimed").WithRetryAfter(time.Second)
+// withdraw takes back a claim that did not count and never will be used.
+func (l *Ledger) withdraw(ctx context.Context, view View, record Record) int {
+	return l.each(ctx, view, func(ctx context.Context, client rpc.DRPCRunOnceClient) (*rpc.GroupAnswer, error) {
+		return client.Withdraw(ctx, &rpc.WithdrawRequest{View: view.wire(), Key: record.Key, RequestId: record.RequestID})
+	})
 }
 
-// Look returns the record of a key as it stands now; one whose holder missed its
-// time is unsettled.
-func (l *Ledger) Look(ctx context.Context, branch, key string) (*Record, error) {
-	return l.read(ctx, keyPrefix+branch+"/"+Fingerprint([]byte(key)))
+// each calls all members and returns how many agreed.
+func (l *Ledger) each(ctx context.Context, view View, call func(context.Context, rpc.DRPCRunOnceClient) (*rpc.GroupAnswer, error)) int {
+	agreed := 0
+	for _, ok := range fanOut(view.Members, func(member GroupMember) bool {
+		answer, err := call(withTimeout(ctx), l.client(ctx, member))
+		return err == nil && answer.GetOk()
+	}) {
+		if ok {
+			agreed++
+		}
+	}
+	return agreed
 }
 
-func (l *Ledger) read(ctx context.Context, storeKey string) (*Record, error) {
-	pair, found, err := l.store.Get(ctx, storeKey)
-	if err != nil || !found {
+// Look returns what stands for a key, or nil when nothing does.
+func (l *Ledger) Look(ctx context.Context, ask Ask) (*Record, error) {
+	view, err := l.view(ctx, ask.slot())
+	if err != nil {
 		return nil, err
 	}
-	var record Record
-	if err := json.Unmarshal(pair.Value, &record); err != nil {
-		return nil, errors.Wrap(err, "read claim")
+	type answer struct {
+		verdict  Verdict
+		standing Record
+		err      error
 	}
-	if record.State == Claimed && l.now().After(record.SettledBy) {
-		record.State = Unsettled
+	counts := &tally{view: view}
+	for _, told := range fanOut(view.Members, func(member GroupMember) answer {
+		message, err := l.client(ctx, member).Look(withTimeout(ctx), &rpc.LookRequest{View: view.wire(), Key: ask.hashed()})
+		return answer{Verdict(message.GetVerdict()), recordOf(message.GetStanding()), err}
+	}) {
+		counts.add(told.verdict, told.standing, told.err)
 	}
-	if record.Outcome != nil && !record.Outcome.Dropped {
-		body, err := gzipped.Decompress(record.Outcome.Compressed, maxOutcomeBytes)
-		if err != nil {
-			return nil, err
-		}
-		record.Outcome.Body = body
+	switch {
+	case len(counts.standing) > 0:
+		standing := counts.strongest()
+		return &standing, nil
+	case counts.accepted >= view.sealQuorum():
+		return nil, nil
 	}
-	return &record, nil
+	l.dropView(ask.slot())
+	return nil, errors.New("too few members of the key's group answer")
 }
 
-// Complete stores a claim's outcome.
+// Plain returns a record's outcome as it was given.
+func (r Record) Plain() (Outcome, error) { return r.Outcome.plain() }
+
+// Complete stores a claim's outcome with a write quorum.
 func (l *Ledger) Complete(ctx context.Context, claim *Claim, outcome Outcome) error {
 	record := claim.record
-	record.State = Completed
-	if len(outcome.Body) > maxOutcomeBytes {
-		outcome.Dropped = true
-	} else {
-		outcome.Compressed = gzipped.Compress(outcome.Body)
-	}
-	record.Outcome = &outcome
-	return l.replace(ctx, claim, record)
+	record.State, record.Outcome = Completed, outcome.compressed()
+	return l.settle(ctx, claim.slot, record)
 }
 
 // Unsettle stores that a claim's request may have run and its outcome is lost.
 func (l *Ledger) Unsettle(ctx context.Context, claim *Claim) error {
 	record := claim.record
 	record.State = Unsettled
-	return l.replace(ctx, claim, record)
+	return l.settle(ctx, claim.slot, record)
 }
 
-func (l *Ledger) replace(ctx context.Context, claim *Claim, record Record) error {
-	value, err := json.Marshal(record)
-	if err != nil {
-		return errors.Wrap(err, "encode outcome")
-	}
-	lease, err := l.currentLease(ctx)
+func (l *Ledger) settle(ctx context.Context, slot SlotKey, record Record) error {
+	return l.atQuorum(ctx, slot, func(view View) int {
+		return l.each(ctx, view, func(ctx context.Context, client rpc.DRPCRunOnceClient) (*rpc.GroupAnswer, error) {
+			return client.Settle(ctx, &rpc.SettleRequest{View: view.wire(), Record: record.wire()})
+		})
+	})
+}
+
+// Release gives a claim back after the request certainly did not run.
+func (l *Ledger) Release(ctx context.Context, claim *Claim) error {
+	return l.atQuorum(ctx, claim.slot, func(view View) int { return l.withdraw(ctx, view, claim.record) })
+}
+
+// atQuorum fails unless a write quorum of the slot's view agrees.
+func (l *Ledger) atQuorum(ctx context.Context, slot SlotKey, call func(View) int) error {
+	view, err := l.view(ctx, slot)
 	if err != nil {
 		return err
 	}
-	_, err = kv.CommitResolved(ctx, l.store, kv.Txn{
-		Conditions: []kv.Condition{{Key: claim.storeKey, ModRevision: claim.revision}},
-		Puts:       []kv.Put{{Key: claim.storeKey, Value: value, Lease: lease}},
-	})
-	return err
+	if agreed := call(view); agreed < view.writeQuorum() {
+		l.dropView(slot)
+		return errors.Errorf("%d of %d members of the key's group agreed", agreed, len(view.Members))
+	}
+	return nil
 }
 
-// Release gives a claim back after the request certainly did not run, so that
-// the key can be used again.
-func (l *Ledger) Release(ctx context.Context, claim *Claim) error {
-	_, err := l.store.Commit(ctx, kv.Txn{
-		Conditions: []kv.Condition{{Key: claim.storeKey, ModRevision: claim.revision}},
-		Deletes:    []string{claim.storeKey},
-	})
-	return err
+func (l *Ledger) client(ctx context.Context, member GroupMember) rpc.DRPCRunOnceClient {
+	return rpc.NewDRPCRunOnceClient(l.pool.To(ctx, member.RPCAddress))
 }
 
-// currentLease returns a lease that outlives Kept; one serves many claims.
-func (l *Ledger) currentLease(ctx context.Context) (kv.LeaseID, error) {
+func (l *Ledger) cached(slot SlotKey) (View, bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.lease != 0 && l.now().Sub(l.leaseFrom) < leaseRenewal {
-		return l.lease, nil
+	view, known := l.views[slot]
+	return view, known
+}
+
+func (l *Ledger) dropView(slot SlotKey) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	delete(l.views, slot)
+}
+
+// view returns a slot's view, asked of the daemons ranked first if not known.
+func (l *Ledger) view(ctx context.Context, slot SlotKey) (View, error) {
+	if view, known := l.cached(slot); known {
+		return view, nil
 	}
-	from := l.now()
-	lease, err := l.store.GrantLease(ctx, Kept+leaseRenewal)
-	if err != nil {
-		return 0, err
+	ranked := candidates(l.members(), slot)
+	best := View{}
+	for _, candidate := range ranked[:min(viewAskers, len(ranked))] {
+		client := rpc.NewDRPCRunOnceClient(l.pool.To(ctx, candidate.RPCAddress))
+		answer, err := client.View(withTimeout(ctx), &rpc.ViewRequest{Region: slot.Region, Slot: slot.Slot})
+		if err != nil {
+			continue
+		}
+		if view := viewOf(answer.GetView()); view.Epoch > best.Epoch {
+			best = view
+		}
+		if best.Epoch > 0 {
+			break
+		}
 	}
-	l.lease, l.leaseFrom = lease, from
-	return lease, nil
+	if best.Epoch == 0 {
+		return View{}, errors.Errorf("no daemon knows the group of slot %s", slot)
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.views[slot] = best
+	return best, nil
 }
--- /dev/null
+++ b/runonce/main_test.go
@@ -0,0 +1,9 @@
+package runonce
+
+import (
+	"testing"
+
+	"github.com/finchspoke/finchspoke/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Run(m) }
--- /dev/null
+++ b/runonce/record.go
@@ -0,0 +1,149 @@
+// Package runonce keeps requests that carry an idempotency key from running more
+// than once: a key is claimed before dispatch, and the outcome is kept so that a
+// repeat at any daemon gets it.
+//
+// Keys fall into slots. A slot's claims are held in memory by a group of daemons
+// in different zones of the model's region. A claim counts once a majority has
+// accepted it; then no other claim of the key can be. The key-value service holds
+// only which processes form the group (its view), and is written when they
+// change. A view is changed by sealing a majority of the old one, which then
+// refuses it for ever, and copying what it held.
+//
+// Member, tally and merge are pure; Ledger and Manager carry them over drpc.
+package runonce
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/finchspoke/finchspoke/gzipped"
+	"github.com/finchspoke/finchspoke/rpc"
+)
+
+const (
+	// Kept is how long a claim and its outcome are kept after the claim had to be
+	// settled.
+	Kept = time.Hour
+	// maxOutcomeBytes bounds a stored answer; of a longer one only the fact that
+	// it completed is kept.
+	maxOutcomeBytes = 256 << 10
+)
+
+// State of a claim.
+type State uint32
+
+// The states. Of two records of one claim the higher state is the newer.
+const (
+	Claimed State = iota
+	// Unsettled means that the request may have run and its outcome is not known.
+	Unsettled
+	Completed
+)
+
+// Outcome is an answer as it was given.
+type Outcome struct {
+	Status      int
+	ContentType string
+	Body        []byte
+	// Dropped says that the body was too long, or too much with others, to keep.
+	Dropped bool
+}
+
+// Record is a claim with what is known of its outcome.
+type Record struct {
+	Key         string // as hashed by HashKey
+	State       State
+	RequestID   string // unique to the claim
+	Fingerprint string // of what was asked
+	ClaimedAt   time.Time
+	// SettledBy is when the outcome is stored at the latest; a claim without one
+	// after that is unsettled.
+	SettledBy time.Time
+	Outcome   Outcome
+}
+
+// settled returns the record as it stands at a time.
+func (r Record) settled(now time.Time) Record {
+	if r.State == Claimed && now.After(r.SettledBy) {
+		r.State = Unsettled
+	}
+	return r
+}
+
+// expired tells whether the record need not be kept any more.
+func (r Record) expired(now time.Time) bool { return now.Sub(r.SettledBy) > Kept }
+
+// Fingerprint identifies what a request asks, so that a key cannot be used for
+// something else.
+func Fingerprint(parts ...[]byte) string {
+	hash := sha256.New()
+	for _, part := range parts {
+		_, _ = hash.Write(part) // never fails
+		_, _ = hash.Write([]byte{0})
+	}
+	return hex.EncodeToString(hash.Sum(nil))
+}
+
+// HashKey returns the form in which a branch's key is held.
+func HashKey(branch, key string) string { return Fingerprint([]byte(branch), []byte(key)) }
+
+// KeyTime returns when a key was made, if it carries that (UUID version 7).
+func KeyTime(key string) (time.Time, bool) {
+	const timeOrdered = 7
+	parsed, err := uuid.Parse(key)
+	if err != nil || parsed.Version() != timeOrdered {
+		return time.Time{}, false
+	}
+	milliseconds := int64(0)
+	for _, octet := range parsed[:6] {
+		milliseconds = milliseconds<<8 | int64(octet)
+	}
+	return time.UnixMilli(milliseconds), true
+}
+
+func (r Record) wire() *rpc.ClaimRecord {
+	message := &rpc.ClaimRecord{
+		Key: r.Key, State: uint32(r.State), RequestId: r.RequestID, Fingerprint: r.Fingerprint,
+		ClaimedUnixMs: r.ClaimedAt.UnixMilli(), SettledByUnixMs: r.SettledBy.UnixMilli(),
+	}
+	if r.State == Completed {
+		message.Status, message.ContentType, message.BodyDropped = int32(r.Outcome.Status), r.Outcome.ContentType, r.Outcome.Dropped
+		if !r.Outcome.Dropped {
+			message.BodyGzip = r.Outcome.Body
+		}
+	}
+	return message
+}
+
+// recordOf reads a message; bodies stay compressed in records.
+func recordOf(message *rpc.ClaimRecord) Record {
+	return Record{
+		Key: message.GetKey(), State: State(message.GetState()), RequestID: message.GetRequestId(), Fingerprint: message.GetFingerprint(),
+		ClaimedAt: time.UnixMilli(message.GetClaimedUnixMs()), SettledBy: time.UnixMilli(message.GetSettledByUnixMs()),
+		Outcome: Outcome{Status: int(message.GetStatus()), ContentType: message.GetContentType(), Body: message.GetBodyGzip(),
+			Dropped: message.GetBodyDropped()},
+	}
+}
+
+// compressed returns the outcome as it is held.
+func (o Outcome) compressed() Outcome {
+	if len(o.Body) > maxOutcomeBytes {
+		o.Body, o.Dropped = nil, true
+		return o
+	}
+	o.Body = gzipped.Compress(o.Body)
+	return o
+}
+
+// plain is the reverse of compressed.
+func (o Outcome) plain() (Outcome, error) {
+	if o.Dropped {
+		return o, nil
+	}
+	body, err := gzipped.Decompress(o.Body, maxOutcomeBytes)
+	o.Body = body
+	return o, err
+}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcserver"
 )
 
@@ -28,6 +30,33 @@
 	return drpcconn.New(connection), nil
 }
 
+const (
+	poolIdle     = time.Minute
+	poolCapacity = 512
+	poolPerPeer  = 8
+)
+
+// Pool keeps connections for single calls.
+type Pool struct {
+	connections *drpcpool.Pool[string, drpcpool.Conn]
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool {
+	return &Pool{drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+		Expiration: poolIdle, Capacity: poolCapacity, KeyCapacity: poolPerPeer})}
+}
+
+// To returns a connection to a daemon for calls; it is dialed when first used.
+func (p *Pool) To(ctx context.Context, address string) drpc.Conn {
+	return p.connections.Get(ctx, address, func(ctx context.Context, address string) (drpcpool.Conn, error) {
+		return Dial(ctx, address)
+	})
+}
+
+// Close drops all connections.
+func (p *Pool) Close() { _ = p.connections.Close() }
+
 // Server serves registered drpc services on a listener. It is a suture service.
 type Server struct {
 	listener net.Listener
