--- a/lab/system_test.go
+++ b/lab/system_test.go
@@ -250,6 +250,20 @@
 	require.ErrorContains(t, stream.Err(), "answer_broken")
 }
 
+func TestCrossedAnswerIsNotUsed(t *testing.T) {
+	system, ctx := startSystem(t)
+	for _, held := range system.Engines {
+		held.Faults.Set(engines.Faults{CrossAnswers: true})
+	}
+	for _, stream := range []bool{false, true} {
+		answer, err := lab.Ask(ctx, lab.AskOptions{Address: system.Daemons[0].Addresses().Gateway, Key: "sample-key-designers",
+			Model: "proof-check-sk", Prompt: "crossed", MaxTokens: 5, Stream: stream, Headers: map[string]string{gateway.HeaderNoRepeat: "true"}})
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadGateway, answer.Status, answer.Text)
+		require.Equal(t, "unknown", answer.Header.Get(gateway.HeaderExecution))
+	}
+}
+
 // TestLeavingEngineGetsNothingNew marks the engine that serves as leaving.
 func TestLeavingEngineGetsNothingNew(t *testing.T) {
 	system, ctx := startSystem(t)
--- a/placement/decide_test.go
+++ b/placement/decide_test.go
@@ -272,6 +272,25 @@
 	require.Equal(t, 1, w.loaded("wide"))
 }
 
+func TestMemoryIsNotGivenAwayBeforeTheUnloadIsConfirmed(t *testing.T) {
+	w := newWorld(t)
+	for _, id := range []string{"e1", "e2"} {
+		w.engines[id].known.Leaving = true
+	}
+	w.demand["large"] = placement.TargetDemand{Waiting: 1, LastUsed: w.now}
+	w.settle(t, 3)
+	w.demand["large"] = placement.TargetDemand{LastUsed: w.now}
+	w.demand["wide"] = placement.TargetDemand{Waiting: 1, LastUsed: w.now}
+	for range 5 {
+		w.decide(t)
+		w.now = w.now.Add(time.Second)
+		require.Equal(t, 1, w.plan.Decided()["large"], "its memory counts until the engine confirms")
+		require.Zero(t, w.plan.Decided()["wide"])
+	}
+	w.settle(t, 3)
+	require.Equal(t, 1, w.loaded("wide"))
+}
+
 func TestRemoteLoadsKeepToTheBudget(t *testing.T) {
 	w := newWorld(t)
 	for _, model := range []string{"small", "wide", "large"} {
--- a/runonce/main_test.go
+++ b/runonce/main_test.go
@@ -6,4 +6,7 @@
 	"github.com/finchspoke/finchspoke/testseed"
 )
 
-func TestMain(m *testing.M) { testseed.Run(m) }
+// checks is enough to catch each deliberate bug of docs/MUTATIONS.md.
+const checks = 10000
+
+func TestMain(m *testing.M) { testseed.Run(m, checks) }
--- a/standin/engines/config.go
+++ b/standin/engines/config.go
@@ -67,6 +67,8 @@
 	CutAfterTokens int `json:"cut_after_tokens,omitempty"`
 	// LoseAnswers runs requests and cuts the connection before the answer.
 	LoseAnswers bool `json:"lose_answers,omitempty"`
+	// CrossAnswers names another request in each answer, as a crossed one does.
+	CrossAnswers bool `json:"cross_answers,omitempty"`
 	// SlowFactor multiplies the time of each step.
 	SlowFactor float64 `json:"slow_factor,omitempty"`
 	// FailLoads makes every load end in failure.
--- a/standin/engines/inference.go
+++ b/standin/engines/inference.go
@@ -101,6 +101,9 @@
 	if e.Faults.Get().LoseAnswers {
 		panic(http.ErrAbortHandler)
 	}
+	if e.Faults.Get().CrossAnswers {
+		writer.Header().Set(engine.HeaderRequestID, uuid.NewString())
+	}
 	answer := answerWriter{engine: e, sequence: running, form: form, asked: asked, created: time.Now().Unix()}
 	if asked.Stream {
 		answer.stream(writer, httpRequest, 0)
--- a/testseed/testseed.go
+++ b/testseed/testseed.go
@@ -6,18 +6,20 @@
 import (
 	"flag"
 	"os"
+	"strconv"
 	"testing"
 )
 
 const seed = "20261202"
 
-// Run is the body of a TestMain.
-func Run(m *testing.M) {
-	if err := flag.Set("rapid.seed", seed); err != nil {
-		panic(err) // the package under test does not import rapid
-	}
-	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
-		panic(err)
+// Run is the body of a TestMain; checks is how many examples each test draws.
+func Run(m *testing.M, checks int) {
+	for name, value := range map[string]string{
+		"rapid.seed": seed, "rapid.checks": strconv.Itoa(checks), "rapid.nofailfile": "true",
+	} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err) // the package under test does not import rapid
+		}
 	}
 	os.Exit(m.Run())
 }
