Add branch limits, prefix affinity with bounded load, and resumed streams

Limits (waiting, running, requests a second, tokens a minute) bound a branch at a model's one queue, so they are exact without daemons agreeing.

--- a/engine/client.go
+++ b/engine/client.go
@@ -99,6 +99,25 @@
 	return errors.Wrap(err, "read engine's answer")
 }
 
+// Resume asks for the rest of a stream after so many events. The caller reads and
+// closes the answer's body. It fails when the engine no longer has the stream.
+func (c *Client) Resume(ctx context.Context, address, requestID string, offset int) (*http.Response, error) {
+	target := "http://" + address + PathStreams + url.PathEscape(requestID) + "?offset=" + strconv.Itoa(offset)
+	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	response, err := c.data.Do(httpRequest)
+	if err != nil {
+		return nil, errors.Wrap(err, "resume stream")
+	}
+	if response.StatusCode != http.StatusOK || response.Header.Get(HeaderRequestID) != requestID {
+		_ = response.Body.Close()
+		return nil, errors.Errorf("the engine answered status %d to resume", response.StatusCode)
+	}
+	return response, nil
+}
+
 // Cancel tells an engine that nobody waits for a request any more.
 func (c *Client) Cancel(ctx context.Context, address, requestID string) error {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
--- a/engine/wire.go
+++ b/engine/wire.go
@@ -14,7 +14,10 @@
 //	PUT    /engine/prefixes/{model}     imports KV cache
 package engine
 
-import "time"
+import (
+	"hash/fnv"
+	"time"
+)
 
 // Paths of an engine's interface.
 const (
@@ -166,3 +169,14 @@
 	Prefix   uint64 `json:"prefix"` // hash of the prompt's leading blocks
 	Evicted  bool   `json:"evicted,omitempty"`
 }
+
+// prefixBytes is the part of a prompt that its hash stands for.
+const prefixBytes = 256
+
+// PrefixHash identifies the leading part of a prompt to a model or adapter, in
+// cache events and in routing.
+func PrefixHash(target, prompt string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(target + "\x00" + prompt[:min(len(prompt), prefixBytes)])) // never fails
+	return hash.Sum64()
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"math"
 	"net/http"
 	"strings"
 	"time"
@@ -54,6 +55,8 @@
 	arrived        time.Time
 	deadline       time.Time
 	stream         bool
+	tokens         int    // asked for, prompt and answer
+	prefix         uint64 // of the prompt
 	repeatable     bool
 	idempotencyKey string
 	body           []byte
@@ -70,10 +73,53 @@
 
 // question is the part of the body that matters here; the engine checks the rest.
 type question struct {
-	Model    string            `json:"model"`
-	Stream   bool              `json:"stream"`
-	Messages []json.RawMessage `json:"messages"`
-	Prompt   json.RawMessage   `json:"prompt"`
+	Model               string          `json:"model"`
+	Stream              bool            `json:"stream"`
+	Messages            []message       `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+	MaxTokens           int             `json:"max_tokens"`
+	MaxCompletionTokens int             `json:"max_completion_tokens"`
+}
+
+type message struct {
+	Content json.RawMessage `json:"content"`
+}
+
+// text returns the prompt as engines read it: all messages, or the prompt.
+func (q question) text() string {
+	if len(q.Messages) == 0 {
+		return plainText(q.Prompt)
+	}
+	parts := make([]string, 0, len(q.Messages))
+	for _, one := range q.Messages {
+		parts = append(parts, plainText(one.Content))
+	}
+	return strings.Join(parts, "\n")
+}
+
+// plainText returns a JSON string's text, or other JSON as it stands.
+func plainText(raw json.RawMessage) string {
+	var text string
+	if json.Unmarshal(raw, &text) == nil {
+		return text
+	}
+	return string(raw)
+}
+
+const (
+	// bytesPerToken estimates a prompt's tokens from its length.
+	bytesPerToken = 4
+	// assumedAnswerTokens is charged where a request sets no maximum.
+	assumedAnswerTokens = 256
+)
+
+// tokens estimates what the request asks for, prompt and answer.
+func (q question) tokens(prompt string) int {
+	answer := max(q.MaxTokens, q.MaxCompletionTokens)
+	if answer <= 0 {
+		answer = assumedAnswerTokens
+	}
+	return len(prompt)/bytesPerToken + min(answer, math.MaxInt32/2)
 }
 
 // readCall reads and checks a request.
@@ -131,6 +177,8 @@
 			"model %q is not given to branch %s", asked.Model, c.branch.Path)
 	}
 	c.target, c.model, c.stream = target, model, asked.Stream
+	prompt := asked.text()
+	c.tokens, c.prefix = asked.tokens(prompt), engine.PrefixHash(target.Name, prompt)
 	return nil
 }
 
--- a/gateway/core_test.go
+++ b/gateway/core_test.go
@@ -11,6 +11,7 @@
 	"github.com/finchspoke/finchspoke/failure"
 	"github.com/finchspoke/finchspoke/queue"
 	"github.com/finchspoke/finchspoke/request"
+	"github.com/finchspoke/finchspoke/settings"
 )
 
 // The machine below drives the pure request core (the home's queue and the
@@ -108,7 +109,7 @@
 		item: queue.Item{
 			ID: id, Owner: rapid.SampledFrom([]string{"gateway-1", "gateway-2"}).Draw(t, "owner"), Target: target,
 			Branch: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "branch"), Share: rapid.IntRange(1, 3).Draw(t, "share"),
-			MaxWaiting: 6, Class: request.Class(rapid.IntRange(0, request.ClassCount-1).Draw(t, "class")), Arrived: m.now, Deadline: deadline,
+			Limits: settings.Limits{MaxWaiting: 6, MaxRunning: 3}, Class: request.Class(rapid.IntRange(0, request.ClassCount-1).Draw(t, "class")), Arrived: m.now, Deadline: deadline,
 		},
 		life:    &lifecycle{repeatable: rapid.Bool().Draw(t, "repeatable"), deadline: deadline},
 		waiting: true,
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -12,6 +12,7 @@
 	dispatches  *prometheus.CounterVec
 	inFlight    prometheus.Gauge
 	relayEvents prometheus.Counter
+	resumes     prometheus.Counter
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -36,6 +37,10 @@
 			Name: "finchspoke_relay_events_total", Help: "Stream events passed on to callers.",
 		}),
 	}
+	created.resumes = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "finchspoke_stream_resumes_total", Help: "Broken streams taken up where they broke.",
+	})
+	registerer.MustRegister(created.resumes)
 	registerer.MustRegister(created.requests, created.firstByte, created.waited, created.dispatches, created.inFlight, created.relayEvents)
 	return created
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -31,7 +31,7 @@
 	for {
 		slot, err := s.homes.Acquire(ctx, home.Ask{
 			RequestID: made.id, Model: made.model.Name, Regions: made.model.ServiceRegions, Target: made.target.Name,
-			Branch: made.branch.Path, Class: made.class, Arrived: made.arrived, Deadline: made.deadline,
+			Branch: made.branch.Path, Class: made.class, Tokens: made.tokens, Prefix: made.prefix, Arrived: made.arrived, Deadline: made.deadline,
 		})
 		if err != nil {
 			return s.notGranted(ctx, made, life, err), life.execution()
@@ -127,7 +127,7 @@
 		return outcome
 	}
 	defer func() { _ = response.Body.Close() }()
-	outcome := s.takeAnswer(made, slot, response, out)
+	outcome := s.takeAnswer(ctx, made, slot, response, out)
 	if outcome.result == lost || outcome.result == broken {
 		s.abandon(ctx, made, slot, outcome.result)
 	}
@@ -150,7 +150,7 @@
 }
 
 // takeAnswer passes an engine's answer on.
-func (s *Server) takeAnswer(made *call, slot *home.Slot, response *http.Response, out *sink) dispatchOutcome {
+func (s *Server) takeAnswer(ctx context.Context, made *call, slot *home.Slot, response *http.Response, out *sink) dispatchOutcome {
 	if response.Header.Get(engine.HeaderRequestID) != made.id {
 		return dispatchOutcome{result: lost, cause: errors.New("the engine answered for another request")}
 	}
@@ -159,7 +159,7 @@
 	}
 	headers := map[string]string{HeaderHome: slot.HomeID, HeaderEngine: slot.EngineID}
 	if made.stream {
-		return s.takeStream(made, response, out, headers)
+		return s.takeStream(ctx, made, slot, response, out, headers)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxWholeAnswer+1))
 	if err != nil {
@@ -176,21 +176,57 @@
 	return dispatchOutcome{result: answered}
 }
 
-func (s *Server) takeStream(made *call, response *http.Response, out *sink, headers map[string]string) dispatchOutcome {
-	ended := relay(response.Body, func() {
-		s.firstByte(made)
-		out.begin(http.StatusOK, contentTypeEvent, headers)
-	}, out.write, out.flush)
-	s.metrics.relayEvents.Add(float64(ended.events))
-	switch {
-	case ended.whole:
-		return dispatchOutcome{result: answered}
-	case ended.events == 0:
-		return dispatchOutcome{result: lost, cause: ended.readErr}
-	case ended.writeErr != nil:
-		return dispatchOutcome{result: broken, cause: ended.writeErr}
-	}
-	return dispatchOutcome{result: broken, cause: ended.readErr}
+const (
+	// maxResumes bounds how often one stream is taken up again.
+	maxResumes  = 3
+	resumePause = 50 * time.Millisecond
+)
+
+// takeStream relays a stream. One that breaks is taken up where it broke, from the
+// same engine and for the same request; nothing else is ever put behind it.
+func (s *Server) takeStream(ctx context.Context, made *call, slot *home.Slot, response *http.Response, out *sink, headers map[string]string) dispatchOutcome {
+	events := 0
+	first := func() {
+		if events == 0 {
+			s.firstByte(made)
+			out.begin(http.StatusOK, contentTypeEvent, headers)
+		}
+	}
+	body := response.Body
+	for resumes := 0; ; resumes++ {
+		ended := relay(body, first, out.write, out.flush)
+		_ = body.Close() // closed again by the caller when it is the first
+		events += ended.events
+		s.metrics.relayEvents.Add(float64(ended.events))
+		switch {
+		case ended.whole:
+			return dispatchOutcome{result: answered}
+		case ended.writeErr != nil:
+			return dispatchOutcome{result: broken, cause: ended.writeErr}
+		}
+		resumed, err := s.resume(ctx, made, slot, events, resumes)
+		if err == nil {
+			body = resumed.Body
+			continue
+		}
+		if events == 0 {
+			return dispatchOutcome{result: lost, cause: ended.readErr}
+		}
+		return dispatchOutcome{result: broken, cause: ended.readErr}
+	}
+}
+
+// resume asks the engine for the rest of a broken stream.
+func (s *Server) resume(ctx context.Context, made *call, slot *home.Slot, events, resumes int) (*http.Response, error) {
+	if resumes >= maxResumes {
+		return nil, errors.New("the stream broke too often")
+	}
+	wait(ctx, resumePause)
+	resumed, err := s.Engines.Resume(ctx, slot.Address, made.id, events)
+	if err == nil {
+		s.metrics.resumes.Inc()
+	}
+	return resumed, err
 }
 
 // engineRefused reads an answer that is not 200. Only the engine's own word makes
--- a/home/client.go
+++ b/home/client.go
@@ -23,6 +23,8 @@
 	Target    string
 	Branch    string
 	Class     request.Class
+	Tokens    int    // asked for, prompt and answer
+	Prefix    uint64 // engine.PrefixHash of the prompt
 	Arrived   time.Time
 	Deadline  time.Time
 }
@@ -169,6 +171,7 @@
 		RequestId: waiting.RequestID, BaseModel: waiting.Model, Target: waiting.Target, Branch: waiting.Branch,
 		Class: uint32(waiting.Class), DeadlineInMs: time.Until(waiting.Deadline).Milliseconds(),
 		AgeMs: time.Since(waiting.Arrived).Milliseconds(), Zone: zone,
+		Tokens: uint32(waiting.Tokens), Prefix: waiting.Prefix,
 	}}}
 }
 
--- a/home/server.go
+++ b/home/server.go
@@ -220,13 +220,14 @@
 	item := queue.Item{
 		ID: submit.GetRequestId(), Owner: gatewayID, Target: submit.GetTarget(), Branch: submit.GetBranch(), Share: 1,
 		Class: request.Class(min(submit.GetClass(), request.ClassCount-1)), Zone: submit.GetZone(),
+		Tokens: int(submit.GetTokens()), Prefix: submit.GetPrefix(),
 		Arrived:  now.Add(-time.Duration(submit.GetAgeMs()) * time.Millisecond),
 		Deadline: now.Add(time.Duration(submit.GetDeadlineInMs()) * time.Millisecond),
 	}
 	if current := s.settings.Current(); current != nil {
 		if branch := current.Tree.Branches[item.Branch]; branch != nil {
 			item.Share = branch.Values.Share
-			item.MaxWaiting = branch.Values.MaxWaiting
+			item.Limits = branch.Values.Limits
 		}
 	}
 	return item
--- a/integration/requests_test.go
+++ b/integration/requests_test.go
@@ -190,6 +190,33 @@
 	}
 }
 
+// TestCutStreamsAreResumed cuts every connection to the engines while streams run
+// that may not be repeated.
+func TestCutStreamsAreResumed(t *testing.T) {
+	c := startCluster(t)
+	defer c.logs()
+	const streams = 6
+	results := make(chan asked, streams)
+	for number := range streams {
+		go func() {
+			results <- c.ask(number%daemonCount, asked{model: "alpha", prompt: fmt.Sprintf("cut %d", number), tokens: 400, stream: true, noRepeat: true}, nil)
+		}()
+	}
+	require.Eventually(t, func() bool { return len(startsByPrompt(c.history())) == streams }, 20*time.Second, 10*time.Millisecond)
+	for range 2 {
+		time.Sleep(200 * time.Millisecond) // in the middle of the answers
+		for _, proxy := range c.engineProxies {
+			proxy.Cut()
+		}
+	}
+	starts := startsByPrompt(c.history())
+	for range streams {
+		one := <-results
+		require.True(t, one.answer.Whole, one.answer.Text)
+		one.judge(t, starts)
+	}
+}
+
 // TestPlannedStopCutsNothing stops a daemon by SIGTERM while it serves streams
 // and is home to waiting requests.
 func TestPlannedStopCutsNothing(t *testing.T) {
--- a/lab/system_test.go
+++ b/lab/system_test.go
@@ -15,6 +15,7 @@
 	"github.com/openai/openai-go/v3/option"
 	"github.com/stretchr/testify/require"
 
+	"github.com/finchspoke/finchspoke/engine"
 	"github.com/finchspoke/finchspoke/examples"
 	"github.com/finchspoke/finchspoke/gateway"
 	"github.com/finchspoke/finchspoke/lab"
@@ -264,6 +265,33 @@
 	}
 }
 
+// TestEngineResumesAtAnyOffset reads a stream's rest from every offset.
+func TestEngineResumesAtAnyOffset(t *testing.T) {
+	system, ctx := startSystem(t)
+	answer, err := lab.Ask(ctx, lab.AskOptions{Address: system.Daemons[0].Addresses().Gateway, Key: "sample-key-designers",
+		Model: "proof-check-sk", Prompt: "resumed", MaxTokens: 3, Stream: true})
+	require.NoError(t, err)
+	require.True(t, answer.Whole)
+	address := ""
+	machines, err := machinelist.NewClient(system.MachinesAddress).Machines(ctx, "")
+	require.NoError(t, err)
+	for _, machine := range machines {
+		if machine.ID == answer.Header.Get(gateway.HeaderEngine) {
+			address = machine.Address
+		}
+	}
+	client := engine.NewClient()
+	defer client.Close()
+	for offset := range 5 { // three tokens and the finish reason
+		resumed, err := client.Resume(ctx, address, answer.Header.Get("X-Request-Id"), offset)
+		require.NoError(t, err)
+		text, err := io.ReadAll(resumed.Body)
+		require.NoError(t, err)
+		require.NoError(t, resumed.Body.Close())
+		require.Equal(t, 5-offset, strings.Count(string(text), "data: "), "with the end mark")
+	}
+}
+
 // TestLeavingEngineGetsNothingNew marks the engine that serves as leaving.
 func TestLeavingEngineGetsNothingNew(t *testing.T) {
 	system, ctx := startSystem(t)
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -14,20 +14,23 @@
 
 	"github.com/finchspoke/finchspoke/failure"
 	"github.com/finchspoke/finchspoke/request"
+	"github.com/finchspoke/finchspoke/settings"
 )
 
 // Item is a request that waits for a slot.
 type Item struct {
-	ID         string
-	Owner      string // the gateway that holds the caller's connection
-	Target     string // the model, or one of its adapters
-	Branch     string
-	Share      int // the branch's weight; at least 1
-	MaxWaiting int // the branch's limit of waiting requests in this queue
-	Class      request.Class
-	Zone       string // the gateway's zone
-	Arrived    time.Time
-	Deadline   time.Time // the whole answer is due then
+	ID       string
+	Owner    string // the gateway that holds the caller's connection
+	Target   string // the model, or one of its adapters
+	Branch   string
+	Share    int // the branch's weight; at least 1
+	Limits   settings.Limits
+	Class    request.Class
+	Zone     string // the gateway's zone
+	Tokens   int    // asked for, prompt and answer
+	Prefix   uint64 // hash of the prompt's leading part; zero: none
+	Arrived  time.Time
+	Deadline time.Time // the whole answer is due then
 }
 
 // Replica is a ready replica.
@@ -96,12 +99,14 @@
 	readyAt     time.Time            // when a first replica is expected; zero unknown
 	byClass     [request.ClassCount]int
 	sequence    uint64
+	affinity    *affinity
 }
 
 type runningItem struct {
 	owner     string
 	target    string
 	replicaID string
+	branch    string // empty if restored
 }
 
 // slots is a replica with what runs on it.
@@ -121,8 +126,11 @@
 }
 
 type branchState struct {
-	virtual float64
-	waiting int
+	virtual  float64
+	waiting  int
+	running  int
+	requests bucket
+	tokens   bucket
 }
 
 // New returns an empty queue of a base model.
@@ -131,6 +139,7 @@
 		model: model, concurrency: max(1, concurrency),
 		lanes: map[string]*lane{}, items: map[string]*waitingItem{}, branches: map[string]*branchState{},
 		replicas: map[string]*slots{}, running: map[string]runningItem{}, lastUsed: map[string]time.Time{},
+		affinity: newAffinity(),
 	}
 }
 
@@ -154,7 +163,7 @@
 	state := q.branch(item.Branch)
 	wait, known := q.estimate(now, item)
 	switch {
-	case item.MaxWaiting > 0 && state.waiting >= item.MaxWaiting:
+	case item.Limits.MaxWaiting > 0 && state.waiting >= item.Limits.MaxWaiting:
 		return []Action{Refusal{Item: item, Kind: failure.LimitExceeded, RetryAfter: max(wait, retryAfterLeast),
 			Message: fmt.Sprintf("branch %s already has %d requests waiting for %s", item.Branch, state.waiting, q.model)}}
 	case !item.Deadline.After(now.Add(dispatchMargin)):
@@ -163,6 +172,10 @@
 		return []Action{Refusal{Item: item, Kind: failure.DeadlineTooShort, RetryAfter: max(wait, retryAfterLeast),
 			Message: fmt.Sprintf("%s is expected to be free in %s, after the deadline", item.Target, wait.Round(time.Millisecond))}}
 	}
+	if retryAfter, over := state.admit(now, item); over != "" {
+		return []Action{Refusal{Item: item, Kind: failure.LimitExceeded, RetryAfter: retryAfter,
+			Message: fmt.Sprintf("branch %s is over its limit of %s for %s", item.Branch, over, q.model)}}
+	}
 	q.push(item)
 	return q.fill(now)
 }
@@ -236,7 +249,7 @@
 	if !found {
 		return nil
 	}
-	delete(q.running, id)
+	q.stopRunning(id, held)
 	q.lastUsed[held.target] = now
 	if replica := q.replicas[held.replicaID]; replica != nil {
 		replica.running = max(0, replica.running-1)
@@ -287,15 +300,18 @@
 	}
 	q.Cancel(running.ID)
 	q.lastUsed[running.Target] = now
-	q.run(running.ID, owner, running.Target, running.ReplicaID)
+	q.run(running.ID, runningItem{owner: owner, target: running.Target, replicaID: running.ReplicaID})
 }
 
-func (q *Queue) run(id, owner, target, replicaID string) {
-	q.running[id] = runningItem{owner: owner, target: target, replicaID: replicaID}
-	replica := q.replicas[replicaID]
+func (q *Queue) run(id string, held runningItem) {
+	q.running[id] = held
+	if held.branch != "" {
+		q.branch(held.branch).running++
+	}
+	replica := q.replicas[held.replicaID]
 	if replica == nil {
-		replica = &slots{Replica: Replica{ID: replicaID}}
-		q.replicas[replicaID] = replica
+		replica = &slots{Replica: Replica{ID: held.replicaID}}
+		q.replicas[held.replicaID] = replica
 	}
 	replica.running++
 }
@@ -327,8 +343,15 @@
 	return q.fill(now)
 }
 
-func (q *Queue) free(id string, held runningItem) {
+func (q *Queue) stopRunning(id string, held runningItem) {
 	delete(q.running, id)
+	if held.branch != "" {
+		q.branch(held.branch).running--
+	}
+}
+
+func (q *Queue) free(id string, held runningItem) {
+	q.stopRunning(id, held)
 	if replica := q.replicas[held.replicaID]; replica != nil {
 		replica.running = max(0, replica.running-1)
 		q.dropIfGone(replica)
@@ -449,7 +472,8 @@
 		q.virtualTime = state.virtual
 		state.virtual += 1 / float64(next.item.Share)
 		q.remove(next)
-		q.run(next.item.ID, next.item.Owner, next.item.Target, replica.ID)
+		q.run(next.item.ID, runningItem{owner: next.item.Owner, target: next.item.Target, replicaID: replica.ID, branch: next.item.Branch})
+		q.affinity.remember(next.item.Prefix, replica.ID)
 		actions = append(actions, Grant{Item: next.item, Replica: replica.Replica})
 	}
 }
@@ -475,8 +499,13 @@
 	for class := range waiting.classes {
 		var best *waitingItem
 		for _, items := range waiting.classes[class] {
-			if items.Len() > 0 && (best == nil || q.before((*items)[0], best)) {
-				best = (*items)[0]
+			first := (*items)[0]
+			limit := first.item.Limits.MaxRunning
+			if limit > 0 && q.branch(first.item.Branch).running >= limit {
+				continue
+			}
+			if best == nil || q.before(first, best) {
+				best = first
 			}
 		}
 		if best != nil {
@@ -498,13 +527,14 @@
 	return a.earlier(b)
 }
 
-// pick returns the replica with the most free slots that has the target, one in
-// the gateway's zone first among equals. Where every such replica is suspended,
-// one request at a time tries the one that failed longest ago: holding all back
-// would only turn a short fault into a long one.
+// pick returns the replica for an item: the one that has its prompt's prefix
+// cached, unless it is loaded well above the others; else the one with the fewest
+// requests, one in the gateway's zone first among equals. Where every replica is
+// suspended, one request at a time tries the one that failed longest ago: holding
+// all back would only turn a short fault into a long one.
 func (q *Queue) pick(item Item, now time.Time) *slots {
 	var best, trial *slots
-	allSuspended := true
+	usable, running := 0, 0
 	for _, replica := range q.replicas {
 		if !replica.ready || (item.Target != q.model && !replica.Adapters[item.Target]) {
 			continue
@@ -515,17 +545,36 @@
 			}
 			continue
 		}
-		allSuspended = false
+		usable++
+		running += replica.running
 		if replica.running < q.concurrency && (best == nil || preferred(replica, best, item.Zone)) {
 			best = replica
 		}
 	}
-	if allSuspended && trial != nil && now.Sub(trial.failedAt) >= suspensionFirst {
+	if usable == 0 && trial != nil && now.Sub(trial.failedAt) >= suspensionFirst {
 		return trial
 	}
+	if cached := q.cachedReplica(item, now); cached != nil && best != nil {
+		if float64(cached.running) <= affinityBound*float64(running)/float64(usable)+1 {
+			return cached
+		}
+	}
 	return best
 }
 
+// cachedReplica returns the usable replica with a free slot that was last given
+// the item's prefix, or nil.
+func (q *Queue) cachedReplica(item Item, now time.Time) *slots {
+	replica := q.replicas[q.affinity.find(item.Prefix)]
+	if replica == nil || !q.usable(replica, now) || replica.running >= q.concurrency {
+		return nil
+	}
+	if item.Target != q.model && !replica.Adapters[item.Target] {
+		return nil
+	}
+	return replica
+}
+
 func preferred(a, b *slots, zone string) bool {
 	if a.running != b.running {
 		return a.running < b.running
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -10,12 +10,13 @@
 	"github.com/finchspoke/finchspoke/failure"
 	"github.com/finchspoke/finchspoke/queue"
 	"github.com/finchspoke/finchspoke/request"
+	"github.com/finchspoke/finchspoke/settings"
 )
 
 var start = time.Unix(1_000_000, 0)
 
 func item(id string, class request.Class, branch string, deadline time.Duration) queue.Item {
-	return queue.Item{ID: id, Owner: "gateway", Target: "m", Branch: branch, Share: 1, MaxWaiting: 100_000, Class: class,
+	return queue.Item{ID: id, Owner: "gateway", Target: "m", Branch: branch, Share: 1, Class: class,
 		Arrived: start, Deadline: start.Add(deadline)}
 }
 
@@ -126,6 +127,66 @@
 	require.Equal(t, "r2", held.Submit(start, item("plain", request.Standard, "a", time.Minute))[0].(queue.Grant).Replica.ID)
 }
 
+func TestLimitsOfABranch(t *testing.T) {
+	refusalOf := func(held *queue.Queue, now time.Time, limited queue.Item) queue.Refusal {
+		return held.Submit(now, limited)[0].(queue.Refusal)
+	}
+	limited := func(id string, limits settings.Limits) queue.Item {
+		one := item(id, request.Standard, "a", time.Hour)
+		one.Limits, one.Tokens = limits, 30
+		return one
+	}
+	t.Run("waiting", func(t *testing.T) {
+		held := queue.New("m", 1)
+		require.Empty(t, held.Submit(start, limited("1", settings.Limits{MaxWaiting: 1})))
+		require.Equal(t, failure.LimitExceeded, refusalOf(held, start, limited("2", settings.Limits{MaxWaiting: 1})).Kind)
+	})
+	t.Run("rate", func(t *testing.T) {
+		held := queue.New("m", 1)
+		limits := settings.Limits{RequestsPerSecond: 2}
+		held.Submit(start, limited("1", limits))
+		held.Submit(start, limited("2", limits))
+		require.Equal(t, 500*time.Millisecond, refusalOf(held, start, limited("3", limits)).RetryAfter)
+		require.Empty(t, held.Submit(start.Add(500*time.Millisecond), limited("4", limits)))
+	})
+	t.Run("tokens", func(t *testing.T) {
+		held := queue.New("m", 1)
+		limits := settings.Limits{TokensPerMinute: 60}
+		held.Submit(start, limited("1", limits))
+		held.Submit(start, limited("2", limits))
+		require.Equal(t, 30*time.Second, refusalOf(held, start, limited("3", limits)).RetryAfter)
+	})
+	t.Run("running", func(t *testing.T) {
+		held := queue.New("m", 10)
+		held.SetReplicas(start, replicas("e"), -1)
+		limits := settings.Limits{MaxRunning: 1}
+		require.Len(t, held.Submit(start, limited("1", limits)), 1)
+		require.Empty(t, held.Submit(start, limited("2", limits)), "waits")
+		require.Len(t, held.Submit(start, item("other", request.Bulk, "b", time.Hour)), 1, "others go on")
+		require.Equal(t, []string{"2"}, grants(held.Release(start, "1", false, time.Second)))
+	})
+}
+
+func TestPrefixAffinityWithBoundedLoad(t *testing.T) {
+	held := queue.New("m", 100)
+	held.SetReplicas(start, replicas("e1", "e2", "e3"), -1)
+	prefixed := func(id string) queue.Item {
+		one := item(id, request.Standard, "a", time.Hour)
+		one.Prefix = 7
+		return one
+	}
+	first := held.Submit(start, prefixed("0"))[0].(queue.Grant).Replica.ID
+	second := held.Submit(start, prefixed("1"))[0].(queue.Grant).Replica.ID
+	require.Equal(t, first, second, "the cache is used")
+	used := map[string]int{first: 2}
+	for number := range 58 {
+		used[held.Submit(start, prefixed(fmt.Sprint("n", number)))[0].(queue.Grant).Replica.ID]++
+	}
+	for _, id := range []string{"e1", "e2", "e3"} {
+		require.InDelta(t, 20, used[id], 6, "no hot spot: %v", used)
+	}
+}
+
 // BenchmarkDispatch measures one submit, grant and release with many waiting.
 func BenchmarkDispatch(b *testing.B) {
 	for _, waiting := range []int{100, 1_000, 10_000, 100_000} {
--- a/settings/check.go
+++ b/settings/check.go
@@ -291,9 +291,8 @@
 			values.Deadlines[class] = c.duration(set(name), label+name, text)
 		}
 	}
-	if document.MaxWaiting != nil {
-		c.atLeast(set("max_waiting"), label+"max_waiting", *document.MaxWaiting, 1)
-		values.MaxWaiting = *document.MaxWaiting
+	if document.Limits != nil {
+		c.limits(at.child("limits"), label+"limits.", document.Limits, &values.Limits, func(name string) { set("limits." + name) })
 	}
 	if document.Share != nil {
 		c.atLeast(set("share"), label+"share", *document.Share, 1)
@@ -309,6 +308,27 @@
 	}
 }
 
+// limits applies overrides of limits.
+func (c *checker) limits(at place, label string, document *LimitsDocument, values *Limits, set func(string)) {
+	whole := func(name string, given *int, least int, into *int) {
+		if given != nil {
+			set(name)
+			c.atLeast(at.child(name), label+name, *given, least)
+			*into = *given
+		}
+	}
+	whole("max_waiting", document.MaxWaiting, 1, &values.MaxWaiting)
+	whole("max_running", document.MaxRunning, 0, &values.MaxRunning)
+	whole("tokens_per_minute", document.TokensPerMinute, 0, &values.TokensPerMinute)
+	if document.RequestsPerSecond != nil {
+		set("requests_per_second")
+		if *document.RequestsPerSecond < 0 {
+			c.fail(at.child("requests_per_second"), label+"requests_per_second", "use 0 for no limit, or more", "%v is below 0", *document.RequestsPerSecond)
+		}
+		values.RequestsPerSecond = *document.RequestsPerSecond
+	}
+}
+
 // placement applies placement overrides to values.
 func (c *checker) placement(at place, label string, document *PlacementDocument, values *Values, set func(string)) {
 	if document.MinReplicas != nil {
--- a/settings/document.go
+++ b/settings/document.go
@@ -38,17 +38,26 @@
 
 // BranchDocument is one branch. Unset values are inherited from the parent.
 type BranchDocument struct {
-	Name       string             `yaml:"name"`
-	Keys       []string           `yaml:"keys,omitempty"`        // sha256:<hex> of API keys
-	Allow      []string           `yaml:"allow,omitempty"`       // name patterns of models given
-	Class      string             `yaml:"class,omitempty"`       // default class
-	Deadlines  *DeadlineDocument  `yaml:"deadlines,omitempty"`   // per class
-	MaxWaiting *int               `yaml:"max_waiting,omitempty"` // waiting requests per home
-	Share      *int               `yaml:"share,omitempty"`       // weight in fair sharing
-	MaxBody    string             `yaml:"max_body,omitempty"`    // request body, like 4MiB
-	Placement  *PlacementDocument `yaml:"placement,omitempty"`
-	Models     []ModelDocument    `yaml:"models,omitempty"`
-	Branches   []BranchDocument   `yaml:"branches,omitempty"`
+	Name      string             `yaml:"name"`
+	Keys      []string           `yaml:"keys,omitempty"`      // sha256:<hex> of API keys
+	Allow     []string           `yaml:"allow,omitempty"`     // name patterns of models given
+	Class     string             `yaml:"class,omitempty"`     // default class
+	Deadlines *DeadlineDocument  `yaml:"deadlines,omitempty"` // per class
+	Limits    *LimitsDocument    `yaml:"limits,omitempty"`
+	Share     *int               `yaml:"share,omitempty"`    // weight in fair sharing
+	MaxBody   string             `yaml:"max_body,omitempty"` // request body, like 4MiB
+	Placement *PlacementDocument `yaml:"placement,omitempty"`
+	Models    []ModelDocument    `yaml:"models,omitempty"`
+	Branches  []BranchDocument   `yaml:"branches,omitempty"`
+}
+
+// LimitsDocument bounds what a branch asks of one model in one region, where the
+// model has one queue. Zero or unset means no limit, except for max_waiting.
+type LimitsDocument struct {
+	MaxWaiting        *int     `yaml:"max_waiting,omitempty"`         // requests waiting
+	MaxRunning        *int     `yaml:"max_running,omitempty"`         // requests running
+	RequestsPerSecond *float64 `yaml:"requests_per_second,omitempty"` // requests let in
+	TokensPerMinute   *int     `yaml:"tokens_per_minute,omitempty"`   // tokens asked for, prompt and answer
 }
 
 // DeadlineDocument holds the default time to a whole answer for each class.
--- a/settings/render.go
+++ b/settings/render.go
@@ -33,7 +33,10 @@
 		{Name: "allow", Value: strings.Join(values.Allow, ", ")},
 		{Name: "class", Value: values.Class.String()},
 		{Name: "max_body", Value: FormatSize(values.MaxBody)},
-		{Name: "max_waiting", Value: fmt.Sprint(values.MaxWaiting)},
+		{Name: "limits.max_running", Value: limitText(values.Limits.MaxRunning)},
+		{Name: "limits.max_waiting", Value: limitText(values.Limits.MaxWaiting)},
+		{Name: "limits.requests_per_second", Value: limitText(values.Limits.RequestsPerSecond)},
+		{Name: "limits.tokens_per_minute", Value: limitText(values.Limits.TokensPerMinute)},
 		{Name: "placement.concurrency", Value: fmt.Sprint(values.Concurrency)},
 		{Name: "placement.idle_after", Value: values.IdleAfter.String()},
 		{Name: "placement.max_replicas", Value: fmt.Sprint(values.MaxReplicas)},
@@ -55,6 +58,13 @@
 	return resolved
 }
 
+func limitText[N int | float64](limit N) string {
+	if limit == 0 {
+		return "unlimited"
+	}
+	return fmt.Sprint(limit)
+}
+
 // Render writes every branch with its resolved values.
 func Render(writer io.Writer, tree *Tree, withOrigin bool) error {
 	for _, branchPath := range tree.BranchPaths() {
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -77,7 +77,7 @@
 	Allow       []string
 	Class       request.Class
 	Deadlines   [request.ClassCount]time.Duration
-	MaxWaiting  int
+	Limits      Limits
 	Share       int
 	MaxBody     int64
 	MinReplicas int
@@ -86,6 +86,14 @@
 	Concurrency int
 }
 
+// Limits bound what a branch asks of one model in one region; zero is no limit.
+type Limits struct {
+	MaxWaiting        int
+	MaxRunning        int
+	RequestsPerSecond float64
+	TokensPerMinute   int
+}
+
 // Origin says which branch set a value; Tree.Resolve finds its position.
 type Origin struct {
 	Branch   string   `json:"branch"` // empty for a built-in default
@@ -99,7 +107,7 @@
 		Allow:       []string{"*"},
 		Class:       request.Standard,
 		Deadlines:   [request.ClassCount]time.Duration{30 * time.Second, 2 * time.Minute, 8 * time.Hour},
-		MaxWaiting:  1000,
+		Limits:      Limits{MaxWaiting: 1000},
 		Share:       1,
 		MaxBody:     4 * MiB,
 		MinReplicas: 0,
--- a/standin/engines/batch.go
+++ b/standin/engines/batch.go
@@ -18,6 +18,9 @@
 	prompt    int // tokens
 	prefix    uint64
 	tokens    []string // the whole answer
+	asked     question
+	form      shape
+	created   int64
 
 	mutex     sync.Mutex
 	produced  int
--- a/standin/engines/inference.go
+++ b/standin/engines/inference.go
@@ -91,7 +91,7 @@
 		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
 	}
-	running, reason := e.start(requestID, httpRequest.Header, asked)
+	running, reason := e.start(requestID, httpRequest.Header, asked, form)
 	if reason != "" {
 		e.record(Entry{Kind: RequestRefused, RequestID: requestID, Model: asked.Model, Detail: reason})
 		writer.Header().Set(engine.HeaderExecution, engine.ExecutionNotStarted)
@@ -104,7 +104,7 @@
 	if e.Faults.Get().CrossAnswers {
 		writer.Header().Set(engine.HeaderRequestID, uuid.NewString())
 	}
-	answer := answerWriter{engine: e, sequence: running, form: form, asked: asked, created: time.Now().Unix()}
+	answer := answerWriter{engine: e, sequence: running}
 	if asked.Stream {
 		answer.stream(writer, httpRequest, 0)
 		return
@@ -113,7 +113,7 @@
 }
 
 // start finds a ready replica and begins the request there.
-func (e *Engine) start(requestID string, header http.Header, asked question) (*sequence, string) {
+func (e *Engine) start(requestID string, header http.Header, asked question, form shape) (*sequence, string) {
 	faults := e.Faults.Get()
 	if faults.RefuseRequests || faults.Leaving {
 		return nil, "the engine takes no requests"
@@ -139,8 +139,8 @@
 	}
 	running := &sequence{
 		requestID: requestID, target: asked.Model, priority: rank, prompt: countTokens(prompt),
-		prefix: PrefixHash(asked.Model, prompt), tokens: Answer(asked.Model, prompt, count),
-		changed: make(chan struct{}),
+		prefix: engine.PrefixHash(asked.Model, prompt), tokens: Answer(asked.Model, prompt, count),
+		asked: asked, form: form, created: time.Now().Unix(), changed: make(chan struct{}),
 	}
 	e.sequences[requestID] = running
 	e.record(Entry{Kind: RequestStarted, RequestID: requestID, ReplicaID: held.order.ReplicaID, Model: asked.Model, Prompt: prompt})
@@ -148,14 +148,6 @@
 	return running, ""
 }
 
-// prefixBytes is the part of a prompt that its cached prefix stands for.
-const prefixBytes = 256
-
-// PrefixHash identifies the leading part of a prompt in cache events.
-func PrefixHash(target, prompt string) uint64 {
-	return seedOf(target, prompt[:min(len(prompt), prefixBytes)])
-}
-
 // find returns a ready replica of a model or adapter, the one with fewest
 // requests; the mutex is held.
 func (e *Engine) find(target string) *replica {
@@ -235,10 +227,7 @@
 		return
 	}
 	writer.Header().Set(engine.HeaderRequestID, running.requestID)
-	answer := answerWriter{engine: e, sequence: running, form: chatShape, asked: question{Model: running.target}, created: time.Now().Unix()}
-	if httpRequest.URL.Query().Get("form") == "completion" {
-		answer.form = completionShape
-	}
+	answer := answerWriter{engine: e, sequence: running}
 	answer.stream(writer, httpRequest, int(parseUint(httpRequest.URL.Query().Get("offset"))))
 }
 
--- a/standin/engines/writer.go
+++ b/standin/engines/writer.go
@@ -13,9 +13,6 @@
 type answerWriter struct {
 	engine   *Engine
 	sequence *sequence
-	form     shape
-	asked    question
-	created  int64
 }
 
 type answerChoice struct {
@@ -53,8 +50,8 @@
 
 func (a answerWriter) body(object string, choices ...answerChoice) answerBody {
 	return answerBody{
-		ID: a.form.idPrefix + a.sequence.requestID, Object: object, Created: a.created,
-		Model: a.asked.Model, Choices: choices,
+		ID: a.sequence.form.idPrefix + a.sequence.requestID, Object: object, Created: a.sequence.created,
+		Model: a.sequence.asked.Model, Choices: choices,
 	}
 }
 
@@ -87,12 +84,12 @@
 	text := strings.Join(a.sequence.tokens, "")
 	reason := finishLength
 	choice := answerChoice{FinishReason: &reason}
-	if a.form.chat {
+	if a.sequence.form.chat {
 		choice.Message = &answerMessage{roleAssistant, text}
 	} else {
 		choice.Text = &text
 	}
-	body := a.body(a.form.wholeObject, choice)
+	body := a.body(a.sequence.form.wholeObject, choice)
 	body.Usage = a.usage()
 	fault.WriteJSON(writer, http.StatusOK, body)
 }
@@ -127,7 +124,7 @@
 		}
 		flusher.Flush()
 		if state.whole {
-			a.finish(writer)
+			a.finish(writer, sent-len(a.sequence.tokens))
 			return
 		}
 		if state.ended {
@@ -141,24 +138,25 @@
 	}
 }
 
-// finish writes the finish reason, the usage where asked for, and the end mark.
-func (a answerWriter) finish(writer http.ResponseWriter) {
+// finish writes the finish reason, the usage where asked for, and the end mark,
+// less the events that a reader who resumes has already.
+func (a answerWriter) finish(writer http.ResponseWriter, skip int) {
 	reason := finishLength
 	choice := answerChoice{FinishReason: &reason}
 	empty := ""
-	if a.form.chat {
+	if a.sequence.form.chat {
 		choice.Delta = &answerMessage{}
 	} else {
 		choice.Text = &empty
 	}
-	bodies := []answerBody{a.body(a.form.chunkObject, choice)}
-	if a.asked.StreamOptions.IncludeUsage {
-		last := a.body(a.form.chunkObject)
+	bodies := []answerBody{a.body(a.sequence.form.chunkObject, choice)}
+	if a.sequence.asked.StreamOptions.IncludeUsage {
+		last := a.body(a.sequence.form.chunkObject)
 		last.Choices = []answerChoice{}
 		last.Usage = a.usage()
 		bodies = append(bodies, last)
 	}
-	for _, body := range bodies {
+	for _, body := range bodies[min(skip, len(bodies)):] {
 		text, err := json.Marshal(body)
 		if err != nil {
 			return
@@ -184,12 +182,12 @@
 func (a answerWriter) frame() *eventFrame {
 	mark := tokenMark
 	choice := answerChoice{}
-	if a.form.chat {
+	if a.sequence.form.chat {
 		choice.Delta = &answerMessage{roleAssistant, mark}
 	} else {
 		choice.Text = &mark
 	}
-	text, err := json.Marshal(a.body(a.form.chunkObject, choice))
+	text, err := json.Marshal(a.body(a.sequence.form.chunkObject, choice))
 	if err != nil {
 		return &eventFrame{}
 	}
