Keep the placement plan in a group, so that cold starts need no key-value service

Cause: a plan was committed in the key-value service, so nothing could be loaded in its outages, and each change cost a write there. Change: a region's plan is a register in a group of three processes in different zones, taken over by ballots as in Paxos; the ballot is the epoch of the orders. An engine gets nothing new before it has seen the epoch; where the group lost its memory the plan is made anew from the engines' inventories.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -20,13 +21,13 @@
 	"github.com/finchspoke/finchspoke/engine"
 	"github.com/finchspoke/finchspoke/failure"
 	"github.com/finchspoke/finchspoke/gateway"
+	"github.com/finchspoke/finchspoke/group"
 	"github.com/finchspoke/finchspoke/home"
 	"github.com/finchspoke/finchspoke/kv"
 	"github.com/finchspoke/finchspoke/machinelist"
 	"github.com/finchspoke/finchspoke/membership"
 	"github.com/finchspoke/finchspoke/placer"
 	"github.com/finchspoke/finchspoke/rpc"
-	"github.com/finchspoke/finchspoke/runonce"
 	"github.com/finchspoke/finchspoke/settings"
 	"github.com/finchspoke/finchspoke/transport"
 )
@@ -61,7 +62,7 @@
 	gateway    *gateway.Server
 	engines    *engine.Client
 	pool       *transport.Pool
-	claims     *runonce.Member
+	claims     *group.Member
 	supervisor *suture.Supervisor
 	draining   atomic.Bool
 	drain      chan struct{}
@@ -188,21 +189,22 @@
 	d.members.Listen(d.home.MembersChanged)
 	d.members.Listen(d.homes.MembersChanged)
 	d.settings.Listen(func(*settings.Revision) { d.home.SettingsChanged() })
+	d.pool = transport.NewPool()
 	d.placer = placer.New(placer.Dependencies{
-		Region: d.config.Region, SelfID: d.config.ID, View: d.members.View, Settings: d.settings, Store: store,
+		Region: d.config.Region, SelfID: d.config.ID, View: d.members.View, Settings: d.settings,
+		Register: group.NewRegister(d.members.View, d.pool, d.config.Region, fmt.Sprintf("%s/%d", d.config.ID, d.members.View().Self().Process)),
 		Machines: machinelist.NewClient(d.config.Platform.MachineList), Engines: d.engines, Log: d.log,
 	})
-	d.pool = transport.NewPool()
-	d.claims = runonce.NewMember(d.members.View().Self().Process)
-	manager := runonce.NewManager(d.config.ID, store, d.members.View, d.claims, d.pool, d.log)
+	d.claims = group.NewMember(d.members.View().Self().Process)
+	manager := group.NewManager(d.config.ID, store, d.members.View, d.claims, d.pool, d.log)
 	d.gateway = gateway.New(gateway.Dependencies{
-		Settings: d.settings, Engines: d.engines, Ledger: runonce.NewLedger(d.members.View, d.pool), Log: d.log,
+		Settings: d.settings, Engines: d.engines, Ledger: group.NewLedger(d.members.View, d.pool), Log: d.log,
 		Registerer: d.metrics, MaxConnections: d.config.MaxConnections,
 	}, d.homes, d.sockets.gateway)
 	spread := newSpreader(d.settings, d.registry, d.members, d.log)
 	d.registerMetrics()
 	server := transport.NewServer(d.sockets.rpc)
-	d.register(server, spread, runonce.NewService(d.claims, manager))
+	d.register(server, spread, group.NewService(d.claims, manager))
 	d.supervisor = suture.New("finchspoke", suture.Spec{EventHook: d.logEvent})
 	for _, service := range []suture.Service{
 		d.members, server, spread, d.home, home.NewReporter(d.home, d.config.Region), d.placer, manager, d.gateway,
@@ -212,12 +214,12 @@
 	}
 }
 
-func (d *Daemon) register(server *transport.Server, spread *spreader, claims *runonce.Service) {
+func (d *Daemon) register(server *transport.Server, spread *spreader, claims *group.Service) {
 	mux := server.Mux()
 	for _, err := range []error{
 		rpc.DRPCRegisterHome(mux, d.home), rpc.DRPCRegisterPlacer(mux, d.placer),
 		rpc.DRPCRegisterMembership(mux, d.members), rpc.DRPCRegisterSettings(mux, spread),
-		rpc.DRPCRegisterRunOnce(mux, claims),
+		rpc.DRPCRegisterGroups(mux, claims),
 	} {
 		if err != nil {
 			panic(err) // a service registered twice: a mistake in this function
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -26,7 +26,7 @@
 	// HeaderNoRepeat with "true" says that the request may not run twice.
 	HeaderNoRepeat = "Finchspoke-No-Repeat"
 	// HeaderIdempotencyKey names a request that runs at most once over all its
-	// repeats; see package runonce.
+	// repeats; see package group.
 	HeaderIdempotencyKey = "Idempotency-Key"
 	// HeaderExecution says in an error what is known of the execution.
 	HeaderExecution = "Finchspoke-Execution"
--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/finchspoke/finchspoke/failure"
-	"github.com/finchspoke/finchspoke/runonce"
+	"github.com/finchspoke/finchspoke/group"
 )
 
 const (
@@ -53,12 +53,12 @@
 
 // claim claims the call's key. Without a claim the call has ended: answered from
 // the outcome that stands, or with the failure returned.
-func (s *Server) claim(ctx context.Context, made *call, out *sink) (*runonce.Claim, *failure.Error) {
+func (s *Server) claim(ctx context.Context, made *call, out *sink) (*group.Claim, *failure.Error) {
 	until := time.Now().Add(maxLookTime)
 	for {
-		claim, standing, err := s.Ledger.Claim(ctx, made.keyAsk(), runonce.Record{
+		claim, standing, err := s.Ledger.Claim(ctx, made.keyAsk(), group.Record{
 			RequestID:   made.id,
-			Fingerprint: runonce.Fingerprint([]byte(made.path), made.body),
+			Fingerprint: group.Fingerprint([]byte(made.path), made.body),
 			ClaimedAt:   time.Now(),
 			SettledBy:   made.deadline.Add(keyedGrace + settleMargin),
 		})
@@ -79,8 +79,8 @@
 
 // keyAsk names the call's key. The group is of the first region that serves the
 // model, so that a repeat finds it whichever daemon it comes to.
-func (c *call) keyAsk() runonce.Ask {
-	return runonce.Ask{Region: c.model.ServiceRegions[0], Branch: c.branch.Path, Key: c.idempotencyKey}
+func (c *call) keyAsk() group.Ask {
+	return group.Ask{Region: c.model.ServiceRegions[0], Branch: c.branch.Path, Key: c.idempotencyKey}
 }
 
 // endedCall is the end of a keyed call that its caller waited for.
@@ -90,13 +90,13 @@
 }
 
 // runClaimed runs a call under its claim and stores what came of it.
-func (s *Server) runClaimed(ctx context.Context, made *call, claim *runonce.Claim, out *sink) *failure.Error {
+func (s *Server) runClaimed(ctx context.Context, made *call, claim *group.Claim, out *sink) *failure.Error {
 	failed, execution := s.run(ctx, made, out)
 	ctx = context.WithoutCancel(ctx)
 	s.store(ctx, made, func() error {
 		switch {
 		case failed == nil:
-			return s.Ledger.Complete(ctx, claim, runonce.Outcome{
+			return s.Ledger.Complete(ctx, claim, group.Outcome{
 				Status: out.record.status, ContentType: out.record.contentType, Body: out.record.body})
 		case execution == failure.NotRun:
 			return s.Ledger.Release(ctx, claim)
@@ -121,8 +121,8 @@
 
 // repeat answers a repeat of a claimed key without running anything, unless the
 // claim that stood is withdrawn: then it has not ended.
-func (s *Server) repeat(ctx context.Context, made *call, standing *runonce.Record, out *sink, until time.Time) (ended bool, failed *failure.Error) {
-	for standing.State == runonce.Claimed {
+func (s *Server) repeat(ctx context.Context, made *call, standing *group.Record, out *sink, until time.Time) (ended bool, failed *failure.Error) {
+	for standing.State == group.Claimed {
 		if ctx.Err() != nil || time.Now().After(until) {
 			return true, failure.New(failure.KeyInUse, "repeat the request with the same key to get its outcome",
 				"the first request with this key still runs").WithExecution(failure.Unknown).WithRetryAfter(retryAfterDeadline)
@@ -137,7 +137,7 @@
 		}
 		standing = looked
 	}
-	if standing.State == runonce.Unsettled {
+	if standing.State == group.Unsettled {
 		return true, failure.New(failure.OutcomeUnknown, "find out by other means whether it took effect before using a new key",
 			"the first request with this key may have run; its outcome was lost").WithExecution(failure.Unknown)
 	}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -21,8 +21,8 @@
 
 	"github.com/finchspoke/finchspoke/engine"
 	"github.com/finchspoke/finchspoke/failure"
+	"github.com/finchspoke/finchspoke/group"
 	"github.com/finchspoke/finchspoke/home"
-	"github.com/finchspoke/finchspoke/runonce"
 	"github.com/finchspoke/finchspoke/settings"
 )
 
@@ -39,7 +39,7 @@
 type Dependencies struct {
 	Settings       *settings.Store
 	Engines        *engine.Client
-	Ledger         *runonce.Ledger
+	Ledger         *group.Ledger
 	Log            logrus.FieldLogger
 	Registerer     prometheus.Registerer
 	MaxConnections int
--- a/runonce/group_test.go
+++ b/group/group_test.go
@@ -1,4 +1,4 @@
-package runonce
+package group
 
 import (
 	"fmt"
@@ -40,14 +40,14 @@
 
 // viewChange is a leader's change under way.
 type viewChange struct {
-	old     View
-	sealed  map[string]bool
-	held    [][]Record
-	gone    int
-	next    *View
-	records []Record
-	ready   map[string]bool
-	over    bool
+	old    View
+	sealed map[string]bool
+	held   []State
+	gone   int
+	next   *View
+	state  State
+	ready  map[string]bool
+	over   bool
 }
 
 func newGroupMachine() *groupMachine {
@@ -58,7 +58,7 @@
 	}
 	m.standing = View{Region: "r", Slot: testSlot, Epoch: 1, Writer: "first", Members: m.group("a", "b", "c")}
 	for _, member := range m.standing.Members {
-		m.members[member.ID].Install(m.standing, nil)
+		m.members[member.ID].Install(m.standing, State{})
 		m.members[member.ID].Open(m.standing)
 	}
 	return m
@@ -147,7 +147,7 @@
 func (m *groupMachine) settle(t *rapid.T) {
 	one := m.pickProposal(t, func(p *proposal) bool { return p.ran })
 	record := one.record
-	record.State = rapid.SampledFrom([]State{Unsettled, Completed}).Draw(t, "state")
+	record.State = rapid.SampledFrom([]ClaimState{Unsettled, Completed}).Draw(t, "state")
 	for _, member := range m.standing.Members {
 		if rapid.Bool().Draw(t, "hears") {
 			m.reach(member).Settle(m.now, m.standing, record)
@@ -177,9 +177,9 @@
 			if rapid.IntRange(0, 4).Draw(t, "fate") == 0 {
 				return // lost
 			}
-			records, held, gone := m.reach(member).Seal(one.old, member.Process)
+			state, held, gone := m.reach(member).Seal(one.old, member.Process)
 			if held {
-				one.held = append(one.held, records)
+				one.held = append(one.held, state)
 			} else if gone {
 				one.gone++
 			}
@@ -192,7 +192,7 @@
 	}
 	for _, member := range one.next.Members {
 		if !one.ready[member.ID] {
-			one.ready[member.ID] = m.reach(member).Install(*one.next, one.records)
+			one.ready[member.ID] = m.reach(member).Install(*one.next, one.state)
 			one.over = !one.ready[member.ID]
 			return
 		}
@@ -209,7 +209,7 @@
 	ids := rapid.Permutation([]string{"a", "b", "c", "d"}).Draw(t, "members")[:3]
 	m.writers++
 	next := View{Region: "r", Slot: testSlot, Epoch: one.old.Epoch + 1, Writer: fmt.Sprintf("writer-%d", m.writers), Members: m.group(ids...)}
-	one.next, one.records = &next, merge(one.held)
+	one.next, one.state = &next, mergeStates(one.held)
 }
 
 // swap is the compare-and-swap, after which members may open the view.
--- a/runonce/ledger.go
+++ b/group/ledger.go
@@ -1,9 +1,8 @@
-package runonce
+package group
 
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,11 +25,7 @@
 
 // Ledger claims keys for a gateway.
 type Ledger struct {
-	members func() *membership.View
-	pool    *transport.Pool
-
-	mutex sync.Mutex
-	views map[SlotKey]View
+	directory
 }
 
 // Claim is a claim that counted.
@@ -41,7 +36,7 @@
 
 // NewLedger returns the ledger of a gateway.
 func NewLedger(members func() *membership.View, pool *transport.Pool) *Ledger {
-	return &Ledger{members: members, pool: pool, views: map[SlotKey]View{}}
+	return &Ledger{newDirectory(members, pool)}
 }
 
 // Ask names a key: the branch that uses it and the region whose groups hold it.
@@ -146,13 +141,13 @@
 
 // withdraw takes back a claim that did not count and never will be used.
 func (l *Ledger) withdraw(ctx context.Context, view View, record Record) int {
-	return l.each(ctx, view, func(ctx context.Context, client rpc.DRPCRunOnceClient) (*rpc.GroupAnswer, error) {
+	return l.each(ctx, view, func(ctx context.Context, client rpc.DRPCGroupsClient) (*rpc.GroupAnswer, error) {
 		return client.Withdraw(ctx, &rpc.WithdrawRequest{View: view.wire(), Key: record.Key, RequestId: record.RequestID})
 	})
 }
 
 // each calls all members and returns how many agreed.
-func (l *Ledger) each(ctx context.Context, view View, call func(context.Context, rpc.DRPCRunOnceClient) (*rpc.GroupAnswer, error)) int {
+func (l *Ledger) each(ctx context.Context, view View, call func(context.Context, rpc.DRPCGroupsClient) (*rpc.GroupAnswer, error)) int {
 	agreed := 0
 	for _, ok := range fanOut(view.Members, func(member GroupMember) bool {
 		answer, err := call(withTimeout(ctx), l.client(ctx, member))
@@ -213,7 +208,7 @@
 
 func (l *Ledger) settle(ctx context.Context, slot SlotKey, record Record) error {
 	return l.atQuorum(ctx, slot, func(view View) int {
-		return l.each(ctx, view, func(ctx context.Context, client rpc.DRPCRunOnceClient) (*rpc.GroupAnswer, error) {
+		return l.each(ctx, view, func(ctx context.Context, client rpc.DRPCGroupsClient) (*rpc.GroupAnswer, error) {
 			return client.Settle(ctx, &rpc.SettleRequest{View: view.wire(), Record: record.wire()})
 		})
 	})
@@ -236,49 +231,3 @@
 	}
 	return nil
 }
-
-func (l *Ledger) client(ctx context.Context, member GroupMember) rpc.DRPCRunOnceClient {
-	return rpc.NewDRPCRunOnceClient(l.pool.To(ctx, member.RPCAddress))
-}
-
-func (l *Ledger) cached(slot SlotKey) (View, bool) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	view, known := l.views[slot]
-	return view, known
-}
-
-func (l *Ledger) dropView(slot SlotKey) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	delete(l.views, slot)
-}
-
-// view returns a slot's view, asked of the daemons ranked first if not known.
-func (l *Ledger) view(ctx context.Context, slot SlotKey) (View, error) {
-	if view, known := l.cached(slot); known {
-		return view, nil
-	}
-	ranked := candidates(l.members(), slot)
-	best := View{}
-	for _, candidate := range ranked[:min(viewAskers, len(ranked))] {
-		client := rpc.NewDRPCRunOnceClient(l.pool.To(ctx, candidate.RPCAddress))
-		answer, err := client.View(withTimeout(ctx), &rpc.ViewRequest{Region: slot.Region, Slot: slot.Slot})
-		if err != nil {
-			continue
-		}
-		if view := viewOf(answer.GetView()); view.Epoch > best.Epoch {
-			best = view
-		}
-		if best.Epoch > 0 {
-			break
-		}
-	}
-	if best.Epoch == 0 {
-		return View{}, errors.Errorf("no daemon knows the group of slot %s", slot)
-	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.views[slot] = best
-	return best, nil
-}
--- a/runonce/main_test.go
+++ b/group/main_test.go
@@ -1,4 +1,4 @@
-package runonce
+package group
 
 import (
 	"testing"
--- a/runonce/manager.go
+++ b/group/manager.go
@@ -1,4 +1,4 @@
-package runonce
+package group
 
 import (
 	"context"
@@ -17,7 +17,7 @@
 )
 
 const (
-	viewPrefix    = "/finchspoke/run-once/"
+	viewPrefix    = "/finchspoke/groups/"
 	checkInterval = 500 * time.Millisecond
 	callTimeout   = time.Second
 	// lossMargin covers the difference of clocks when claims were lost.
@@ -59,7 +59,7 @@
 }
 
 // String names the service in the supervisor's events.
-func (m *Manager) String() string { return "run-once-manager" }
+func (m *Manager) String() string { return "group-manager" }
 
 // Serve implements suture.Service.
 func (m *Manager) Serve(ctx context.Context) error {
@@ -95,7 +95,7 @@
 	if makeMissing {
 		left = makePerCheck
 	}
-	for number := range uint32(Slots) {
+	for number := range uint32(Slots + 1) {
 		slot := SlotKey{region, number}
 		if !m.leads(slot) {
 			m.forget(slot)
@@ -112,7 +112,7 @@
 			left--
 		}
 		if _, err := m.ensure(ctx, slot, missing); err != nil && ctx.Err() == nil {
-			m.log.WithError(err).WithField("slot", slot.String()).Debug("run-once group is not changed yet")
+			m.log.WithError(err).WithField("slot", slot.String()).Debug("group is not changed yet")
 		}
 	}
 }
@@ -159,7 +159,7 @@
 		if !create {
 			return View{}, errNotLeader
 		}
-		return m.install(ctx, View{Region: slot.Region, Slot: slot.Slot}, nil, 0)
+		return m.install(ctx, View{Region: slot.Region, Slot: slot.Slot}, State{}, 0)
 	}
 	var view View
 	if err := json.Unmarshal(pair.Value, &view); err != nil {
@@ -176,30 +176,27 @@
 // change seals a view and installs its successor.
 func (m *Manager) change(ctx context.Context, old View, revision int64) (View, error) {
 	type sealed struct {
-		member  GroupMember
-		records []Record
-		held    bool
-		gone    bool
+		state State
+		held  bool
+		gone  bool
 	}
 	answers := fanOut(old.Members, func(member GroupMember) sealed {
-		result := sealed{member: member, gone: provenGone(m.members(), member)}
+		result := sealed{gone: provenGone(m.members(), member)}
 		answer, err := m.client(ctx, member).Seal(withTimeout(ctx), &rpc.SealRequest{View: old.wire(), Process: member.Process})
 		if err != nil {
 			return result
 		}
 		result.held, result.gone = answer.GetHeld(), result.gone || answer.GetGone()
-		for _, message := range answer.GetRecords() {
-			result.records = append(result.records, recordOf(message))
-		}
+		result.state = stateOf(answer.GetState())
 		return result
 	})
 	heldBy, goneCount := 0, 0
-	var all [][]Record
+	var states []State
 	for _, answer := range answers {
 		switch {
 		case answer.held:
 			heldBy++
-			all = append(all, answer.records)
+			states = append(states, answer.state)
 		case answer.gone:
 			goneCount++
 		}
@@ -211,24 +208,21 @@
 	next := old
 	if heldBy < old.sealQuorum() {
 		next.LostAt = time.Now().Add(lossMargin).UTC()
-		m.log.WithField("slot", old.Key().String()).Error("run-once group lost its memory; older keys are answered as unknown")
+		m.log.WithField("slot", old.Key().String()).Error("group lost its memory: older keys are answered as unknown, and a plan is made anew from the engines")
 	}
-	return m.install(ctx, next, merge(all), revision)
+	return m.install(ctx, next, mergeStates(states), revision)
 }
 
 // install prepares the successor of a view, makes it stand by compare-and-swap,
 // and opens it.
-func (m *Manager) install(ctx context.Context, old View, records []Record, revision int64) (View, error) {
+func (m *Manager) install(ctx context.Context, old View, state State, revision int64) (View, error) {
 	next := old
 	next.Epoch = old.Epoch + 1
 	next.Writer = uuid.NewString()
 	next.Members = nextMembers(m.members(), old.Key(), old.Members)
-	messages := make([]*rpc.ClaimRecord, 0, len(records))
-	for _, record := range records {
-		messages = append(messages, record.wire())
-	}
+	message := state.wire()
 	prepared := fanOut(next.Members, func(member GroupMember) bool {
-		answer, err := m.client(ctx, member).Install(withTimeout(ctx), &rpc.InstallRequest{View: next.wire(), Records: messages})
+		answer, err := m.client(ctx, member).Install(withTimeout(ctx), &rpc.InstallRequest{View: next.wire(), State: message})
 		return err == nil && answer.GetOk()
 	})
 	count := 0
@@ -256,7 +250,7 @@
 	}
 	opened := m.open(ctx, next)
 	m.views[old.Key()] = held{view: next, revision: result.Revision, opened: opened >= next.writeQuorum()}
-	m.log.WithFields(logrus.Fields{"slot": old.Key().String(), "epoch": next.Epoch, "members": len(next.Members)}).Info("run-once group changed")
+	m.log.WithFields(logrus.Fields{"slot": old.Key().String(), "epoch": next.Epoch, "members": len(next.Members)}).Info("group changed")
 	return next, nil
 }
 
@@ -274,8 +268,8 @@
 	return opened
 }
 
-func (m *Manager) client(ctx context.Context, member GroupMember) rpc.DRPCRunOnceClient {
-	return rpc.NewDRPCRunOnceClient(m.pool.To(ctx, member.RPCAddress))
+func (m *Manager) client(ctx context.Context, member GroupMember) rpc.DRPCGroupsClient {
+	return rpc.NewDRPCGroupsClient(m.pool.To(ctx, member.RPCAddress))
 }
 
 // withTimeout bounds one call; the timer ends by itself soon after.
--- a/runonce/member.go
+++ b/group/member.go
@@ -1,4 +1,4 @@
-package runonce
+package group
 
 import (
 	"sort"
@@ -36,13 +36,20 @@
 type slot struct {
 	view      View // zero epoch: none yet
 	sealed    bool
-	records   map[string]Record
+	records   map[string]Record // claims, by key
+	plan      PlanState
 	installed map[string]installed // by writer, until one is opened
 }
 
 type installed struct {
-	view    View
-	records map[string]Record
+	view  View
+	state State
+}
+
+// State is all that a member holds in a group: claims, or a plan.
+type State struct {
+	Claims []Record
+	Plan   PlanState
 }
 
 // NewMember returns a member that holds nothing yet.
@@ -204,37 +211,34 @@
 
 // Seal makes the member refuse a view for ever and returns all it held in it.
 // gone says that the process asked for is not this one.
-func (m *Member) Seal(view View, process uint64) (records []Record, heldIt, gone bool) {
+func (m *Member) Seal(view View, process uint64) (state State, heldIt, gone bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if process != m.process {
-		return nil, false, process < m.process
+		return State{}, false, process < m.process
 	}
 	held := m.slot(view.Key())
 	if !held.view.same(view) {
-		return nil, false, false
+		return State{}, false, false
 	}
 	held.sealed = true
+	state.Plan = held.plan.clone()
 	for _, record := range held.records {
-		records = append(records, record)
+		state.Claims = append(state.Claims, record)
 	}
-	return records, true, false
+	return state, true, false
 }
 
 // Install prepares a view with what its predecessor held. It does not serve until
 // it is opened. False means that the member is past that epoch.
-func (m *Member) Install(view View, records []Record) bool {
+func (m *Member) Install(view View, state State) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	held := m.slot(view.Key())
 	if held.view.Epoch >= view.Epoch {
 		return held.view.same(view)
 	}
-	prepared := installed{view: view, records: make(map[string]Record, len(records))}
-	for _, record := range records {
-		prepared.records[record.Key] = record
-	}
-	held.installed[view.Writer] = prepared
+	held.installed[view.Writer] = installed{view: view, state: state}
 	return true
 }
 
@@ -254,10 +258,12 @@
 	for _, record := range held.records {
 		m.bytes -= len(record.Outcome.Body)
 	}
-	for _, record := range prepared.records {
+	held.records = make(map[string]Record, len(prepared.state.Claims))
+	for _, record := range prepared.state.Claims {
+		held.records[record.Key] = record
 		m.bytes += len(record.Outcome.Body)
 	}
-	held.view, held.sealed, held.records = prepared.view, false, prepared.records
+	held.view, held.sealed, held.plan = prepared.view, false, prepared.state.Plan.clone()
 	held.installed = map[string]installed{}
 	return true
 }
--- a/runonce/quorum.go
+++ b/group/quorum.go
@@ -1,4 +1,4 @@
-package runonce
+package group
 
 // tally counts the members' answers to one claim. It is pure.
 type tally struct {
--- a/runonce/record.go
+++ b/group/record.go
@@ -1,16 +1,4 @@
-// Package runonce keeps requests that carry an idempotency key from running more
-// than once: a key is claimed before dispatch, and the outcome is kept so that a
-// repeat at any daemon gets it.
-//
-// Keys fall into slots. A slot's claims are held in memory by a group of daemons
-// in different zones of the model's region. A claim counts once a majority has
-// accepted it; then no other claim of the key can be. The key-value service holds
-// only which processes form the group (its view), and is written when they
-// change. A view is changed by sealing a majority of the old one, which then
-// refuses it for ever, and copying what it held.
-//
-// Member, tally and merge are pure; Ledger and Manager carry them over drpc.
-package runonce
+package group
 
 import (
 	"crypto/sha256"
@@ -32,12 +20,12 @@
 	maxOutcomeBytes = 256 << 10
 )
 
-// State of a claim.
-type State uint32
+// ClaimState is the state of a claim.
+type ClaimState uint32
 
 // The states. Of two records of one claim the higher state is the newer.
 const (
-	Claimed State = iota
+	Claimed ClaimState = iota
 	// Unsettled means that the request may have run and its outcome is not known.
 	Unsettled
 	Completed
@@ -55,7 +43,7 @@
 // Record is a claim with what is known of its outcome.
 type Record struct {
 	Key         string // as hashed by HashKey
-	State       State
+	State       ClaimState
 	RequestID   string // unique to the claim
 	Fingerprint string // of what was asked
 	ClaimedAt   time.Time
@@ -121,7 +109,7 @@
 // recordOf reads a message; bodies stay compressed in records.
 func recordOf(message *rpc.ClaimRecord) Record {
 	return Record{
-		Key: message.GetKey(), State: State(message.GetState()), RequestID: message.GetRequestId(), Fingerprint: message.GetFingerprint(),
+		Key: message.GetKey(), State: ClaimState(message.GetState()), RequestID: message.GetRequestId(), Fingerprint: message.GetFingerprint(),
 		ClaimedAt: time.UnixMilli(message.GetClaimedUnixMs()), SettledBy: time.UnixMilli(message.GetSettledByUnixMs()),
 		Outcome: Outcome{Status: int(message.GetStatus()), ContentType: message.GetContentType(), Body: message.GetBodyGzip(),
 			Dropped: message.GetBodyDropped()},
--- a/runonce/view.go
+++ b/group/view.go
@@ -1,4 +1,4 @@
-package runonce
+package group
 
 import (
 	"encoding/binary"
@@ -12,8 +12,10 @@
 )
 
 const (
-	// Slots is the number of groups of a region.
+	// Slots is the number of groups of a region that hold claims.
 	Slots = 64
+	// PlanSlot is the group that holds the region's plan.
+	PlanSlot = Slots
 	// GroupSize is how many members a group has where there are enough daemons.
 	GroupSize = 3
 )
@@ -24,6 +26,9 @@
 	Slot   uint32
 }
 
+// PlanKey names the group of a region's plan.
+func PlanKey(region string) SlotKey { return SlotKey{Region: region, Slot: PlanSlot} }
+
 // String returns the name used for ranking and in the key-value service.
 func (k SlotKey) String() string { return fmt.Sprintf("%s/%02d", k.Region, k.Slot) }
 
@@ -93,7 +98,7 @@
 // candidates ranks the running members of a slot's region, the first of each zone
 // before any second.
 func candidates(view *membership.View, slot SlotKey) []membership.Member {
-	ranked := rendezvous.Ranked("run-once/"+slot.String(), view.RunningIn(slot.Region))
+	ranked := rendezvous.Ranked("group/"+slot.String(), view.RunningIn(slot.Region))
 	var first, rest []membership.Member
 	zones := map[string]bool{}
 	for _, id := range ranked {
--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -63,6 +63,7 @@
 	keyValue      *processes.Process
 	keyValueProxy *faultproxy.Proxy
 	machines      *processes.Process
+	weights       *processes.Process
 	engines       []*processes.Process
 	engineProxies []*faultproxy.Proxy
 	daemons       []*processes.Daemon
@@ -83,10 +84,10 @@
 	c.keyValue = c.standin("key-value", "--rate", "1000")
 	c.keyValueProxy = c.proxy(c.keyValue.Address)
 	c.machines = c.standin("machines")
-	weights := c.standin("weights", "--bandwidth", "100GiB", "--loads-per-second", "20")
+	c.weights = c.standin("weights", "--bandwidth", "100GiB", "--loads-per-second", "20")
 	for number := range engineCount {
 		id := fmt.Sprintf("engine-%d", number)
-		started := c.standin("engine", "--id", id, "--weight-store", weights.Address, "--accelerators", "2", "--step", "2ms")
+		started := c.standin("engine", "--id", id, "--weight-store", c.weights.Address, "--accelerators", "2", "--step", "2ms")
 		proxy := c.proxy(started.Address)
 		c.engines = append(c.engines, started)
 		c.engineProxies = append(c.engineProxies, proxy)
--- a/integration/keyed_test.go
+++ b/integration/keyed_test.go
@@ -14,19 +14,22 @@
 
 	"github.com/finchspoke/finchspoke/faultproxy"
 	"github.com/finchspoke/finchspoke/gateway"
+	"github.com/finchspoke/finchspoke/group"
 	"github.com/finchspoke/finchspoke/lab/processes"
-	"github.com/finchspoke/finchspoke/runonce"
 	"github.com/finchspoke/finchspoke/standin/keyvalue"
 )
 
-// groupsMade counts the run-once groups that stand in the key-value service.
+// allGroups are the run-once groups and the plan's.
+const allGroups = group.Slots + 1
+
+// groupsMade counts the groups that stand in the key-value service.
 func (c *cluster) groupsMade() int {
 	var entries []keyvalue.Entry
 	require.NoError(c.t, processes.History(c.ctx, c.keyValue.Address, &entries))
 	made := map[string]bool{}
 	for _, entry := range entries {
 		for _, key := range entry.Keys {
-			if strings.HasPrefix(key, "/finchspoke/run-once/") {
+			if strings.HasPrefix(key, "/finchspoke/groups/") {
 				made[key] = true
 			}
 		}
@@ -40,7 +43,7 @@
 func TestKeyedRequestsRunOnceUnderFaults(t *testing.T) {
 	c := startCluster(t)
 	defer c.logs()
-	require.Eventually(t, func() bool { return c.groupsMade() == runonce.Slots }, 30*time.Second, 100*time.Millisecond)
+	require.Eventually(t, func() bool { return c.groupsMade() == allGroups }, 30*time.Second, 100*time.Millisecond)
 	require.NoError(t, processes.PostJSON(c.ctx, c.keyValue.Address, "/faults", keyvalue.Faults{LoseAnswers: 30}))
 	const workers, perWorker, repeats = 6, 12, 3
 	wholeByPrompt := make([]map[string]string, workers)
--- a/lab/system_test.go
+++ b/lab/system_test.go
@@ -18,10 +18,10 @@
 	"github.com/finchspoke/finchspoke/engine"
 	"github.com/finchspoke/finchspoke/examples"
 	"github.com/finchspoke/finchspoke/gateway"
+	"github.com/finchspoke/finchspoke/group"
 	"github.com/finchspoke/finchspoke/lab"
 	"github.com/finchspoke/finchspoke/logging"
 	"github.com/finchspoke/finchspoke/machinelist"
-	"github.com/finchspoke/finchspoke/runonce"
 	"github.com/finchspoke/finchspoke/settings"
 	"github.com/finchspoke/finchspoke/standin/engines"
 	"github.com/finchspoke/finchspoke/standin/keyvalue"
@@ -175,7 +175,7 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusUnprocessableEntity, other.Status)
 
-	require.Eventually(t, func() bool { return groupsMade(system, "sk-west") == runonce.Slots }, 30*time.Second, 50*time.Millisecond)
+	require.Eventually(t, func() bool { return groupsMade(system, "sk-west") == group.Slots+1 }, 30*time.Second, 50*time.Millisecond)
 	system.KeyValue.Faults.Set(keyvalue.Faults{Outage: true})
 	for number := range 10 {
 		inOutage, err := ask(number%3, uuid.NewString(), "approve in an outage")
@@ -194,7 +194,7 @@
 	made := map[string]bool{}
 	for _, entry := range system.KeyValue.History.Entries() {
 		for _, key := range entry.Keys {
-			if strings.HasPrefix(key, "/finchspoke/run-once/"+region+"/") {
+			if strings.HasPrefix(key, "/finchspoke/groups/"+region+"/") {
 				made[key] = true
 			}
 		}
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -19,6 +19,9 @@
 		changed: map[string]bool{}, promised: map[string][]int64{},
 	}
 	planner.refillBudget()
+	if snapshot.AdoptUnknown {
+		planner.adoptUnknown()
+	}
 	planner.dropConfirmed()
 	planner.retire()
 	planner.removeSurplus()
@@ -70,6 +73,33 @@
 	p.byModel = nil
 }
 
+// adoptUnknown takes what engines hold into the plan.
+func (p *planner) adoptUnknown() {
+	for _, id := range sortedKeys(p.Engines) {
+		known := p.Engines[id]
+		if !known.Reachable || known.Inventory == nil {
+			continue
+		}
+		planned := p.plan.Engines[id]
+		adopted := slices.Clone(planned.Assignments)
+		for _, held := range known.Inventory.Replicas {
+			if slices.ContainsFunc(adopted, func(one Assignment) bool { return one.ReplicaID == held.ID }) {
+				continue
+			}
+			wish := Keep
+			if held.State == engine.Unloading {
+				wish = Remove
+			}
+			adopted = append(adopted, Assignment{ReplicaID: held.ID, Model: held.Model, Version: held.Version, Accelerators: held.Accelerators,
+				MemoryBytes: held.MemoryBytes, Adapters: held.Adapters, Wish: wish, Since: p.Now, Fence: p.fence})
+		}
+		if len(adopted) > len(planned.Assignments) {
+			p.plan.Engines[id] = EnginePlan{EngineID: id, Address: known.Address}
+			p.update(id, adopted)
+		}
+	}
+}
+
 // dropConfirmed forgets removed replicas that are certainly gone, and whatever
 // was on an engine that no longer exists.
 func (p *planner) dropConfirmed() {
@@ -382,7 +412,7 @@
 	}
 	for _, id := range sortedKeys(p.Engines) {
 		candidate := p.Engines[id]
-		if !candidate.usable() || candidate.Service != model.Service {
+		if !candidate.usable(p.fence.Epoch) || candidate.Service != model.Service {
 			continue
 		}
 		free := p.free(candidate, future)
@@ -493,7 +523,7 @@
 	victims := p.idlePlaces(least)
 	for _, id := range sortedKeys(p.Engines) {
 		candidate := p.Engines[id]
-		if candidate.usable() && candidate.Service == need.model.Service {
+		if candidate.usable(p.fence.Epoch) && candidate.Service == need.model.Service {
 			if chosen, enough := p.victimsOn(candidate, need.model, victims); enough {
 				for _, victim := range chosen {
 					p.removeReplica(victim.assignment.ReplicaID)
--- a/placement/decide_test.go
+++ b/placement/decide_test.go
@@ -100,6 +100,9 @@
 	require.Equal(t, len(decision.Changed) > 0, w.plan.Fence.Less(decision.Plan.Fence), "the fence grows with each change only")
 	w.plan, w.state = decision.Plan, decision.State
 	for id, simulated := range w.engines {
+		if simulated.fence.Epoch < w.plan.Fence.Epoch {
+			simulated.pending = append(simulated.pending, engine.Order{Operation: engine.Seal, Fence: w.plan.Fence})
+		}
 		for _, assignment := range w.plan.Engines[id].Assignments {
 			order := engine.Order{Operation: engine.Load, Fence: w.plan.Fence, ReplicaID: assignment.ReplicaID, Model: assignment.Model,
 				Version: assignment.Version, Accelerators: assignment.Accelerators, MemoryBytes: assignment.MemoryBytes}
@@ -118,6 +121,9 @@
 		return
 	}
 	s.fence = order.Fence
+	if order.Operation == engine.Seal {
+		return
+	}
 	if order.Operation == engine.Unload {
 		s.unloaded[order.ReplicaID] = true
 		delete(s.held, order.ReplicaID)
@@ -296,6 +302,7 @@
 	for _, model := range []string{"small", "wide", "large"} {
 		w.demand[model] = placement.TargetDemand{Waiting: 4, LastUsed: w.now}
 	}
+	w.settle(t, 1) // seals the engines
 	w.decide(t)
 	remote := 0
 	for _, planned := range w.plan.Engines {
@@ -308,6 +315,22 @@
 	require.Equal(t, 3, remote, "concurrent_loads holds")
 }
 
+func TestLostPlanIsMadeAnewFromTheEngines(t *testing.T) {
+	w := newWorld(t)
+	w.demand["large"] = placement.TargetDemand{Waiting: 1, LastUsed: w.now}
+	w.settle(t, 3)
+	require.Equal(t, 1, w.loaded("large"))
+	w.plan = placement.NewPlan(engine.Fence{Epoch: 9})
+	known := map[string]placement.Engine{}
+	for id, simulated := range w.engines {
+		known[id] = simulated.known
+	}
+	decision := placement.Decide(placement.Snapshot{Now: w.now, Region: "r", Tree: w.tree, Engines: known, Demand: w.demand, Plan: w.plan,
+		State: w.state, AdoptUnknown: true, NewReplicaID: func() string { return "new" }})
+	require.Equal(t, 1, decision.Plan.Decided()["large"])
+	require.Equal(t, 1, decision.Plan.Decided()["kept"])
+}
+
 func TestAdapterTakesTheSlotOfAnIdleOne(t *testing.T) {
 	w := newWorld(t)
 	adapters := func() []string {
@@ -356,7 +379,7 @@
 		State: placement.State{SurplusSince: map[string]time.Time{}}, NewReplicaID: func() string { return "new" }}
 	for number := range engines {
 		id := fmt.Sprintf("engine-%03d", number)
-		inventory := &engine.Inventory{EngineID: id}
+		inventory := &engine.Inventory{EngineID: id, Fence: engine.Fence{Epoch: 1}}
 		for range 4 {
 			inventory.Accelerators = append(inventory.Accelerators, engine.Accelerator{MemoryBytes: 24 * settings.GiB})
 		}
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -92,9 +92,10 @@
 	Inventory *engine.Inventory // nil until first read
 }
 
-// usable tells whether new replicas may be put on the engine.
-func (e Engine) usable() bool {
-	return e.Listed && !e.Leaving && e.Reachable && e.Inventory != nil
+// usable tells whether new replicas may be put on the engine: it must have seen the
+// epoch, so that its inventory cannot change any more by orders of earlier ones.
+func (e Engine) usable(epoch uint64) bool {
+	return e.Listed && !e.Leaving && e.Reachable && e.Inventory != nil && e.Inventory.Fence.Epoch >= epoch
 }
 
 // TargetDemand is the demand for one target in the cell, over all homes.
@@ -116,6 +117,9 @@
 	Demand  map[string]TargetDemand // by target
 	Plan    Plan
 	State   State
+	// AdoptUnknown takes replicas into the plan that engines hold and the plan does
+	// not know, as after the plan was lost; otherwise they are to be unloaded.
+	AdoptUnknown bool
 	// NewReplicaID names the next replica; ids are never used twice.
 	NewReplicaID func() string
 }
--- a/placer/apply.go
+++ b/placer/apply.go
@@ -122,7 +122,11 @@
 			unloads = append(unloads, engine.Order{Operation: engine.Unload, ReplicaID: replica.ID, Model: replica.Model})
 		}
 	}
-	orders := slices.DeleteFunc(append(unloads, loads...), func(order engine.Order) bool {
+	orders := append(unloads, loads...)
+	if len(orders) == 0 && state.inventory.Fence.Epoch < c.plan.Fence.Epoch {
+		orders = append(orders, engine.Order{Operation: engine.Seal})
+	}
+	orders = slices.DeleteFunc(orders, func(order engine.Order) bool {
 		return now.Sub(state.ordered[orderKey(order)]) < reorderPause
 	})
 	for index := range orders {
--- a/placer/cell.go
+++ b/placer/cell.go
@@ -148,6 +148,19 @@
 	}
 }
 
+// highestEpoch is the highest epoch that an engine has seen.
+func (c *cell) highestEpoch() uint64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	highest := uint64(0)
+	for _, state := range c.engines {
+		if state.inventory != nil {
+			highest = max(highest, state.inventory.Fence.Epoch)
+		}
+	}
+	return highest
+}
+
 // setDemand replaces what a home reports of some targets.
 func (c *cell) setDemand(home string, reported map[string]placement.TargetDemand) {
 	c.mutex.Lock()
--- a/placer/service.go
+++ b/placer/service.go
@@ -1,10 +1,10 @@
-// Package placer runs the placement of a cell: it takes the cell over in the
-// key-value service, watches the engines, hears demand from homes, lets package
-// placement decide, commits each plan before any order goes out, and tells homes
-// which replicas are ready.
+// Package placer runs the placement of a cell: it takes the cell over in the plan's
+// group, watches the engines, hears demand from homes, lets package placement
+// decide, commits each plan before any order goes out, and tells homes which
+// replicas are ready. None of it needs the key-value service.
 //
 // At most one daemon's orders count at a time: engines refuse the orders of an
-// earlier epoch, and the key-value service its commits.
+// earlier epoch, and the group its commits.
 package placer
 
 import (
@@ -17,7 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/finchspoke/finchspoke/engine"
-	"github.com/finchspoke/finchspoke/kv"
+	"github.com/finchspoke/finchspoke/group"
 	"github.com/finchspoke/finchspoke/machinelist"
 	"github.com/finchspoke/finchspoke/membership"
 	"github.com/finchspoke/finchspoke/placement"
@@ -43,7 +43,7 @@
 	SelfID   string
 	View     func() *membership.View
 	Settings *settings.Store
-	Store    kv.Store
+	Register *group.Register
 	Machines *machinelist.Client
 	Engines  *engine.Client
 	Log      logrus.FieldLogger
@@ -55,6 +55,7 @@
 	Dependencies
 	leading  atomic.Pointer[leadership]
 	takeOver atomic.Uint64
+	floor    uint64 // least epoch of the next term
 }
 
 // leadership is one term of leading the cell.
@@ -62,6 +63,7 @@
 	cell    *cell
 	record  *record
 	epoch   uint64
+	fresh   bool // the group held no plan
 	done    <-chan struct{}
 	changed *broadcast
 }
@@ -92,6 +94,7 @@
 			err := s.lead(ctx)
 			if err != nil && ctx.Err() == nil {
 				s.Log.WithError(err).WithField("region", s.Region).Warn("placer stopped leading")
+				wait(ctx, retryPause)
 			}
 		}
 		wait(ctx, checkInterval)
@@ -113,14 +116,14 @@
 
 // lead takes the cell over and places until another daemon should.
 func (s *Service) lead(ctx context.Context) error {
-	record := newRecord(s.Store, s.Region)
-	plan, err := record.takeOver(ctx, s.SelfID, time.Now())
+	record := &record{register: s.Register}
+	plan, fresh, err := record.takeOver(ctx, s.floor)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	term := &leadership{cell: newCell(s.Region, plan), record: record, epoch: plan.Fence.Epoch, done: ctx.Done(), changed: newBroadcast()}
+	term := &leadership{cell: newCell(s.Region, plan), record: record, epoch: plan.Fence.Epoch, fresh: fresh, done: ctx.Done(), changed: newBroadcast()}
 	s.takeOver.Add(1)
 	s.Log.WithFields(logrus.Fields{"region": s.Region, "epoch": term.epoch}).Info("placer took the cell over")
 	var workers sync.WaitGroup
@@ -155,6 +158,10 @@
 		case <-term.cell.dirty:
 			wait(ctx, gatherPause)
 		}
+		if highest := term.cell.highestEpoch(); highest > term.epoch {
+			s.floor = highest + 1
+			return errDeposed
+		}
 		err := s.decide(ctx, term)
 		if errors.Is(err, errDeposed) {
 			return err
@@ -176,10 +183,11 @@
 		if err := term.record.settle(ctx); err != nil {
 			return err
 		}
-		term.cell.adopt(pending.decision)
+		term.cell.adopt(*pending)
 		return nil
 	}
 	snapshot := term.cell.snapshot(time.Now(), s.Settings.Current().Tree)
+	snapshot.AdoptUnknown = term.fresh
 	decision := placement.Decide(snapshot)
 	if len(decision.Changed) > 0 {
 		if err := term.record.commit(ctx, decision); err != nil {
