Make control cheap at 320 daemons, and measure it with finchlab control

Cause, found by running 320 daemons in one process: each daemon ranked 80 members for 65 slots twice a second; a member list fetched at join was passed on as news by everyone; all group leaders asked the key-value service at once, and its rate limit turned an operator's change away. Change: slots led are worked out when members change; a fetched list is no news; groups are made by a few daemons at a time; a rate-limited operation, which did not run, is tried again; urgent news is repeated for three ticks.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -176,6 +176,12 @@
 	}
 }
 
+// SettingsRevision returns the number of the settings revision in force here.
+func (d *Daemon) SettingsRevision() uint64 { return d.settings.Number() }
+
+// GossipTraffic returns the bytes of membership packets sent and received so far.
+func (d *Daemon) GossipTraffic() (sent, received uint64) { return d.members.Traffic() }
+
 // ID returns the daemon's id.
 func (d *Daemon) ID() string { return d.config.ID }
 
--- a/group/manager.go
+++ b/group/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"github.com/finchspoke/finchspoke/kv"
 	"github.com/finchspoke/finchspoke/membership"
+	"github.com/finchspoke/finchspoke/rendezvous"
 	"github.com/finchspoke/finchspoke/rpc"
 	"github.com/finchspoke/finchspoke/transport"
 )
@@ -27,6 +29,8 @@
 	// groups stand before the key-value service has its next outage.
 	makeDelay    = 2 * time.Second
 	makePerCheck = 4
+	// makersPerCheck is about how many daemons of a region make some in one check.
+	makersPerCheck = 4
 	// expireInterval is how often a member forgets what has expired.
 	expireInterval = time.Minute
 )
@@ -44,6 +48,9 @@
 
 	mutex sync.Mutex // one change at a time
 	views map[SlotKey]held
+
+	rankedBy *membership.View // for which led was worked out
+	led      []SlotKey
 }
 
 // held is a view as last seen in the key-value service.
@@ -83,8 +90,8 @@
 
 // leads tells whether this daemon leads a slot.
 func (m *Manager) leads(slot SlotKey) bool {
-	ranked := candidates(m.members(), slot)
-	return len(ranked) > 0 && ranked[0].ID == m.selfID
+	owner, found := rendezvous.Owner(rankingKey(slot), m.members().RunningIn(slot.Region))
+	return found && owner == m.selfID
 }
 
 // check looks after the slots led: those in memory, and those that came to this
@@ -92,15 +99,11 @@
 func (m *Manager) check(ctx context.Context, makeMissing bool) {
 	region := m.members().Self().Region
 	left := 0
-	if makeMissing {
+	// Many daemons that start together must not ask the service all at once.
+	if running := len(m.members().RunningIn(region)); makeMissing && rand.IntN(max(1, running)) < makersPerCheck {
 		left = makePerCheck
 	}
-	for number := range uint32(Slots + 1) {
-		slot := SlotKey{region, number}
-		if !m.leads(slot) {
-			m.forget(slot)
-			continue
-		}
+	for _, slot := range m.ledSlots() {
 		m.mutex.Lock()
 		known, read := m.views[slot]
 		m.mutex.Unlock()
@@ -117,10 +120,25 @@
 	}
 }
 
-func (m *Manager) forget(slot SlotKey) {
+// ledSlots returns the slots that this daemon leads and forgets the views of
+// others. It is worked out anew only when members change.
+func (m *Manager) ledSlots() []SlotKey {
+	view := m.members()
+	if view == m.rankedBy {
+		return m.led
+	}
+	m.rankedBy, m.led = view, nil
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	delete(m.views, slot)
+	for number := range uint32(Slots + 1) {
+		slot := SlotKey{view.Self().Region, number}
+		if m.leads(slot) {
+			m.led = append(m.led, slot)
+		} else {
+			delete(m.views, slot)
+		}
+	}
+	return m.led
 }
 
 // errNotLeader tells a gateway to ask another daemon for a view.
--- a/group/view.go
+++ b/group/view.go
@@ -95,10 +95,13 @@
 	return view
 }
 
+// rankingKey is what members are ranked by for a slot.
+func rankingKey(slot SlotKey) string { return "group/" + slot.String() }
+
 // candidates ranks the running members of a slot's region, the first of each zone
 // before any second.
 func candidates(view *membership.View, slot SlotKey) []membership.Member {
-	ranked := rendezvous.Ranked("group/"+slot.String(), view.RunningIn(slot.Region))
+	ranked := rendezvous.Ranked(rankingKey(slot), view.RunningIn(slot.Region))
 	var first, rest []membership.Member
 	zones := map[string]bool{}
 	for _, id := range ranked {
--- a/kv/client.go
+++ b/kv/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -145,7 +146,7 @@
 func (c *Client) call(ctx context.Context, path string, ask, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	response, err := c.post(ctx, path, ask)
+	response, err := c.postPatiently(ctx, path, ask)
 	if err != nil {
 		return err
 	}
@@ -160,6 +161,28 @@
 	return nil
 }
 
+// errRateLimited is the service's refusal of an operation, which did not run.
+var errRateLimited = errors.Wrap(ErrUnavailable, "rate limit of the service")
+
+// limitPause is the wait before an operation is tried again that the service's rate
+// limit turned away; up to as much again is added by chance.
+const limitPause = 50 * time.Millisecond
+
+// postPatiently is post that comes back after the service's rate limit.
+func (c *Client) postPatiently(ctx context.Context, path string, ask any) (*http.Response, error) {
+	for {
+		response, err := c.post(ctx, path, ask)
+		if !errors.Is(err, errRateLimited) {
+			return response, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(limitPause + rand.N(limitPause)):
+		}
+	}
+}
+
 // post sends a question and classes what can go wrong: only an operation that
 // was never sent, or that the rate limit turned away, certainly did not run.
 func (c *Client) post(ctx context.Context, path string, ask any) (*http.Response, error) {
@@ -188,7 +211,7 @@
 	}
 	_ = response.Body.Close()
 	if response.StatusCode == http.StatusTooManyRequests {
-		return nil, errors.Wrap(ErrUnavailable, "rate limit of the service")
+		return nil, errRateLimited
 	}
 	return nil, errors.Wrapf(ErrUncertain, "status %d", response.StatusCode)
 }
--- /dev/null
+++ b/lab/control.go
@@ -0,0 +1,186 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/finchspoke/finchspoke/adminapi"
+	"github.com/finchspoke/finchspoke/settings"
+)
+
+// ControlOptions describe a measurement of the control plane with many daemons in
+// one process.
+type ControlOptions struct {
+	Daemons int
+	Changes int           // settings changes applied one after another
+	Steady  time.Duration // how long the idle cost is measured
+	Log     logrus.FieldLogger
+}
+
+// ControlReport is what control costs a daemon and how fast it is.
+type ControlReport struct {
+	Daemons            int       `json:"daemons"`
+	JoinSeconds        float64   `json:"join_seconds"` // until all know all
+	Spread             Quantiles `json:"spread"`       // a change in force at every daemon
+	GossipBytesPerSec  float64   `json:"gossip_bytes_per_second_per_daemon"`
+	CPUPercent         float64   `json:"cpu_percent_of_core_per_daemon"`
+	HeapBytes          uint64    `json:"heap_bytes_per_daemon"`
+	KeyValueWritesIdle float64   `json:"key_value_writes_per_second_idle"`
+}
+
+const (
+	controlTree = `regions:
+%s
+services:
+  - {name: lm, regions: [region-0], replicas: 2, accelerators: 4, accelerator_memory: 24GiB}
+branches:
+  - name: caller
+    share: %d
+    models:
+      - {name: only, service: lm, version: "1", accelerators: 1, memory: 14GiB}
+`
+	controlRegions  = 4
+	controlZones    = 14
+	controlTimeout  = 3 * time.Minute
+	controlPoll     = 2 * time.Millisecond
+	maxControl      = 400
+	controlSettling = 10 * time.Second
+)
+
+func controlTreeText(share int) string {
+	var regions strings.Builder
+	for region := range controlRegions {
+		var zones []string
+		for zone := region; zone < controlZones; zone += controlRegions {
+			zones = append(zones, fmt.Sprintf("zone-%d", zone))
+		}
+		fmt.Fprintf(&regions, "  - name: region-%d\n    zones: [%s]\n    weight_store: {loads_per_second: 2, concurrent_loads: 8}\n",
+			region, strings.Join(zones, ", "))
+	}
+	return fmt.Sprintf(controlTree, regions.String(), share)
+}
+
+// Control runs daemons over 4 regions and 14 zones in this process and measures.
+func Control(ctx context.Context, options ControlOptions) (ControlReport, error) {
+	if options.Daemons < 1 || options.Daemons > maxControl {
+		return ControlReport{}, errors.Errorf("use 1 to %d daemons", maxControl)
+	}
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	tree, err := settings.Parse(settings.Source{Name: "control", Data: []byte(controlTreeText(1))})
+	if err != nil {
+		return ControlReport{}, err
+	}
+	locations := make([]Location, options.Daemons)
+	for number := range locations {
+		zone := number % controlZones
+		locations[number] = Location{Region: fmt.Sprintf("region-%d", zone%controlRegions), Zone: fmt.Sprintf("zone-%d", zone)}
+	}
+	system, err := StartSystem(Options{Tree: tree, Daemons: locations, Timing: FastTiming(), WeightBytesRate: devWeightRate, Log: options.Log, FewPeers: true})
+	if err != nil {
+		return ControlReport{}, err
+	}
+	defer system.Stop()
+	report := ControlReport{Daemons: options.Daemons}
+	began := time.Now()
+	if err := system.Apply(ctx); err != nil {
+		return report, err
+	}
+	report.JoinSeconds = time.Since(began).Seconds()
+	if err := system.spread(ctx, options.Changes, &report); err != nil {
+		return report, err
+	}
+	return report, system.idle(ctx, options.Steady, &report)
+}
+
+// spread applies changes and measures until each is in force at every daemon.
+func (s *System) spread(ctx context.Context, changes int, report *ControlReport) error {
+	times := hdrhistogram.New(histogramLowest, histogramHighest, histogramDigits)
+	client := adminapi.Client{Address: s.Daemons[0].Addresses().Admin}
+	for change := range changes {
+		var accepted adminapi.Revision
+		began := time.Now()
+		err := client.Post(ctx, adminapi.PathApply, adminapi.Application{BaseRevision: uint64(change + 1), OperationID: uuid.NewString(),
+			Author: "lab", YAML: controlTreeText(change + 2)}, &accepted)
+		if err != nil {
+			return err
+		}
+		for _, started := range s.Daemons {
+			for started.SettingsRevision() < accepted.Number {
+				if ctx.Err() != nil {
+					return errors.Wrapf(ctx.Err(), "revision %d is not in force at %s", accepted.Number, started.ID())
+				}
+				time.Sleep(controlPoll)
+			}
+		}
+		_ = times.RecordValue(time.Since(began).Microseconds()) // within range
+	}
+	report.Spread = quantiles(times)
+	return nil
+}
+
+// idle measures what a daemon costs without requests.
+func (s *System) idle(ctx context.Context, duration time.Duration, report *ControlReport) error {
+	pause := func(wait time.Duration) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+	pause(controlSettling)
+	runtime.GC()
+	before, cpuBefore, writesBefore := s.gossipBytes(), processCPU(), s.KeyValue.History.Count()
+	pause(duration)
+	seconds, daemons := duration.Seconds(), float64(len(s.Daemons))
+	report.GossipBytesPerSec = float64(s.gossipBytes()-before) / seconds / daemons
+	const percent = 100
+	report.CPUPercent = (processCPU() - cpuBefore).Seconds() / seconds / daemons * percent
+	report.KeyValueWritesIdle = float64(s.KeyValue.History.Count()-writesBefore) / seconds
+	var memory runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&memory)
+	report.HeapBytes = memory.HeapAlloc / uint64(len(s.Daemons))
+	return ctx.Err()
+}
+
+// gossipBytes sums what daemons sent and received.
+func (s *System) gossipBytes() uint64 {
+	total := uint64(0)
+	for _, started := range s.Daemons {
+		sent, received := started.GossipTraffic()
+		total += sent + received
+	}
+	return total
+}
+
+// processCPU is the processor time that this process has used.
+func processCPU() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// WriteText writes the report for people.
+func (r ControlReport) WriteText(writer io.Writer) error {
+	lines := []string{
+		fmt.Sprintf("%d daemons; all know all after %.1f s", r.Daemons, r.JoinSeconds),
+		"a change in force everywhere  " + r.Spread.String(),
+		fmt.Sprintf("idle, per daemon: membership %.0f B/s sent and received, %.2f%% of a core, %.2f MB of heap",
+			r.GossipBytesPerSec, r.CPUPercent, float64(r.HeapBytes)/float64(settings.MiB)),
+		fmt.Sprintf("key-value writes, idle, all daemons: %.2f a second", r.KeyValueWritesIdle),
+	}
+	_, err := fmt.Fprintln(writer, strings.Join(lines, "\n"))
+	return errors.Wrap(err, "write report")
+}
--- a/lab/system.go
+++ b/lab/system.go
@@ -40,9 +40,14 @@
 	WeightBytesRate float64 // of one load from the weight store, bytes a second
 	KeyValueRate    float64 // operations a second; zero means the default
 	ProbeInterval   time.Duration
-	Log             logrus.FieldLogger
+	// FewPeers gives each daemon the first three as peers only, as in production.
+	FewPeers bool
+	Log      logrus.FieldLogger
 }
 
+// fewPeers is how many daemons others are told of with FewPeers.
+const fewPeers = 3
+
 // FastTiming is that of engines that cost a test little time.
 func FastTiming() engines.Timing {
 	timing := engines.DefaultTiming()
@@ -184,7 +189,11 @@
 	if s.options.ProbeInterval > 0 {
 		settingsFile.ProbeInterval = s.options.ProbeInterval
 	}
-	for _, peer := range s.Daemons {
+	peers := s.Daemons
+	if s.options.FewPeers {
+		peers = peers[:min(fewPeers, len(peers))]
+	}
+	for _, peer := range peers {
 		settingsFile.Peers = append(settingsFile.Peers, peer.Addresses().RPC)
 	}
 	started, err := daemon.New(settingsFile, s.options.Log)
--- a/membership/core.go
+++ b/membership/core.go
@@ -97,6 +97,8 @@
 	spreadFactor = 3
 	// announceFanout is how many members hear urgent news at once.
 	announceFanout = 3
+	// announceTicks is for how many ticks it is repeated to others.
+	announceTicks = 3
 )
 
 // Core is the state machine. It is not safe for concurrent use.
@@ -114,6 +116,8 @@
 	revision uint64 // of the settings in force here
 	heard    map[string]uint64
 	changed  bool
+	// announcements are the ticks in which urgent news is still repeated.
+	announcements int
 }
 
 type probe struct {
@@ -175,6 +179,7 @@
 		return nil
 	}
 	c.revision = revision
+	c.announcements = announceTicks
 	return c.announce()
 }
 
@@ -194,6 +199,7 @@
 	c.self.Since = now
 	c.changed = true
 	c.spread(c.self)
+	c.announcements = announceTicks
 	return c.announce()
 }
 
@@ -202,6 +208,10 @@
 func (c *Core) Tick(now time.Time) []Envelope {
 	envelopes := c.lateProbes(now)
 	c.overdue(now)
+	if c.announcements > 0 {
+		c.announcements--
+		envelopes = append(envelopes, c.announce()...)
+	}
 	if now.Before(c.nextTick) {
 		return envelopes
 	}
@@ -259,16 +269,23 @@
 
 // overdue declares suspects dead and forgets the long dead.
 func (c *Core) overdue(now time.Time) {
-	for _, id := range sortedKeys(c.members) {
-		member := c.members[id]
+	var due []string
+	for id, member := range c.members {
 		age := now.Sub(member.Since)
-		switch {
-		case member.Status == Suspect && age >= c.config.SuspicionTimeout:
+		if (member.Status == Suspect && age >= c.config.SuspicionTimeout) || (!member.Running() && age >= c.config.ForgetAfter) {
+			due = append(due, id)
+		}
+	}
+	slices.Sort(due)
+	for _, id := range due {
+		member := c.members[id]
+		if member.Status == Suspect {
 			c.adopt(member, Dead, member.Incarnation, now)
-		case !member.Running() && age >= c.config.ForgetAfter:
-			delete(c.members, id)
-			delete(c.heard, id)
+			continue
 		}
+		delete(c.members, id)
+		delete(c.heard, id)
+		c.changed = true
 	}
 }
 
@@ -357,6 +374,18 @@
 	return nil
 }
 
+// LearnList takes in a peer's whole list that this daemon asked for. Members that
+// are new to it and alive are no news to others, who have lists of their own.
+func (c *Core) LearnList(now time.Time, members []*rpc.Member) {
+	for _, claimed := range members {
+		known := c.members[claimed.GetId()] != nil || claimed.GetId() == c.self.ID
+		c.Learn(now, claimed)
+		if !known && Status(claimed.GetStatus()) == Alive {
+			delete(c.news, claimed.GetId())
+		}
+	}
+}
+
 // Learn takes in a claim about a member.
 func (c *Core) Learn(now time.Time, claimed *rpc.Member) {
 	if claimed.GetId() == "" {
--- a/membership/service.go
+++ b/membership/service.go
@@ -27,6 +27,7 @@
 	joinPause = 300 * time.Millisecond
 	// repairInterval is how often whole member lists are exchanged.
 	repairInterval = time.Minute
+	firstRepair    = 500 * time.Millisecond
 	// rejoinInterval is how often seeds that are not known as running are tried,
 	// which joins the two sides of a healed partition.
 	rejoinInterval = 5 * time.Second
@@ -259,14 +260,23 @@
 		}
 		pause(ctx, joinPause)
 	}
-	nextRepair := time.Now().Add(repairInterval)
+	// At first whole lists are exchanged often: many that start together would
+	// take long to find each other by news alone.
+	interval := firstRepair
+	nextRepair := time.Now().Add(interval)
+	nextRejoin := time.Now().Add(rejoinInterval)
 	for ctx.Err() == nil {
-		pause(ctx, rejoinInterval)
-		for _, seed := range s.lostSeeds() {
-			_ = s.syncWith(ctx, seed)
+		pause(ctx, joinPause)
+		now := time.Now()
+		if now.After(nextRejoin) {
+			nextRejoin = now.Add(rejoinInterval)
+			for _, seed := range s.lostSeeds() {
+				_ = s.syncWith(ctx, seed)
+			}
 		}
-		if time.Now().After(nextRepair) {
-			nextRepair = time.Now().Add(repairInterval)
+		if now.After(nextRepair) {
+			interval = min(2*interval, repairInterval)
+			nextRepair = now.Add(interval)
 			if peer := s.randomPeer(); peer != "" {
 				_ = s.syncWith(ctx, peer)
 			}
@@ -324,23 +334,22 @@
 	if err != nil {
 		return errors.Wrap(err, "exchange members")
 	}
-	s.learnAll(answer)
+	s.update(func(now time.Time) []Envelope {
+		s.core.LearnList(now, answer.GetMembers())
+		return nil
+	})
 	return nil
 }
 
 // Sync implements the Membership rpc.
 func (s *Service) Sync(_ context.Context, list *rpc.MemberList) (*rpc.MemberList, error) {
-	s.learnAll(list)
-	return s.list(), nil
-}
-
-func (s *Service) learnAll(list *rpc.MemberList) {
 	s.update(func(now time.Time) []Envelope {
 		for _, member := range list.GetMembers() {
 			s.core.Learn(now, member)
 		}
 		return nil
 	})
+	return s.list(), nil
 }
 
 func (s *Service) list() *rpc.MemberList {
--- a/rendezvous/rendezvous.go
+++ b/rendezvous/rendezvous.go
@@ -4,6 +4,7 @@
 package rendezvous
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,16 +33,20 @@
 
 // Ranked returns the members from highest to lowest score for the key.
 func Ranked(key string, memberIDs []string) []string {
-	ranked := slices.Clone(memberIDs)
-	slices.SortFunc(ranked, func(a, b string) int {
-		scoreA, scoreB := Score(key, a), Score(key, b)
-		switch {
-		case scoreA > scoreB || (scoreA == scoreB && a < b):
-			return -1
-		case a == b:
-			return 0
-		}
-		return 1
+	type scored struct {
+		id    string
+		score uint64
+	}
+	members := make([]scored, 0, len(memberIDs))
+	for _, id := range memberIDs {
+		members = append(members, scored{id, Score(key, id)})
+	}
+	slices.SortFunc(members, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
 	})
+	ranked := make([]string, 0, len(members))
+	for _, member := range members {
+		ranked = append(ranked, member.id)
+	}
 	return ranked
 }
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -78,6 +78,13 @@
 	return append([]T(nil), h.entries...)
 }
 
+// Count is how many entries were ever recorded.
+func (h *History[T]) Count() int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return len(h.entries) + h.dropped
+}
+
 // Dropped is the count of entries no longer kept; a check that needs a whole
 // history must see zero.
 func (h *History[T]) Dropped() int {
