--- a/adminapi/adminapi.go
+++ b/adminapi/adminapi.go
@@ -7,6 +7,8 @@
 //	GET  /v1/settings/revisions/{number}    Revision
 //	GET  /v1/settings/history               []Revision, without YAML
 //	POST /v1/settings/apply                 Application, answered by a Revision
+//	GET  /v1/explain/model/{name}           Explanation
+//	GET  /v1/explain/request/{id}           gateway.Ended
 //	POST /v1/drain                          begins a planned stop
 package adminapi
 
@@ -31,6 +33,9 @@
 	PathHistory   = "/v1/settings/history"
 	PathApply     = "/v1/settings/apply"
 	PathDrain     = "/v1/drain"
+
+	PathExplainModel   = "/v1/explain/model/"
+	PathExplainRequest = "/v1/explain/request/"
 )
 
 // Member is a daemon as another knows it.
@@ -66,6 +71,11 @@
 	Placement        *Placement         `json:"placement,omitempty"`
 }
 
+// Explanation says why a model is, or is not, where it is.
+type Explanation struct {
+	Lines []string `json:"lines"`
+}
+
 // Revision is an accepted state of the settings tree.
 type Revision struct {
 	Number      uint64    `json:"revision"`
--- a/command/command.go
+++ b/command/command.go
@@ -27,6 +27,10 @@
 			{Name: "history", Short: "List accepted revisions", Data: &historyCommand{}},
 			{Name: "hash-key", Short: "Hash an API key for the settings", Data: &hashKeyCommand{}},
 		}},
+		{Name: "explain", Short: "Say why", Commands: []cli.Command{
+			{Name: "model", Short: "Why a model or adapter is, or is not, loaded where it is", Data: &explainModelCommand{}},
+			{Name: "request", Short: "How a request ended at a daemon, and why", Data: &explainRequestCommand{}},
+		}},
 		{Name: "status", Short: "Show a daemon's state", Data: &statusCommand{}},
 		{Name: "drain", Short: "Begin a planned stop of a daemon", Data: &drainCommand{}},
 		{Name: "version", Short: "Print the version", Data: &versionCommand{}},
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -17,6 +17,7 @@
 
 	"github.com/finchspoke/finchspoke/adminapi"
 	"github.com/finchspoke/finchspoke/failure"
+	"github.com/finchspoke/finchspoke/rpc"
 	"github.com/finchspoke/finchspoke/settings"
 )
 
@@ -65,6 +66,8 @@
 	mux.HandleFunc("GET "+adminapi.PathHistory, a.guarded(a.history))
 	mux.HandleFunc("POST "+adminapi.PathApply, a.guarded(a.apply))
 	mux.HandleFunc("POST "+adminapi.PathDrain, a.guarded(a.drain))
+	mux.HandleFunc("GET "+adminapi.PathExplainModel+"{name}", a.guarded(a.explainModel))
+	mux.HandleFunc("GET "+adminapi.PathExplainRequest+"{id}", a.guarded(a.explainRequest))
 	mux.HandleFunc("GET /debug/pprof/", a.profiles)
 	return mux
 }
@@ -222,6 +225,45 @@
 	return describe(revision), nil
 }
 
+// explainModel names the model's home and asks the region's placer for the rest.
+func (a *adminServer) explainModel(httpRequest *http.Request) (any, error) {
+	d := a.daemon
+	name := httpRequest.PathValue("name")
+	current := d.settings.Current()
+	if current == nil {
+		return nil, failure.New(failure.Unavailable, "try again shortly", "this daemon has no settings yet")
+	}
+	target, found := current.Tree.Targets[name]
+	if !found {
+		return nil, failure.New(failure.InvalidRequest, "check the name with `finchspoke settings render`",
+			"%s is not declared in settings revision %d", name, current.Number)
+	}
+	model := current.Tree.Models[target.Model]
+	view := d.members.View()
+	home, found := view.Home(model.Name, model.ServiceRegions)
+	if !found {
+		return adminapi.Explanation{Lines: []string{"no daemon runs in a region that serves " + model.Name}}, nil
+	}
+	placer, _ := view.Placer(home.Region)
+	answer, err := rpc.NewDRPCExplainClient(d.pool.To(httpRequest.Context(), placer.RPCAddress)).
+		Model(httpRequest.Context(), &rpc.ExplainModel{Target: name})
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Unavailable, "try again shortly", "the placer of %s, %s, did not answer", home.Region, placer.ID)
+	}
+	first := "requests through this daemon queue at home " + home.ID + "; " + placer.ID + " places for " + home.Region
+	return adminapi.Explanation{Lines: append([]string{first}, answer.GetLines()...)}, nil
+}
+
+func (a *adminServer) explainRequest(httpRequest *http.Request) (any, error) {
+	id := httpRequest.PathValue("id")
+	ended, found := a.daemon.gateway.EndedRequest(id)
+	if !found {
+		return nil, failure.New(failure.InvalidRequest, "ask the daemon that served it, or search the logs for request_id",
+			"request %s is not among those that ended here last", id)
+	}
+	return ended, nil
+}
+
 func (a *adminServer) drain(*http.Request) (any, error) {
 	a.daemon.BeginDrain()
 	return struct{}{}, nil
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -225,7 +225,7 @@
 	for _, err := range []error{
 		rpc.DRPCRegisterHome(mux, d.home), rpc.DRPCRegisterPlacer(mux, d.placer),
 		rpc.DRPCRegisterMembership(mux, d.members), rpc.DRPCRegisterSettings(mux, spread),
-		rpc.DRPCRegisterGroups(mux, claims),
+		rpc.DRPCRegisterGroups(mux, claims), rpc.DRPCRegisterExplain(mux, d.placer),
 	} {
 		if err != nil {
 			panic(err) // a service registered twice: a mistake in this function
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -53,6 +53,7 @@
 	http       *http.Server
 	metrics    *metrics
 	budget     *retryBudget
+	lastEnded  endedRing
 	background sync.WaitGroup // keyed requests whose caller may be gone
 }
 
@@ -121,6 +122,8 @@
 	writeError(writer, failed, requestID)
 	s.metrics.requests.WithLabelValues("none", string(failed.Kind)).Inc()
 	s.Log.WithFields(logrus.Fields{"request_id": requestID, "outcome": failed.Kind}).Info("request refused")
+	s.lastEnded.add(Ended{RequestID: requestID, Outcome: string(failed.Kind), Message: failed.Message, Remedy: failed.Remedy,
+		Execution: failed.Execution, EndedAt: time.Now().UTC()})
 }
 
 // finish counts and logs a call's end.
@@ -141,6 +144,15 @@
 		entry = entry.WithField("cause", failed.Unwrap().Error())
 	}
 	entry.Info("request ended")
+	ended := Ended{
+		RequestID: made.id, Branch: made.branch.Path, Model: made.target.Name, Class: made.class.String(), Outcome: outcome,
+		Execution: execution, Home: made.log.home, Engine: made.log.engine, WaitedMs: made.log.waited.Milliseconds(),
+		FirstByteMs: made.log.firstByte.Milliseconds(), DurationMs: time.Since(made.arrived).Milliseconds(), EndedAt: time.Now().UTC(),
+	}
+	if failed != nil {
+		ended.Message, ended.Remedy = failed.Message, failed.Remedy
+	}
+	s.lastEnded.add(ended)
 }
 
 // modelObject is a model in the OpenAI form.
--- a/lab/command/dev.go
+++ b/lab/command/dev.go
@@ -23,6 +23,8 @@
 			Long: "Sends requests at a fixed rate, whatever the answers take (open loop), and reports times and outcomes."},
 		{Name: "control", Short: "Measure the control plane with many daemons in this process", Data: &controlCommand{},
 			Long: "Runs daemons over 4 regions and 14 zones in this process and reports how fast a settings change is in force everywhere, and what membership and idle control cost a daemon."},
+		{Name: "overload", Short: "Measure at and beyond capacity, all classes together", Data: &overloadCommand{},
+			Long: "Runs three daemons and two engine stand-ins in this process and sends interactive, standard and bulk requests together at multiples of what the engines carry."},
 		{Name: "overhead", Short: "Measure what finchspoke adds to a request", Data: &overheadCommand{},
 			Long: "Starts real processes on loopback (the programs beside this one), sends requests through two daemons and to the engine directly in turn, and reports times, processor time and memory."},
 	}
--- a/lab/system_test.go
+++ b/lab/system_test.go
@@ -15,6 +15,7 @@
 	"github.com/openai/openai-go/v3/option"
 	"github.com/stretchr/testify/require"
 
+	"github.com/finchspoke/finchspoke/adminapi"
 	"github.com/finchspoke/finchspoke/engine"
 	"github.com/finchspoke/finchspoke/examples"
 	"github.com/finchspoke/finchspoke/gateway"
@@ -335,6 +336,24 @@
 	return machinelist.Machine{}
 }
 
+func TestExplainModelAndRequest(t *testing.T) {
+	system, ctx := startSystem(t)
+	answer, err := lab.Ask(ctx, lab.AskOptions{Address: system.Daemons[0].Addresses().Gateway, Key: "sample-key-designers",
+		Model: "proof-check-sk.dairy", Prompt: "explained", MaxTokens: 2})
+	require.NoError(t, err)
+	require.True(t, answer.Whole, answer.Text)
+	admin := adminapi.Client{Address: system.Daemons[1].Addresses().Admin}
+	var loaded, idle adminapi.Explanation
+	require.NoError(t, admin.Get(ctx, adminapi.PathExplainModel+"proof-check-sk.dairy", &loaded))
+	require.Contains(t, strings.Join(loaded.Lines, "\n"), "replica on "+answer.Header.Get(gateway.HeaderEngine))
+	require.NoError(t, admin.Get(ctx, adminapi.PathExplainModel+"next-pick-renca", &idle))
+	require.Contains(t, strings.Join(idle.Lines, "\n"), "no replica is planned")
+	var ended gateway.Ended
+	require.NoError(t, adminapi.Client{Address: system.Daemons[0].Addresses().Admin}.Get(ctx, adminapi.PathExplainRequest+answer.Header.Get("X-Request-Id"), &ended))
+	require.Equal(t, "answered", ended.Outcome)
+	require.Error(t, admin.Get(ctx, adminapi.PathExplainRequest+"unknown", &ended))
+}
+
 // TestDevHolds runs what `make dev` runs.
 func TestDevHolds(t *testing.T) {
 	var output strings.Builder
--- /dev/null
+++ b/placer/explain.go
@@ -0,0 +1,18 @@
+package placer
+
+import (
+	"context"
+	"time"
+
+	"github.com/finchspoke/finchspoke/placement"
+	"github.com/finchspoke/finchspoke/rpc"
+)
+
+// Model implements the Explain rpc.
+func (s *Service) Model(_ context.Context, ask *rpc.ExplainModel) (*rpc.Explanation, error) {
+	term, current := s.leading.Load(), s.Settings.Current()
+	if term == nil || current == nil {
+		return nil, errNotLeading
+	}
+	return &rpc.Explanation{Lines: placement.Explain(term.cell.snapshot(time.Now(), current.Tree), ask.GetTarget())}, nil
+}
