Refuse at once what can no longer end by its deadline

Cause: at 4 times capacity requests were granted so late that their answers were cut at the deadline. Change: a home keeps the mean service, and by tokens asked for, and refuses (not run) a request whose expected service does not fit before its deadline, when it comes, while it waits and before it is granted.

--- a/queue/queue.go
+++ b/queue/queue.go
@@ -80,6 +80,8 @@
 	dispatchMargin = 20 * time.Millisecond
 	// serviceWeight is the weight of a new sample in the mean service time.
 	serviceWeight = 0.1
+	// leastServiceShare of the expected service must fit before the deadline.
+	leastServiceShare = 0.9
 	// retryAfterLeast is the least advice when to come back.
 	retryAfterLeast = time.Second
 )
@@ -96,6 +98,7 @@
 	running     map[string]runningItem
 	lastUsed    map[string]time.Time // by target
 	meanService time.Duration        // zero until the first sample
+	perToken    time.Duration        // mean of service by tokens asked for
 	readyAt     time.Time            // when a first replica is expected; zero unknown
 	byClass     [request.ClassCount]int
 	sequence    uint64
@@ -107,6 +110,7 @@
 	target    string
 	replicaID string
 	branch    string // empty if restored
+	tokens    int    // asked for; zero if restored
 }
 
 // slots is a replica with what runs on it.
@@ -168,7 +172,7 @@
 			Message: fmt.Sprintf("branch %s already has %d requests waiting for %s", item.Branch, state.waiting, q.model)}}
 	case !item.Deadline.After(now.Add(dispatchMargin)):
 		return []Action{expired(item, wait)}
-	case known && now.Add(wait).After(item.Deadline):
+	case known && now.Add(wait).After(q.usefulUntil(item)):
 		return []Action{Refusal{Item: item, Kind: failure.DeadlineTooShort, RetryAfter: max(wait, retryAfterLeast),
 			Message: fmt.Sprintf("%s is expected to be free in %s, after the deadline", item.Target, wait.Round(time.Millisecond))}}
 	}
@@ -182,7 +186,7 @@
 
 func expired(item Item, wait time.Duration) Refusal {
 	return Refusal{Item: item, Kind: failure.DeadlineExceeded, RetryAfter: max(wait, retryAfterLeast),
-		Message: fmt.Sprintf("the deadline passed while the request waited for %s", item.Target)}
+		Message: fmt.Sprintf("the request waited for %s until its deadline could no longer be met", item.Target)}
 }
 
 // estimate is the time until an item would be granted, and whether enough is
@@ -261,17 +265,35 @@
 		q.dropIfGone(replica)
 	}
 	if service > 0 && !engineFailed {
-		q.observe(service)
+		q.observe(service, held.tokens)
 	}
 	return q.fill(now)
 }
 
-func (q *Queue) observe(service time.Duration) {
-	if q.meanService == 0 {
-		q.meanService = service
+func (q *Queue) observe(service time.Duration, tokens int) {
+	blend(&q.meanService, service)
+	if tokens > 0 {
+		blend(&q.perToken, service/time.Duration(tokens))
+	}
+}
+
+// blend moves a mean towards a new sample.
+func blend(mean *time.Duration, sample time.Duration) {
+	if *mean == 0 {
+		*mean = sample
 		return
 	}
-	q.meanService += time.Duration(serviceWeight * float64(service-q.meanService))
+	*mean += time.Duration(serviceWeight * float64(sample-*mean))
+}
+
+// usefulUntil is when an item's dispatch can no longer end by its deadline, judged
+// by the kinder of the mean service and the mean for its tokens.
+func (q *Queue) usefulUntil(item Item) time.Time {
+	least := q.meanService
+	if item.Tokens > 0 && q.perToken > 0 {
+		least = min(least, q.perToken*time.Duration(item.Tokens))
+	}
+	return item.Deadline.Add(-dispatchMargin - time.Duration(leastServiceShare*float64(least)))
 }
 
 func (q *Queue) suspend(replica *slots, now time.Time) {
@@ -398,7 +420,7 @@
 	var actions []Action
 	wait := q.readyAt.Sub(now)
 	for _, waiting := range q.sortedItems() {
-		if q.readyAt.After(waiting.item.Deadline) {
+		if q.readyAt.After(q.usefulUntil(waiting.item)) {
 			q.remove(waiting)
 			actions = append(actions, Refusal{Item: waiting.item, Kind: failure.DeadlineTooShort, RetryAfter: max(wait, retryAfterLeast),
 				Message: fmt.Sprintf("%s is expected to be loaded in %s, after the deadline", waiting.item.Target, wait.Round(time.Millisecond))})
@@ -414,7 +436,7 @@
 	for _, waiting := range q.lanes {
 		for class := range waiting.classes {
 			for _, items := range waiting.classes[class] {
-				for items.Len() > 0 && !(*items)[0].item.Deadline.After(now.Add(dispatchMargin)) {
+				for items.Len() > 0 && !q.usefulUntil((*items)[0].item).After(now) {
 					late := (*items)[0]
 					wait, _ := q.estimate(now, late.item)
 					q.remove(late)
@@ -468,11 +490,17 @@
 		if next == nil {
 			return actions
 		}
+		if !q.usefulUntil(next.item).After(now) {
+			wait, _ := q.estimate(now, next.item)
+			q.remove(next)
+			actions = append(actions, expired(next.item, wait))
+			continue
+		}
 		state := q.branch(next.item.Branch)
 		q.virtualTime = state.virtual
 		state.virtual += 1 / float64(next.item.Share)
 		q.remove(next)
-		q.run(next.item.ID, runningItem{owner: next.item.Owner, target: next.item.Target, replicaID: replica.ID, branch: next.item.Branch})
+		q.run(next.item.ID, runningItem{owner: next.item.Owner, target: next.item.Target, replicaID: replica.ID, branch: next.item.Branch, tokens: next.item.Tokens})
 		q.affinity.remember(next.item.Prefix, replica.ID)
 		actions = append(actions, Grant{Item: next.item, Replica: replica.Replica})
 	}
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -81,6 +81,18 @@
 	require.Equal(t, "long", refusal.Item.ID, "told when it became hopeless, not at its deadline")
 }
 
+func TestNothingIsGrantedThatCannotEndInTime(t *testing.T) {
+	held := queue.New("m", 1)
+	held.SetReplicas(start, replicas("e"), -1)
+	require.Equal(t, []string{"first"}, grants(held.Submit(start, item("first", request.Standard, "a", time.Minute))))
+	require.Empty(t, held.Submit(start, item("tight", request.Standard, "a", 5*time.Second)))
+	require.Empty(t, held.Submit(start, item("roomy", request.Standard, "a", 8*time.Second)))
+	now := start.Add(2 * time.Second)
+	actions := held.Release(now, "first", false, 4*time.Second) // a request takes 4 s
+	require.Equal(t, failure.DeadlineExceeded, actions[0].(queue.Refusal).Kind)
+	require.Equal(t, []string{"roomy"}, grants(actions))
+}
+
 func TestFailingReplicaRestsWhileOthersServe(t *testing.T) {
 	held := queue.New("m", 10)
 	held.SetReplicas(start, replicas("e1", "e2"), -1)
