--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -182,6 +182,9 @@
 // GossipTraffic returns the bytes of membership packets sent and received so far.
 func (d *Daemon) GossipTraffic() (sent, received uint64) { return d.members.Traffic() }
 
+// PlacerEpoch returns the epoch in which this daemon places; zero if it does not.
+func (d *Daemon) PlacerEpoch() uint64 { return d.placer.Epoch() }
+
 // ID returns the daemon's id.
 func (d *Daemon) ID() string { return d.config.ID }
 
--- a/home/server.go
+++ b/home/server.go
@@ -167,8 +167,12 @@
 		s.dirty[restored.GetBaseModel()] = true
 	case message.GetSubmit() != nil:
 		submit := message.GetSubmit()
-		s.carryOut(submit.GetBaseModel(), s.queue(submit.GetBaseModel()).Submit(now, s.item(l.gatewayID, submit, now)))
-		s.signalUrgent()
+		held := s.queue(submit.GetBaseModel())
+		waited := held.IsWaiting(submit.GetTarget())
+		s.carryOut(submit.GetBaseModel(), held.Submit(now, s.item(l.gatewayID, submit, now)))
+		if !waited && held.IsWaiting(submit.GetTarget()) {
+			s.signalUrgent() // the placer learns of the first that waits at once, of others soon
+		}
 	case message.GetCancel() != nil:
 		s.withQueueOf(message.GetCancel().GetBaseModel(), func(held *queue.Queue) []queue.Action {
 			held.Cancel(message.GetCancel().GetRequestId())
--- a/lab/control.go
+++ b/lab/control.go
@@ -36,6 +36,9 @@
 	CPUPercent         float64   `json:"cpu_percent_of_core_per_daemon"`
 	HeapBytes          uint64    `json:"heap_bytes_per_daemon"`
 	KeyValueWritesIdle float64   `json:"key_value_writes_per_second_idle"`
+	// TakeOverSeconds is from the sudden end of a region's placer until another
+	// leads; zero where the region has one daemon.
+	TakeOverSeconds float64 `json:"take_over_seconds"`
 }
 
 const (
@@ -100,7 +103,41 @@
 	if err := system.spread(ctx, options.Changes, &report); err != nil {
 		return report, err
 	}
-	return report, system.idle(ctx, options.Steady, &report)
+	if err := system.idle(ctx, options.Steady, &report); err != nil {
+		return report, err
+	}
+	return report, system.takeOver(ctx, &report)
+}
+
+// takeOver ends the placer of a region without notice and waits for the next.
+func (s *System) takeOver(ctx context.Context, report *ControlReport) error {
+	const region = "region-0"
+	inRegion := 0
+	placing := ""
+	for index, started := range s.Daemons {
+		if s.options.Daemons[index].Region != region {
+			continue
+		}
+		inRegion++
+		if started.PlacerEpoch() > 0 {
+			placing = started.ID()
+		}
+	}
+	if inRegion < 2 || placing == "" {
+		return nil
+	}
+	began := time.Now()
+	s.stops[placing]()
+	for ctx.Err() == nil {
+		for index, started := range s.Daemons {
+			if s.options.Daemons[index].Region == region && started.ID() != placing && started.PlacerEpoch() > 0 {
+				report.TakeOverSeconds = time.Since(began).Seconds()
+				return nil
+			}
+		}
+		time.Sleep(controlPoll)
+	}
+	return errors.Wrap(ctx.Err(), "no other daemon took the placer's place")
 }
 
 // spread applies changes and measures until each is in force at every daemon.
@@ -180,6 +217,7 @@
 		fmt.Sprintf("idle, per daemon: membership %.0f B/s sent and received, %.2f%% of a core, %.2f MB of heap",
 			r.GossipBytesPerSec, r.CPUPercent, float64(r.HeapBytes)/float64(settings.MiB)),
 		fmt.Sprintf("key-value writes, idle, all daemons: %.2f a second", r.KeyValueWritesIdle),
+		fmt.Sprintf("placer ended without notice; another leads after %.1f s", r.TakeOverSeconds),
 	}
 	_, err := fmt.Fprintln(writer, strings.Join(lines, "\n"))
 	return errors.Wrap(err, "write report")
--- a/lab/overhead.go
+++ b/lab/overhead.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"github.com/finchspoke/finchspoke/gateway"
@@ -29,6 +30,7 @@
 type OverheadReport struct {
 	Direct            Quantiles `json:"direct_first_token"`
 	Through           Quantiles `json:"through_first_token"`
+	Keyed             Quantiles `json:"keyed_first_token"` // through, with an idempotency key
 	DirectPerTokenMs  float64   `json:"direct_per_token_ms"`
 	ThroughPerTokenMs float64   `json:"through_per_token_ms"`
 	GatewayRequestUs  float64   `json:"gateway_cpu_us_per_request"`
@@ -143,7 +145,7 @@
 // findHome tells the daemons apart by who is home to the model.
 func (r *overheadRun) findHome(ctx context.Context, daemons []*processes.Daemon) error {
 	r.gateway, r.home = daemons[0], daemons[1]
-	answer, err := r.ask(ctx, true, 1)
+	answer, err := r.ask(ctx, through, 1)
 	if err != nil {
 		return err
 	}
@@ -151,25 +153,38 @@
 		r.gateway, r.home = daemons[1], daemons[0]
 	}
 	for range warmRequests {
-		if _, err := r.ask(ctx, true, overheadTokens); err != nil {
-			return err
-		}
-		if _, err := r.ask(ctx, false, overheadTokens); err != nil {
-			return err
+		for way := range overheadWays {
+			if _, err := r.ask(ctx, way, overheadTokens); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
 }
 
+// overheadWay is how a request is sent.
+type overheadWay int
+
+const (
+	direct overheadWay = iota
+	through
+	keyed
+	overheadWays
+)
+
 // ask sends one stream, through the daemons or to the engine directly.
-func (r *overheadRun) ask(ctx context.Context, through bool, tokens int) (Answer, error) {
+func (r *overheadRun) ask(ctx context.Context, way overheadWay, tokens int) (Answer, error) {
 	r.number++
-	address := r.engine.Address
-	if through {
-		address = r.gateway.Gateway
+	address := r.gateway.Gateway
+	headers := map[string]string{}
+	switch way {
+	case direct:
+		address = r.engine.Address
+	case keyed:
+		headers[gateway.HeaderIdempotencyKey] = uuid.NewString()
 	}
 	answer, err := Ask(ctx, AskOptions{Address: address, Key: overheadKey, Model: overheadModel,
-		Prompt: fmt.Sprintf("request %d", r.number), MaxTokens: tokens, Stream: true})
+		Prompt: fmt.Sprintf("request %d", r.number), MaxTokens: tokens, Stream: true, Headers: headers})
 	if err == nil && !answer.Whole {
 		err = errors.Errorf("request %d ended with status %d: %s", r.number, answer.Status, answer.Text)
 	}
@@ -178,14 +193,14 @@
 
 // times sends requests both ways in turn.
 func (r *overheadRun) times(ctx context.Context, report *OverheadReport) error {
-	var first [2]*hdrhistogram.Histogram
-	var perToken [2]time.Duration
+	var first [overheadWays]*hdrhistogram.Histogram
+	var perToken [overheadWays]time.Duration
 	for way := range first {
 		first[way] = hdrhistogram.New(histogramLowest, histogramHighest, histogramDigits)
 	}
 	for range r.Requests {
 		for way := range first {
-			answer, err := r.ask(ctx, way == 1, overheadTokens)
+			answer, err := r.ask(ctx, overheadWay(way), overheadTokens)
 			if err != nil {
 				return err
 			}
@@ -193,9 +208,9 @@
 			perToken[way] += (answer.Total - answer.FirstByte) / (overheadTokens - 1)
 		}
 	}
-	report.Direct, report.Through = quantiles(first[0]), quantiles(first[1])
-	report.DirectPerTokenMs = milliseconds(perToken[0]) / float64(r.Requests)
-	report.ThroughPerTokenMs = milliseconds(perToken[1]) / float64(r.Requests)
+	report.Direct, report.Through, report.Keyed = quantiles(first[direct]), quantiles(first[through]), quantiles(first[keyed])
+	report.DirectPerTokenMs = milliseconds(perToken[direct]) / float64(r.Requests)
+	report.ThroughPerTokenMs = milliseconds(perToken[through]) / float64(r.Requests)
 	return nil
 }
 
@@ -239,7 +254,7 @@
 		return 0, 0, err
 	}
 	for range requests {
-		if _, err := r.ask(ctx, true, tokens); err != nil {
+		if _, err := r.ask(ctx, through, tokens); err != nil {
 			return 0, 0, err
 		}
 	}
@@ -252,6 +267,7 @@
 	lines := []string{
 		"first token, direct   " + r.Direct.String(),
 		"first token, through  " + r.Through.String(),
+		"first token, keyed    " + r.Keyed.String(),
 		fmt.Sprintf("added to the first token: p50 %.3f ms, p99 %.3f ms", r.Through.P50-r.Direct.P50, r.Through.P99-r.Direct.P99),
 		fmt.Sprintf("time between tokens: direct %.3f ms, through %.3f ms", r.DirectPerTokenMs, r.ThroughPerTokenMs),
 		fmt.Sprintf("processor time: gateway %.0f us and home %.0f us a request; gateway %.2f ms per 1000 tokens",
