Prove a long cut between members, and a reclaimed machine

TestSidesOfALongCutFindEachOther failed at first: a list fetched after a cut was not passed on, so the other members of a side did not hear of the other side. Only a daemon that knew nobody keeps a fetched list to itself now. TestReclaimedMachine: an engine killed under six streams that may not be repeated; each ends truly, and the model serves from another engine.

--- a/integration/control_test.go
+++ b/integration/control_test.go
@@ -11,9 +11,11 @@
 
 	"github.com/finchspoke/finchspoke/adminapi"
 	"github.com/finchspoke/finchspoke/lab/processes"
+	"github.com/finchspoke/finchspoke/machinelist"
 	"github.com/finchspoke/finchspoke/settings"
 	"github.com/finchspoke/finchspoke/standin/engines"
 	"github.com/finchspoke/finchspoke/standin/keyvalue"
+	"github.com/finchspoke/finchspoke/standin/machines"
 	"github.com/finchspoke/finchspoke/standin/weights"
 )
 
@@ -118,6 +120,46 @@
 	c.judgePlacement()
 }
 
+// TestReclaimedMachine kills the engine that serves while streams run there, then
+// takes its machine off the list.
+func TestReclaimedMachine(t *testing.T) {
+	c := startCluster(t)
+	defer c.logs()
+	c.answered(0, "alpha", "before")
+	const streams = 6
+	results := make(chan asked, streams)
+	for number := range streams {
+		go func() {
+			results <- c.ask(number%daemonCount, asked{model: "alpha", prompt: fmt.Sprintf("running %d", number), tokens: 600, stream: true, noRepeat: true}, nil)
+		}()
+	}
+	require.Eventually(t, func() bool { return len(startsByPrompt(c.history())) == 1+streams }, 20*time.Second, 10*time.Millisecond)
+	starts := startsByPrompt(c.history())
+	serving := c.serving("alpha")
+	c.engines[serving].Kill()
+	require.NoError(t, processes.AddMachine(c.ctx, c.machines.Address, machinelist.Machine{ID: fmt.Sprintf("engine-%d", serving), State: machines.Gone}))
+	for range streams {
+		(<-results).judge(t, starts)
+	}
+	c.answered(1, "alpha", "after")
+	c.judgePlacement()
+}
+
+// serving returns the number of an engine that has started requests of a model.
+func (c *cluster) serving(model string) int {
+	for number, started := range c.engines {
+		var entries []engines.Entry
+		require.NoError(c.t, processes.History(c.ctx, started.Address, &entries))
+		for _, entry := range entries {
+			if entry.Kind == engines.RequestStarted && entry.Model == model {
+				return number
+			}
+		}
+	}
+	c.t.Fatalf("no engine serves %s", model)
+	return 0
+}
+
 // TestFrozenPlacerWakes freezes the placer past its suspicion; it wakes believing
 // that it still leads, while its successor has gone on.
 func TestFrozenPlacerWakes(t *testing.T) {
--- a/membership/core.go
+++ b/membership/core.go
@@ -374,13 +374,14 @@
 	return nil
 }
 
-// LearnList takes in a peer's whole list that this daemon asked for. Members that
-// are new to it and alive are no news to others, who have lists of their own.
+// LearnList takes in a peer's whole list that this daemon asked for. To one that
+// knew nobody yet it is no news worth passing on: others have lists of their own. To
+// others it is, as after a cut that parted the members for long.
 func (c *Core) LearnList(now time.Time, members []*rpc.Member) {
+	joining := len(c.members) == 0
 	for _, claimed := range members {
-		known := c.members[claimed.GetId()] != nil || claimed.GetId() == c.self.ID
 		c.Learn(now, claimed)
-		if !known && Status(claimed.GetStatus()) == Alive {
+		if joining && claimed.GetId() != c.self.ID {
 			delete(c.news, claimed.GetId())
 		}
 	}
--- a/membership/core_test.go
+++ b/membership/core_test.go
@@ -194,3 +194,32 @@
 		require.Less(t, float64(n.packets)/20/float64(count), perSecond, "with %d members", count)
 	}
 }
+
+func (n *network) list(id string) []*rpc.Member {
+	var list []*rpc.Member
+	for _, member := range n.cores[id].Members() {
+		list = append(list, member.Wire())
+	}
+	return list
+}
+
+// TestSidesOfALongCutFindEachOther cuts the members in two for longer than the dead
+// are remembered. After it one member exchanges lists with one on the other side, as
+// the service does with its seeds.
+func TestSidesOfALongCutFindEachOther(t *testing.T) {
+	n := newNetwork(10, 1)
+	n.run(15 * time.Second)
+	for number := range 5 {
+		n.side[fmt.Sprintf("m%03d", number)] = 1
+	}
+	n.run(DefaultConfig().ForgetAfter + time.Minute)
+	require.Len(t, n.cores["m000"].Members(), 5, "the other side is forgotten")
+	n.side = map[string]int{}
+	asked, told := n.list("m000"), n.list("m009")
+	n.cores["m000"].LearnList(n.now, told)
+	for _, member := range asked {
+		n.cores["m009"].Learn(n.now, member)
+	}
+	n.run(time.Minute)
+	n.agree(t, "after the cut")
+}
