--- a/integration/control_test.go
+++ b/integration/control_test.go
@@ -120,6 +120,35 @@
 	c.judgePlacement()
 }
 
+// TestNoOrderBeforeThePlanCounts freezes all but the placer, so that no plan can
+// count, and asks for a model that is not loaded.
+func TestNoOrderBeforeThePlanCounts(t *testing.T) {
+	c := startCluster(t)
+	defer c.logs()
+	placing := c.placer()
+	require.Eventually(t, func() bool { return c.groupsMade() == allGroups }, 30*time.Second, 100*time.Millisecond)
+	c.answered(placing, "alpha", "settles the group") // all three are members of the plan's group by now
+	freeze := func(signal syscall.Signal) {
+		for number, daemon := range c.daemons {
+			if number != placing {
+				require.NoError(t, daemon.Signal(signal))
+			}
+		}
+	}
+	freeze(syscall.SIGSTOP)
+	time.Sleep(2 * time.Second) // past suspicion: the placer is home to all models
+	result := make(chan asked, 1)
+	go func() { result <- c.ask(placing, asked{model: "beta", prompt: "waits for a quorum", tokens: 2}, nil) }()
+	time.Sleep(1500 * time.Millisecond)
+	for _, entry := range c.history() {
+		require.False(t, entry.Kind == engines.LoadStarted && entry.Model == "beta", "a load was ordered that was not decided")
+	}
+	freeze(syscall.SIGCONT)
+	one := <-result
+	require.True(t, one.answer.Whole, one.answer.Text)
+	c.judgePlacement()
+}
+
 // TestReclaimedMachine kills the engine that serves while streams run there, then
 // takes its machine off the list.
 func TestReclaimedMachine(t *testing.T) {
--- a/testseed/testseed.go
+++ b/testseed/testseed.go
@@ -12,10 +12,12 @@
 
 const seed = "20261202"
 
-// Run is the body of a TestMain; checks is how many examples each test draws.
-func Run(m *testing.M, checks int) {
+// Run is the body of a TestMain; checks is how many examples each test draws, and
+// steps about how many actions a state machine takes in each.
+func Run(m *testing.M, checks, steps int) {
 	for name, value := range map[string]string{
-		"rapid.seed": seed, "rapid.checks": strconv.Itoa(checks), "rapid.nofailfile": "true",
+		"rapid.seed": seed, "rapid.checks": strconv.Itoa(checks), "rapid.steps": strconv.Itoa(steps),
+		"rapid.nofailfile": "true",
 	} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err) // the package under test does not import rapid
