Rest while nothing waits, and give a revision's working memory back

Change: a home ticks only while something waits, membership five times an interval, whole member lists every five minutes, and memory used to read a revision is given back at once.

--- a/daemon/spread.go
+++ b/daemon/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,6 +38,9 @@
 	store.Listen(func(revision *settings.Revision) {
 		log.WithFields(logrus.Fields{"revision": revision.Number, "author": revision.Author}).Info("settings in force")
 		members.Announce(revision.Number)
+		// Reading a tree of thousands of models takes several times its memory;
+		// revisions are rare enough to give that back at once.
+		debug.FreeOSMemory()
 	})
 	members.OnRevisionHeard(func(memberID string, _ uint64) {
 		select {
--- a/home/server.go
+++ b/home/server.go
@@ -43,6 +43,7 @@
 	orphans  map[string]bool         // gateways without a session that may still run requests
 	dirty    map[string]bool         // base models whose demand changed
 	urgent   chan struct{}           // signals demand that must not wait
+	waits    chan struct{}           // signals that some item waits
 }
 
 // NewServer returns a server without queues.
@@ -50,14 +51,15 @@
 	return &Server{
 		settings: store, view: view, selfID: selfID, log: log,
 		queues: map[string]*queue.Queue{}, sessions: map[string]*Session{}, orphans: map[string]bool{}, dirty: map[string]bool{},
-		urgent: make(chan struct{}, 1),
+		urgent: make(chan struct{}, 1), waits: make(chan struct{}, 1),
 	}
 }
 
 // String names the service in the supervisor's events.
 func (s *Server) String() string { return "home" }
 
-// Serve implements suture.Service: it drives the queues' time.
+// Serve implements suture.Service: it drives the queues' time, and rests while
+// nothing waits.
 func (s *Server) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -66,12 +68,22 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-ticker.C:
-			s.tick(now)
+			if s.tick(now) > 0 {
+				continue
+			}
+		}
+		ticker.Stop()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.waits:
+			ticker.Reset(tickInterval)
 		}
 	}
 }
 
-func (s *Server) tick(now time.Time) {
+// tick returns how many items wait after it.
+func (s *Server) tick(now time.Time) (waiting int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for model, held := range s.queues {
@@ -81,7 +93,9 @@
 		if actions := held.Tick(now); len(actions) > 0 {
 			s.carryOut(model, actions)
 		}
+		waiting += held.Waiting()
 	}
+	return waiting
 }
 
 // Session is a gateway's link, over the network or within the process.
@@ -170,8 +184,11 @@
 		held := s.queue(submit.GetBaseModel())
 		waited := held.IsWaiting(submit.GetTarget())
 		s.carryOut(submit.GetBaseModel(), held.Submit(now, s.item(l.gatewayID, submit, now)))
+		if held.Waiting() > 0 {
+			signal(s.waits)
+		}
 		if !waited && held.IsWaiting(submit.GetTarget()) {
-			s.signalUrgent() // the placer learns of the first that waits at once, of others soon
+			signal(s.urgent) // the placer learns of the first that waits at once, of others soon
 		}
 	case message.GetCancel() != nil:
 		s.withQueueOf(message.GetCancel().GetBaseModel(), func(held *queue.Queue) []queue.Action {
@@ -193,9 +210,11 @@
 	}
 }
 
-func (s *Server) signalUrgent() {
+// signal wakes a reader of a channel of size one; signals that come together are
+// one.
+func signal(channel chan struct{}) {
 	select {
-	case s.urgent <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
--- a/membership/service.go
+++ b/membership/service.go
@@ -22,11 +22,11 @@
 	maxPacketBytes = 4096
 	signatureBytes = 16
 	// ticksPerInterval is how finely the probe interval is divided.
-	ticksPerInterval = 10
+	ticksPerInterval = 5
 	// joinPause is the wait between tries to find a first peer.
 	joinPause = 300 * time.Millisecond
 	// repairInterval is how often whole member lists are exchanged.
-	repairInterval = time.Minute
+	repairInterval = 5 * time.Minute
 	firstRepair    = 500 * time.Millisecond
 	// rejoinInterval is how often seeds that are not known as running are tried,
 	// which joins the two sides of a healed partition.
