Split the queue and the planner by job; settle lost answers in a test

TestFollowSeesEveryChangeThroughOutages failed in a clean clone: it committed through a connection that the test's proxy had just cut and took the uncertain answer for a failure. It now settles the answer as every caller must; what it checks is the same.

--- a/kv/client_test.go
+++ b/kv/client_test.go
@@ -93,7 +93,8 @@
 	}()
 	for number := range 3 {
 		key := fmt.Sprintf("p/%d", number)
-		_, err := client.Commit(ctx, create(key, "v"))
+		// The proxy has just cut the connection: the answer may be lost.
+		_, err := kv.CommitResolved(ctx, client, create(key, "v"))
 		require.NoError(t, err)
 		require.Eventually(t, func() bool { return <-seen == key+"=v" }, 10*time.Second, time.Millisecond)
 		switch number {
--- /dev/null
+++ b/queue/grant.go
@@ -0,0 +1,151 @@
+package queue
+
+import (
+	"time"
+)
+
+func (q *Queue) suspend(replica *slots, now time.Time) {
+	pause := suspensionLast
+	const doublings = 6
+	if replica.failures < doublings {
+		pause = suspensionFirst << replica.failures
+	}
+	replica.failures++
+	replica.failedAt = now
+	replica.suspendedUntil = now.Add(min(pause, suspensionLast))
+}
+
+func (q *Queue) usable(replica *slots, now time.Time) bool {
+	return replica.ready && !now.Before(replica.suspendedUntil)
+}
+
+// fill grants items while any has a replica with a free slot.
+func (q *Queue) fill(now time.Time) []Action {
+	var actions []Action
+	for {
+		next, replica := q.next(now)
+		if next == nil {
+			return actions
+		}
+		if !q.usefulUntil(next.item).After(now) {
+			wait, _ := q.estimate(now, next.item)
+			q.remove(next)
+			actions = append(actions, expired(next.item, wait))
+			continue
+		}
+		state := q.branch(next.item.Branch)
+		q.virtualTime = state.virtual
+		state.virtual += 1 / float64(next.item.Share)
+		q.remove(next)
+		q.run(next.item.ID, runningItem{owner: next.item.Owner, target: next.item.Target, replicaID: replica.ID, branch: next.item.Branch, tokens: next.item.Tokens})
+		q.affinity.remember(next.item.Prefix, replica.ID)
+		actions = append(actions, Grant{Item: next.item, Replica: replica.Replica})
+	}
+}
+
+// next picks the item to grant: the highest class, of it the branch furthest
+// below its share, of that the earliest deadline.
+func (q *Queue) next(now time.Time) (*waitingItem, *slots) {
+	var best *waitingItem
+	var bestReplica *slots
+	for _, waiting := range q.lanes {
+		candidate := q.head(waiting)
+		if candidate == nil || (best != nil && !q.before(candidate, best)) {
+			continue
+		}
+		if replica := q.pick(candidate.item, now); replica != nil {
+			best, bestReplica = candidate, replica
+		}
+	}
+	return best, bestReplica
+}
+
+func (q *Queue) head(waiting *lane) *waitingItem {
+	for class := range waiting.classes {
+		var best *waitingItem
+		for _, items := range waiting.classes[class] {
+			first := (*items)[0]
+			limit := first.item.Limits.MaxRunning
+			if limit > 0 && q.branch(first.item.Branch).running >= limit {
+				continue
+			}
+			if best == nil || q.before(first, best) {
+				best = first
+			}
+		}
+		if best != nil {
+			return best
+		}
+	}
+	return nil
+}
+
+// before orders two items for service.
+func (q *Queue) before(a, b *waitingItem) bool {
+	if a.item.Class != b.item.Class {
+		return a.item.Class < b.item.Class
+	}
+	virtualA, virtualB := q.branch(a.item.Branch).virtual, q.branch(b.item.Branch).virtual
+	if a.item.Branch != b.item.Branch && virtualA != virtualB {
+		return virtualA < virtualB
+	}
+	return a.earlier(b)
+}
+
+// pick returns the replica for an item: the one that has its prompt's prefix
+// cached, unless it is loaded well above the others; else the one with the fewest
+// requests, one in the gateway's zone first among equals. Where every replica is
+// suspended, one request at a time tries the one that failed longest ago: holding
+// all back would only turn a short fault into a long one.
+func (q *Queue) pick(item Item, now time.Time) *slots {
+	var best, trial *slots
+	usable, running := 0, 0
+	for _, replica := range q.replicas {
+		if !replica.ready || (item.Target != q.model && !replica.Adapters[item.Target]) {
+			continue
+		}
+		if !q.usable(replica, now) {
+			if replica.running == 0 && (trial == nil || replica.failedAt.Before(trial.failedAt)) {
+				trial = replica
+			}
+			continue
+		}
+		usable++
+		running += replica.running
+		if replica.running < q.concurrency && (best == nil || preferred(replica, best, item.Zone)) {
+			best = replica
+		}
+	}
+	if usable == 0 && trial != nil && now.Sub(trial.failedAt) >= suspensionFirst {
+		return trial
+	}
+	if cached := q.cachedReplica(item, now); cached != nil && best != nil {
+		if float64(cached.running) <= affinityBound*float64(running)/float64(usable)+1 {
+			return cached
+		}
+	}
+	return best
+}
+
+// cachedReplica returns the usable replica with a free slot that was last given
+// the item's prefix, or nil.
+func (q *Queue) cachedReplica(item Item, now time.Time) *slots {
+	replica := q.replicas[q.affinity.find(item.Prefix)]
+	if replica == nil || !q.usable(replica, now) || replica.running >= q.concurrency {
+		return nil
+	}
+	if item.Target != q.model && !replica.Adapters[item.Target] {
+		return nil
+	}
+	return replica
+}
+
+func preferred(a, b *slots, zone string) bool {
+	if a.running != b.running {
+		return a.running < b.running
+	}
+	if (a.Zone == zone) != (b.Zone == zone) {
+		return a.Zone == zone
+	}
+	return a.ID < b.ID
+}
