--- a/lab/command/standin.go
+++ b/lab/command/standin.go
@@ -98,21 +98,7 @@
 	}
 	timing := engines.DefaultTiming()
 	timing.Step = c.Step
-	total := memory * int64(c.Accelerators)
-	started := engines.New(engines.Config{
-		ID: c.ID, Accelerators: c.Accelerators, AcceleratorBytes: memory, WeightStoreAddress: c.WeightStore, Timing: timing,
-		DiskCacheBytes: diskCacheFactor * total, MemoryCacheBytes: total, PrefixCacheTokens: prefixCacheTokens,
-		ResumeWindow: resumeWindow, EventDelay: eventDelay, EventGap: eventGap, LoadLag: loadLag,
-	})
+	started := engines.New(engines.DefaultConfig(c.ID, c.Accelerators, memory, c.WeightStore, timing))
 	defer started.Close()
 	return c.serve(started)
 }
-
-const (
-	diskCacheFactor   = 4
-	prefixCacheTokens = 200_000
-	resumeWindow      = 2 * time.Second
-	eventDelay        = 200 * time.Millisecond
-	eventGap          = 20
-	loadLag           = 500 * time.Millisecond
-)
--- a/lab/system.go
+++ b/lab/system.go
@@ -76,16 +76,8 @@
 	stops    map[string]context.CancelFunc // by daemon id
 }
 
-const (
-	diskCacheShare    = 4 // engines keep this many times their memory on disk
-	memoryCacheShare  = 1
-	prefixCacheTokens = 200_000
-	resumeWindow      = 2 * time.Second
-	eventDelay        = 200 * time.Millisecond
-	eventGap          = 20
-	loadLag           = 500 * time.Millisecond
-	readyPoll         = 5 * time.Millisecond
-)
+// readyPoll is how often a waiting caller looks again.
+const readyPoll = 5 * time.Millisecond
 
 // StartSystem starts stand-ins for every engine that the tree's services name,
 // and the daemons. The tree is not applied yet; see Apply.
@@ -149,13 +141,7 @@
 
 func (s *System) startEngine(service settings.Service, region settings.Region, number int, store string) (machinelist.Machine, error) {
 	id := fmt.Sprintf("%s-%s-%d", service.Name, region.Name, number)
-	memory := int64(service.Accelerators) * service.AcceleratorMemoryBytes
-	started := engines.New(engines.Config{
-		ID: id, Accelerators: service.Accelerators, AcceleratorBytes: service.AcceleratorMemoryBytes,
-		WeightStoreAddress: store, Timing: s.options.Timing, DiskCacheBytes: diskCacheShare * memory,
-		MemoryCacheBytes: memoryCacheShare * memory, PrefixCacheTokens: prefixCacheTokens,
-		ResumeWindow: resumeWindow, EventDelay: eventDelay, EventGap: eventGap, LoadLag: loadLag,
-	})
+	started := engines.New(engines.DefaultConfig(id, service.Accelerators, service.AcceleratorMemoryBytes, store, s.options.Timing))
 	s.Engines[id] = started
 	address, err := s.serve(started)
 	return machinelist.Machine{
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/finchspoke/finchspoke/engine"
--- a/standin/engines/config.go
+++ b/standin/engines/config.go
@@ -33,6 +33,26 @@
 	LoadLag time.Duration
 }
 
+// Defaults of the caches, and of how late and incomplete an engine's reports are.
+const (
+	diskCacheFactor   = 4 // times the accelerators' memory
+	prefixCacheTokens = 200_000
+	resumeWindow      = 2 * time.Second
+	eventDelay        = 200 * time.Millisecond
+	eventGap          = 20
+	loadLag           = 500 * time.Millisecond
+)
+
+// DefaultConfig describes an engine with the defaults for its size.
+func DefaultConfig(id string, accelerators int, acceleratorBytes int64, weightStore string, timing Timing) Config {
+	memory := int64(accelerators) * acceleratorBytes
+	return Config{
+		ID: id, Accelerators: accelerators, AcceleratorBytes: acceleratorBytes, WeightStoreAddress: weightStore, Timing: timing,
+		DiskCacheBytes: diskCacheFactor * memory, MemoryCacheBytes: memory, PrefixCacheTokens: prefixCacheTokens,
+		ResumeWindow: resumeWindow, EventDelay: eventDelay, EventGap: eventGap, LoadLag: loadLag,
+	}
+}
+
 // Timing is the engine's model of time.
 type Timing struct {
 	Step                  time.Duration // one decode step of a whole batch
