Prove a run-once group that lost its memory, with real processes

Two of each group's three members are killed and started again: earlier keys never run again, a key that was never seen and carries no time is answered unknown, and keys made after the loss are taken. What a surviving member still holds is given before unknown is.

--- a/group/ledger.go
+++ b/group/ledger.go
@@ -66,6 +66,10 @@
 			continue
 		}
 		if failed := forgotten(view, ask.Key); failed != nil {
+			// What a member that was not lost still holds is true all the same.
+			if standing, err := l.Look(ctx, ask); err == nil && standing != nil && standing.Fingerprint == wanted.Fingerprint {
+				return nil, standing, nil
+			}
 			return nil, nil, failed
 		}
 		counts := l.claimOnce(ctx, view, wanted)
--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -120,15 +120,32 @@
 	return proxy
 }
 
-func (c *cluster) startDaemon(number int) *processes.Daemon {
-	arguments := []string{"--region", "here", "--zone", zone(number), "--key-value", c.keyValueProxy.Address(),
+// startDaemon starts one more daemon in a zone.
+func (c *cluster) startDaemon(zoneNumber int) *processes.Daemon {
+	c.daemons = append(c.daemons, c.launch(fmt.Sprintf("daemon-%d", len(c.daemons)), zoneNumber))
+	return c.daemons[len(c.daemons)-1]
+}
+
+// restartDaemons kills daemons and starts them again under their ids.
+func (c *cluster) restartDaemons(numbers ...int) {
+	for _, number := range numbers {
+		c.daemons[number].Kill()
+	}
+	for _, number := range numbers {
+		c.daemons[number] = c.launch(c.daemons[number].Name, number)
+	}
+}
+
+func (c *cluster) launch(id string, zoneNumber int) *processes.Daemon {
+	arguments := []string{"--region", "here", "--zone", zone(zoneNumber), "--key-value", c.keyValueProxy.Address(),
 		"--machine-list", c.machines.Address, "--probe-interval", "200ms", "--log-level", "debug"}
 	for _, peer := range c.daemons {
-		arguments = append(arguments, "--peer", peer.RPC)
+		if !peer.Ended() {
+			arguments = append(arguments, "--peer", peer.RPC)
+		}
 	}
-	started, err := c.Daemon(fmt.Sprintf("daemon-%d", len(c.daemons)), arguments...)
+	started, err := c.Daemon(id, arguments...)
 	require.NoError(c.t, err)
-	c.daemons = append(c.daemons, started)
 	return started
 }
 
--- a/integration/keyed_test.go
+++ b/integration/keyed_test.go
@@ -91,3 +91,34 @@
 	t.Logf("%d of %d keyed requests answered whole, %d ran", whole, workers*perWorker, len(starts))
 	require.Greater(t, whole, workers*perWorker/2)
 }
+
+// TestGroupThatLostItsMemoryDoesNotRunAgain kills two of each group's three members
+// at once and starts them again.
+func TestGroupThatLostItsMemoryDoesNotRunAgain(t *testing.T) {
+	c := startCluster(t)
+	defer c.logs()
+	require.Eventually(t, func() bool { return c.groupsMade() == allGroups }, 30*time.Second, 100*time.Millisecond)
+	keyed := func(prompt, key string) asked {
+		return c.ask(0, asked{model: "alpha", prompt: prompt, tokens: 3, noRepeat: true},
+			map[string]string{gateway.HeaderIdempotencyKey: key, gateway.HeaderDeadline: "10s"})
+	}
+	timed, untimed := uuid.Must(uuid.NewV7()).String(), "a key without a time"
+	require.True(t, keyed("timed", timed).answer.Whole)
+	require.True(t, keyed("untimed", untimed).answer.Whole)
+	c.restartDaemons(1, 2)
+	for _, daemon := range c.daemons {
+		require.NoError(t, processes.WaitReady(c.ctx, daemon.Admin, 1, daemonCount))
+	}
+	require.Eventually(t, func() bool {
+		return keyed("new "+uuid.NewString(), uuid.Must(uuid.NewV7()).String()).answer.Whole
+	}, 40*time.Second, 100*time.Millisecond, "keys made after the loss are taken")
+	for range 3 {
+		keyed("timed", timed)
+		keyed("untimed", untimed)
+	}
+	unknown := keyed("made before the loss, never seen", "another key without a time")
+	require.Equal(t, "unknown", unknown.answer.Header.Get(gateway.HeaderExecution), unknown.answer.Text)
+	for prompt, count := range startsByPrompt(c.history()) {
+		require.Equal(t, 1, count, prompt)
+	}
+}
