--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -97,14 +97,14 @@
 	if settingsFile.ID == "" {
 		settingsFile.ID = opened.rpc.Addr().String()
 	}
-	made := &Daemon{
+	created := &Daemon{
 		config: settingsFile, log: log.WithFields(logrus.Fields{"daemon": settingsFile.ID, "zone": settingsFile.Zone}),
 		metrics: prometheus.NewRegistry(), sockets: opened, settings: &settings.Store{}, engines: engine.NewClient(),
 		drain: make(chan struct{}),
 	}
-	made.metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	made.assemble()
-	return made, nil
+	created.metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	created.assemble()
+	return created, nil
 }
 
 func listen(settingsFile config.Config) (opened sockets, err error) {
--- a/daemon/spread.go
+++ b/daemon/spread.go
@@ -34,7 +34,7 @@
 }
 
 func newSpreader(store *settings.Store, registry *settings.Registry, members *membership.Service, log logrus.FieldLogger) *spreader {
-	made := &spreader{store: store, registry: registry, members: members, log: log, heard: make(chan string, 1)}
+	created := &spreader{store: store, registry: registry, members: members, log: log, heard: make(chan string, 1)}
 	store.Listen(func(revision *settings.Revision) {
 		log.WithFields(logrus.Fields{"revision": revision.Number, "author": revision.Author}).Info("settings in force")
 		members.Announce(revision.Number)
@@ -44,11 +44,11 @@
 	})
 	members.OnRevisionHeard(func(memberID string, _ uint64) {
 		select {
-		case made.heard <- memberID:
+		case created.heard <- memberID:
 		default: // one fetch at a time; gossip will tell again
 		}
 	})
-	return made
+	return created
 }
 
 // String names the service in the supervisor's events.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -128,16 +128,16 @@
 	if err != nil {
 		return nil, err
 	}
-	made := &call{
+	incoming := &call{
 		id: uuid.NewString(), path: path, branch: branch, arrived: time.Now(), class: branch.Values.Class, repeatable: true,
 	}
-	if made.body, err = readBody(writer, httpRequest, branch.Values.MaxBody); err != nil {
+	if incoming.body, err = readBody(writer, httpRequest, branch.Values.MaxBody); err != nil {
 		return nil, err
 	}
-	if err := made.readQuestion(tree); err != nil {
+	if err := incoming.readQuestion(tree); err != nil {
 		return nil, err
 	}
-	return made, made.readHeaders(httpRequest.Header)
+	return incoming, incoming.readHeaders(httpRequest.Header)
 }
 
 func readBody(writer http.ResponseWriter, httpRequest *http.Request, limit int64) ([]byte, error) {
--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -26,14 +26,14 @@
 
 // runKeyed serves a call with an idempotency key: it runs only under a claim, and
 // goes on to its end without its caller, so that a repeat gets the outcome.
-func (s *Server) runKeyed(ctx context.Context, made *call, out *sink) *failure.Error {
-	claim, failed := s.claim(ctx, made, out)
+func (s *Server) runKeyed(ctx context.Context, incoming *call, out *sink) *failure.Error {
+	claim, failed := s.claim(ctx, incoming, out)
 	if claim == nil {
 		return failed
 	}
 	ended := make(chan endedCall, 1)
-	running := *made // what runs on must not share what is logged meanwhile
-	detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), made.deadline.Add(keyedGrace))
+	running := *incoming // what runs on must not share what is logged meanwhile
+	detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), incoming.deadline.Add(keyedGrace))
 	s.background.Add(1)
 	go func() {
 		defer s.background.Done()
@@ -43,7 +43,7 @@
 	}()
 	select {
 	case last := <-ended:
-		made.log = last.log
+		incoming.log = last.log
 		return last.failed
 	case <-ctx.Done():
 	}
@@ -53,14 +53,14 @@
 
 // claim claims the call's key. Without a claim the call has ended: answered from
 // the outcome that stands, or with the failure returned.
-func (s *Server) claim(ctx context.Context, made *call, out *sink) (*group.Claim, *failure.Error) {
+func (s *Server) claim(ctx context.Context, incoming *call, out *sink) (*group.Claim, *failure.Error) {
 	until := time.Now().Add(maxLookTime)
 	for {
-		claim, standing, err := s.Ledger.Claim(ctx, made.keyAsk(), group.Record{
-			RequestID:   made.id,
-			Fingerprint: group.Fingerprint([]byte(made.path), made.body),
+		claim, standing, err := s.Ledger.Claim(ctx, incoming.keyAsk(), group.Record{
+			RequestID:   incoming.id,
+			Fingerprint: group.Fingerprint([]byte(incoming.path), incoming.body),
 			ClaimedAt:   time.Now(),
-			SettledBy:   made.deadline.Add(keyedGrace + settleMargin),
+			SettledBy:   incoming.deadline.Add(keyedGrace + settleMargin),
 		})
 		if err != nil {
 			return nil, failure.As(err)
@@ -68,7 +68,7 @@
 		if claim != nil {
 			return claim, nil
 		}
-		ended, failed := s.repeat(ctx, made, standing, out, until)
+		ended, failed := s.repeat(ctx, incoming, standing, out, until)
 		if ended {
 			return nil, failed
 		}
@@ -90,10 +90,10 @@
 }
 
 // runClaimed runs a call under its claim and stores what came of it.
-func (s *Server) runClaimed(ctx context.Context, made *call, claim *group.Claim, out *sink) *failure.Error {
-	failed, execution := s.run(ctx, made, out)
+func (s *Server) runClaimed(ctx context.Context, incoming *call, claim *group.Claim, out *sink) *failure.Error {
+	failed, execution := s.run(ctx, incoming, out)
 	ctx = context.WithoutCancel(ctx)
-	s.store(ctx, made, func() error {
+	s.store(ctx, incoming, func() error {
 		switch {
 		case failed == nil:
 			return s.Ledger.Complete(ctx, claim, group.Outcome{
@@ -108,7 +108,7 @@
 
 // store tries to write an outcome until it is written or hope is lost; the claim
 // then stands, and turns unsettled by its time.
-func (s *Server) store(ctx context.Context, made *call, write func() error) {
+func (s *Server) store(ctx context.Context, incoming *call, write func() error) {
 	var err error
 	for range storeTries {
 		if err = write(); err == nil {
@@ -116,19 +116,19 @@
 		}
 		wait(ctx, storePause)
 	}
-	s.Log.WithError(err).WithField("request_id", made.id).Error("outcome of a keyed request was not stored")
+	s.Log.WithError(err).WithField("request_id", incoming.id).Error("outcome of a keyed request was not stored")
 }
 
 // repeat answers a repeat of a claimed key without running anything, unless the
 // claim that stood is withdrawn: then it has not ended.
-func (s *Server) repeat(ctx context.Context, made *call, standing *group.Record, out *sink, until time.Time) (ended bool, failed *failure.Error) {
+func (s *Server) repeat(ctx context.Context, incoming *call, standing *group.Record, out *sink, until time.Time) (ended bool, failed *failure.Error) {
 	for standing.State == group.Claimed {
 		if ctx.Err() != nil || time.Now().After(until) {
 			return true, failure.New(failure.KeyInUse, "repeat the request with the same key to get its outcome",
 				"the first request with this key still runs").WithExecution(failure.Unknown).WithRetryAfter(retryAfterDeadline)
 		}
 		wait(ctx, lookInterval)
-		looked, err := s.Ledger.Look(ctx, made.keyAsk())
+		looked, err := s.Ledger.Look(ctx, incoming.keyAsk())
 		switch {
 		case err != nil:
 			continue // the group may answer before the time is up
@@ -154,27 +154,27 @@
 // serveCall is the handler of both completion interfaces.
 func (s *Server) serveCall(path string) http.HandlerFunc {
 	return func(writer http.ResponseWriter, httpRequest *http.Request) {
-		made, err := s.readCall(writer, httpRequest, path)
+		incoming, err := s.readCall(writer, httpRequest, path)
 		if err != nil {
 			s.refuse(writer, failure.As(err))
 			return
 		}
-		writer.Header().Set(headerRequestID, made.id)
+		writer.Header().Set(headerRequestID, incoming.id)
 		s.budget.earn()
 		s.metrics.inFlight.Inc()
 		defer s.metrics.inFlight.Dec()
-		ctx, cancel := context.WithDeadline(httpRequest.Context(), made.deadline)
+		ctx, cancel := context.WithDeadline(httpRequest.Context(), incoming.deadline)
 		defer cancel()
-		out := newSink(writer, made.id, made.idempotencyKey != "")
+		out := newSink(writer, incoming.id, incoming.idempotencyKey != "")
 		var failed *failure.Error
-		if made.idempotencyKey != "" {
-			failed = s.runKeyed(ctx, made, out)
+		if incoming.idempotencyKey != "" {
+			failed = s.runKeyed(ctx, incoming, out)
 		} else {
-			failed, _ = s.run(ctx, made, out)
+			failed, _ = s.run(ctx, incoming, out)
 		}
 		if failed != nil {
 			out.fail(failed)
 		}
-		s.finish(made, failed)
+		s.finish(incoming, failed)
 	}
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -26,19 +26,19 @@
 // run serves a call to its one end: the whole answer, or the failure returned.
 // The answer goes to out; the failure is left to the caller of run. The second
 // value is what may be said of the execution either way.
-func (s *Server) run(ctx context.Context, made *call, out *sink) (*failure.Error, failure.Execution) {
-	life := &lifecycle{repeatable: made.repeatable, deadline: made.deadline}
+func (s *Server) run(ctx context.Context, incoming *call, out *sink) (*failure.Error, failure.Execution) {
+	life := &lifecycle{repeatable: incoming.repeatable, deadline: incoming.deadline}
 	for {
 		slot, err := s.homes.Acquire(ctx, home.Ask{
-			RequestID: made.id, Model: made.model.Name, Regions: made.model.ServiceRegions, Target: made.target.Name,
-			Branch: made.branch.Path, Class: made.class, Tokens: made.tokens, Prefix: made.prefix, Arrived: made.arrived, Deadline: made.deadline,
+			RequestID: incoming.id, Model: incoming.model.Name, Regions: incoming.model.ServiceRegions, Target: incoming.target.Name,
+			Branch: incoming.branch.Path, Class: incoming.class, Tokens: incoming.tokens, Prefix: incoming.prefix, Arrived: incoming.arrived, Deadline: incoming.deadline,
 		})
 		if err != nil {
-			return s.notGranted(ctx, made, life, err), life.execution()
+			return s.notGranted(ctx, incoming, life, err), life.execution()
 		}
-		made.log.home, made.log.engine, made.log.waited = slot.HomeID, slot.EngineID, time.Since(made.arrived)
-		s.metrics.waited.WithLabelValues(made.class.String()).Observe(made.log.waited.Seconds())
-		dispatched := s.dispatch(ctx, made, slot, out)
+		incoming.log.home, incoming.log.engine, incoming.log.waited = slot.HomeID, slot.EngineID, time.Since(incoming.arrived)
+		s.metrics.waited.WithLabelValues(incoming.class.String()).Observe(incoming.log.waited.Seconds())
+		dispatched := s.dispatch(ctx, incoming, slot, out)
 		s.metrics.dispatches.WithLabelValues(dispatched.result.String()).Inc()
 		if dispatched.rejection != nil {
 			return dispatched.rejection, life.execution()
@@ -48,9 +48,9 @@
 			return nil, life.execution()
 		}
 		if !next.retry || ctx.Err() != nil {
-			return s.ended(ctx, made, life, next.kind, dispatched.cause), life.execution()
+			return s.ended(ctx, incoming, life, next.kind, dispatched.cause), life.execution()
 		}
-		s.Log.WithError(dispatched.cause).WithField("request_id", made.id).WithField("engine", slot.EngineID).
+		s.Log.WithError(dispatched.cause).WithField("request_id", incoming.id).WithField("engine", slot.EngineID).
 			WithField("result", dispatched.result.String()).Debug("dispatch is tried again")
 		wait(ctx, redispatchPause)
 	}
@@ -64,19 +64,19 @@
 }
 
 // notGranted explains why a call got no slot (this time).
-func (s *Server) notGranted(ctx context.Context, made *call, life *lifecycle, err error) *failure.Error {
+func (s *Server) notGranted(ctx context.Context, incoming *call, life *lifecycle, err error) *failure.Error {
 	var refusal *failure.Error
 	if errors.As(err, &refusal) {
 		if life.mayHaveRun {
-			return s.ended(ctx, made, life, failure.OutcomeUnknown, err)
+			return s.ended(ctx, incoming, life, failure.OutcomeUnknown, err)
 		}
 		return refusal
 	}
-	return s.ended(ctx, made, life, failure.NoCapacity, err)
+	return s.ended(ctx, incoming, life, failure.NoCapacity, err)
 }
 
 // ended is the failure of a call that is not tried again.
-func (s *Server) ended(ctx context.Context, made *call, life *lifecycle, kind failure.Kind, cause error) *failure.Error {
+func (s *Server) ended(ctx context.Context, incoming *call, life *lifecycle, kind failure.Kind, cause error) *failure.Error {
 	execution := life.execution()
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return failure.Wrap(cause, failure.CallerLeft, "none: the caller closed the connection", "the caller left").WithExecution(execution)
@@ -93,7 +93,7 @@
 			"the request was sent to an engine and its outcome is not known").WithExecution(execution)
 	case failure.DeadlineExceeded:
 		return failure.Wrap(cause, kind, "allow a longer deadline, or come back later",
-			"the deadline passed before %s answered", made.target.Name).WithExecution(execution).WithRetryAfter(retryAfterDeadline)
+			"the deadline passed before %s answered", incoming.target.Name).WithExecution(execution).WithRetryAfter(retryAfterDeadline)
 	}
 	return failure.Wrap(cause, kind, "come back after the time given", "no engine took the request").
 		WithExecution(execution).WithRetryAfter(retryAfterDeadline)
@@ -112,24 +112,24 @@
 
 // dispatch sends the call to the slot's engine and relays the answer; the slot is
 // released in any case.
-func (s *Server) dispatch(ctx context.Context, made *call, slot *home.Slot, out *sink) dispatchOutcome {
+func (s *Server) dispatch(ctx context.Context, incoming *call, slot *home.Slot, out *sink) dispatchOutcome {
 	began := time.Now()
 	response, err := s.Engines.Dispatch(ctx, engine.Dispatch{
-		Address: slot.Address, ReplicaID: slot.ReplicaID, Path: made.path, RequestID: made.id, Priority: int(made.class), Body: made.body})
+		Address: slot.Address, ReplicaID: slot.ReplicaID, Path: incoming.path, RequestID: incoming.id, Priority: int(incoming.class), Body: incoming.body})
 	if err != nil {
 		var failed *engine.DispatchError
 		outcome := dispatchOutcome{result: lost, cause: err}
 		if errors.As(err, &failed) && !failed.Written {
 			outcome.result = notWritten
 		}
-		s.abandon(ctx, made, slot, outcome.result)
+		s.abandon(ctx, incoming, slot, outcome.result)
 		slot.Release(ctx.Err() == nil, 0)
 		return outcome
 	}
 	defer func() { _ = response.Body.Close() }()
-	outcome := s.takeAnswer(ctx, made, slot, response, out)
+	outcome := s.takeAnswer(ctx, incoming, slot, response, out)
 	if outcome.result == lost || outcome.result == broken {
-		s.abandon(ctx, made, slot, outcome.result)
+		s.abandon(ctx, incoming, slot, outcome.result)
 	}
 	engineFailed := outcome.rejection == nil && outcome.result != answered && ctx.Err() == nil
 	service := time.Duration(0)
@@ -141,25 +141,25 @@
 }
 
 // abandon tells the engine that nobody waits for the request any more.
-func (s *Server) abandon(ctx context.Context, made *call, slot *home.Slot, result dispatchResult) {
+func (s *Server) abandon(ctx context.Context, incoming *call, slot *home.Slot, result dispatchResult) {
 	if result == notWritten {
 		return
 	}
 	background := context.WithoutCancel(ctx)
-	go func() { _ = s.Engines.Cancel(background, slot.Address, made.id) }()
+	go func() { _ = s.Engines.Cancel(background, slot.Address, incoming.id) }()
 }
 
 // takeAnswer passes an engine's answer on.
-func (s *Server) takeAnswer(ctx context.Context, made *call, slot *home.Slot, response *http.Response, out *sink) dispatchOutcome {
-	if response.Header.Get(engine.HeaderRequestID) != made.id {
+func (s *Server) takeAnswer(ctx context.Context, incoming *call, slot *home.Slot, response *http.Response, out *sink) dispatchOutcome {
+	if response.Header.Get(engine.HeaderRequestID) != incoming.id {
 		return dispatchOutcome{result: lost, cause: errors.New("the engine answered for another request")}
 	}
 	if response.StatusCode != http.StatusOK {
 		return engineRefused(response)
 	}
 	headers := map[string]string{HeaderHome: slot.HomeID, HeaderEngine: slot.EngineID}
-	if made.stream {
-		return s.takeStream(ctx, made, slot, response, out, headers)
+	if incoming.stream {
+		return s.takeStream(ctx, incoming, slot, response, out, headers)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxWholeAnswer+1))
 	if err != nil {
@@ -168,7 +168,7 @@
 	if len(body) > maxWholeAnswer {
 		return dispatchOutcome{result: lost, cause: errors.New("the engine's answer is too long")}
 	}
-	s.firstByte(made)
+	s.firstByte(incoming)
 	out.begin(http.StatusOK, contentTypeJSON, headers)
 	if err := out.write(body); err != nil {
 		return dispatchOutcome{result: broken, cause: err}
@@ -184,11 +184,11 @@
 
 // takeStream relays a stream. One that breaks is taken up where it broke, from the
 // same engine and for the same request; nothing else is ever put behind it.
-func (s *Server) takeStream(ctx context.Context, made *call, slot *home.Slot, response *http.Response, out *sink, headers map[string]string) dispatchOutcome {
+func (s *Server) takeStream(ctx context.Context, incoming *call, slot *home.Slot, response *http.Response, out *sink, headers map[string]string) dispatchOutcome {
 	events := 0
 	first := func() {
 		if events == 0 {
-			s.firstByte(made)
+			s.firstByte(incoming)
 			out.begin(http.StatusOK, contentTypeEvent, headers)
 		}
 	}
@@ -204,7 +204,7 @@
 		case ended.writeErr != nil:
 			return dispatchOutcome{result: broken, cause: ended.writeErr}
 		}
-		resumed, err := s.resume(ctx, made, slot, events, resumes)
+		resumed, err := s.resume(ctx, incoming, slot, events, resumes)
 		if err == nil {
 			body = resumed.Body
 			continue
@@ -217,12 +217,12 @@
 }
 
 // resume asks the engine for the rest of a broken stream.
-func (s *Server) resume(ctx context.Context, made *call, slot *home.Slot, events, resumes int) (*http.Response, error) {
+func (s *Server) resume(ctx context.Context, incoming *call, slot *home.Slot, events, resumes int) (*http.Response, error) {
 	if resumes >= maxResumes {
 		return nil, errors.New("the stream broke too often")
 	}
 	wait(ctx, resumePause)
-	resumed, err := s.Engines.Resume(ctx, slot.Address, made.id, events)
+	resumed, err := s.Engines.Resume(ctx, slot.Address, incoming.id, events)
 	if err == nil {
 		s.metrics.resumes.Inc()
 	}
@@ -248,7 +248,7 @@
 	return dispatchOutcome{result: notStarted, cause: cause}
 }
 
-func (s *Server) firstByte(made *call) {
-	made.log.firstByte = time.Since(made.arrived)
-	s.metrics.firstByte.WithLabelValues(made.class.String()).Observe(made.log.firstByte.Seconds())
+func (s *Server) firstByte(incoming *call) {
+	incoming.log.firstByte = time.Since(incoming.arrived)
+	s.metrics.firstByte.WithLabelValues(incoming.class.String()).Observe(incoming.log.firstByte.Seconds())
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -127,27 +127,27 @@
 }
 
 // finish counts and logs a call's end.
-func (s *Server) finish(made *call, failed *failure.Error) {
+func (s *Server) finish(incoming *call, failed *failure.Error) {
 	outcome := "answered"
 	execution := failure.Completed
 	if failed != nil {
 		outcome, execution = string(failed.Kind), failed.Execution
 	}
-	s.metrics.requests.WithLabelValues(made.class.String(), outcome).Inc()
+	s.metrics.requests.WithLabelValues(incoming.class.String(), outcome).Inc()
 	entry := s.Log.WithFields(logrus.Fields{
-		"request_id": made.id, "branch": made.branch.Path, "model": made.target.Name, "class": made.class.String(),
-		"outcome": outcome, "execution": execution, "home": made.log.home, "engine": made.log.engine,
-		"waited_ms": made.log.waited.Milliseconds(), "first_byte_ms": made.log.firstByte.Milliseconds(),
-		"duration_ms": time.Since(made.arrived).Milliseconds(),
+		"request_id": incoming.id, "branch": incoming.branch.Path, "model": incoming.target.Name, "class": incoming.class.String(),
+		"outcome": outcome, "execution": execution, "home": incoming.log.home, "engine": incoming.log.engine,
+		"waited_ms": incoming.log.waited.Milliseconds(), "first_byte_ms": incoming.log.firstByte.Milliseconds(),
+		"duration_ms": time.Since(incoming.arrived).Milliseconds(),
 	})
 	if failed != nil && failed.Unwrap() != nil {
 		entry = entry.WithField("cause", failed.Unwrap().Error())
 	}
 	entry.Info("request ended")
 	ended := Ended{
-		RequestID: made.id, Branch: made.branch.Path, Model: made.target.Name, Class: made.class.String(), Outcome: outcome,
-		Execution: execution, Home: made.log.home, Engine: made.log.engine, WaitedMs: made.log.waited.Milliseconds(),
-		FirstByteMs: made.log.firstByte.Milliseconds(), DurationMs: time.Since(made.arrived).Milliseconds(), EndedAt: time.Now().UTC(),
+		RequestID: incoming.id, Branch: incoming.branch.Path, Model: incoming.target.Name, Class: incoming.class.String(), Outcome: outcome,
+		Execution: execution, Home: incoming.log.home, Engine: incoming.log.engine, WaitedMs: incoming.log.waited.Milliseconds(),
+		FirstByteMs: incoming.log.firstByte.Milliseconds(), DurationMs: time.Since(incoming.arrived).Milliseconds(), EndedAt: time.Now().UTC(),
 	}
 	if failed != nil {
 		ended.Message, ended.Remedy = failed.Message, failed.Remedy
--- a/gateway/sink.go
+++ b/gateway/sink.go
@@ -27,12 +27,12 @@
 }
 
 func newSink(writer http.ResponseWriter, requestID string, record bool) *sink {
-	made := &sink{writer: writer, requestID: requestID}
-	made.flusher, _ = writer.(http.Flusher)
+	created := &sink{writer: writer, requestID: requestID}
+	created.flusher, _ = writer.(http.Flusher)
 	if record {
-		made.record = &recorded{}
+		created.record = &recorded{}
 	}
-	return made
+	return created
 }
 
 // begin writes the head of an answer.
