--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,10 @@
 dev-once:
 	$(GO) run ./cmd/finchlab dev --once
 
+# -count=1: tests with real processes depend on programs that the test cache does not
+# see.
 test:
-	$(GO) test ./...
+	$(GO) test -count=1 ./...
 
 build:
 	$(GO) build -o bin/ ./cmd/...
