Write once what stood several times in the change

Six packages had a wait of their own that ends with its context: package sleep serves them all. Counting the members that agree stood three times in package group. Answers of groups carried the member's view, which nobody read. A settings change that was just committed was compressed, decompressed and parsed again to be returned. Membership seeded its randomness with a hash of its own. Behaviour is as before.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"github.com/finchspoke/finchspoke/placer"
 	"github.com/finchspoke/finchspoke/rpc"
 	"github.com/finchspoke/finchspoke/settings"
+	"github.com/finchspoke/finchspoke/sleep"
 	"github.com/finchspoke/finchspoke/transport"
 )
 
@@ -323,20 +324,13 @@
 	return err
 }
 
-func wait(ctx context.Context, pause time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(pause):
-	}
-}
-
 // handClaimsOver waits until other daemons have taken this one's place in the
 // run-once groups, if there are others and they do so soon: a rolling restart must
 // not take two members from one group.
 func (d *Daemon) handClaimsOver(ctx context.Context) {
 	until := time.Now().Add(handOverTime)
 	for d.claims.Serving() && time.Now().Before(until) && ctx.Err() == nil && len(d.members.View().RunningIn(d.config.Region)) > 0 {
-		wait(ctx, handOverPoll)
+		sleep.For(ctx, handOverPoll)
 	}
 }
 
@@ -345,7 +339,7 @@
 func (d *Daemon) leave(ctx context.Context) error {
 	d.log.Info("planned stop: leaving")
 	d.members.Leave()
-	wait(ctx, leaveSpread)
+	sleep.For(ctx, leaveSpread)
 	d.handClaimsOver(ctx)
 	ctx, cancel := context.WithTimeout(ctx, d.config.DrainTimeout)
 	defer cancel()
--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -8,6 +8,7 @@
 
 	"github.com/finchspoke/finchspoke/failure"
 	"github.com/finchspoke/finchspoke/group"
+	"github.com/finchspoke/finchspoke/sleep"
 )
 
 const (
@@ -73,7 +74,7 @@
 			return nil, failed
 		}
 		// The claim that stood was withdrawn: its request did not run.
-		wait(ctx, rand.N(lookInterval))
+		sleep.For(ctx, rand.N(lookInterval))
 	}
 }
 
@@ -114,7 +115,7 @@
 		if err = write(); err == nil {
 			return
 		}
-		wait(ctx, storePause)
+		sleep.For(ctx, storePause)
 	}
 	s.Log.WithError(err).WithField("request_id", incoming.id).Error("outcome of a keyed request was not stored")
 }
@@ -127,7 +128,7 @@
 			return true, failure.New(failure.KeyInUse, "repeat the request with the same key to get its outcome",
 				"the first request with this key still runs").WithExecution(failure.Unknown).WithRetryAfter(retryAfterDeadline)
 		}
-		wait(ctx, lookInterval)
+		sleep.For(ctx, lookInterval)
 		looked, err := s.Ledger.Look(ctx, incoming.keyAsk())
 		switch {
 		case err != nil:
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -12,6 +12,7 @@
 	"github.com/finchspoke/finchspoke/engine"
 	"github.com/finchspoke/finchspoke/failure"
 	"github.com/finchspoke/finchspoke/home"
+	"github.com/finchspoke/finchspoke/sleep"
 )
 
 const (
@@ -52,14 +53,7 @@
 		}
 		s.Log.WithError(dispatched.cause).WithField("request_id", incoming.id).WithField("engine", slot.EngineID).
 			WithField("result", dispatched.result.String()).Debug("dispatch is tried again")
-		wait(ctx, redispatchPause)
-	}
-}
-
-func wait(ctx context.Context, pause time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(pause):
+		sleep.For(ctx, redispatchPause)
 	}
 }
 
@@ -221,7 +215,7 @@
 	if resumes >= maxResumes {
 		return nil, errors.New("the stream broke too often")
 	}
-	wait(ctx, resumePause)
+	sleep.For(ctx, resumePause)
 	resumed, err := s.Engines.Resume(ctx, slot.Address, incoming.id, events)
 	if err == nil {
 		s.metrics.resumes.Inc()
--- a/group/ledger.go
+++ b/group/ledger.go
@@ -10,6 +10,7 @@
 	"github.com/finchspoke/finchspoke/failure"
 	"github.com/finchspoke/finchspoke/membership"
 	"github.com/finchspoke/finchspoke/rpc"
+	"github.com/finchspoke/finchspoke/sleep"
 	"github.com/finchspoke/finchspoke/transport"
 )
 
@@ -112,10 +113,7 @@
 }
 
 func pause(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(retryPause + rand.N(retryPause)):
-	}
+	sleep.For(ctx, retryPause+rand.N(retryPause))
 }
 
 // claimOnce asks all members of a view and counts.
@@ -152,16 +150,10 @@
 
 // each calls all members and returns how many agreed.
 func (l *Ledger) each(ctx context.Context, view View, call func(context.Context, rpc.DRPCGroupsClient) (*rpc.GroupAnswer, error)) int {
-	agreed := 0
-	for _, ok := range fanOut(view.Members, func(member GroupMember) bool {
+	return agreeing(view.Members, func(member GroupMember) bool {
 		answer, err := call(withTimeout(ctx), l.client(ctx, member))
 		return err == nil && answer.GetOk()
-	}) {
-		if ok {
-			agreed++
-		}
-	}
-	return agreed
+	})
 }
 
 // Look returns what stands for a key, or nil when nothing does.
--- a/group/manager.go
+++ b/group/manager.go
@@ -239,16 +239,10 @@
 	next.Writer = uuid.NewString()
 	next.Members = nextMembers(m.members(), old.Key(), old.Members)
 	message := state.wire()
-	prepared := fanOut(next.Members, func(member GroupMember) bool {
+	count := agreeing(next.Members, func(member GroupMember) bool {
 		answer, err := m.client(ctx, member).Install(withTimeout(ctx), &rpc.InstallRequest{View: next.wire(), State: message})
 		return err == nil && answer.GetOk()
 	})
-	count := 0
-	for _, ok := range prepared {
-		if ok {
-			count++
-		}
-	}
 	if count < len(next.Members) || count == 0 {
 		return View{}, errors.Errorf("%d of %d members could be prepared", count, len(next.Members))
 	}
@@ -274,16 +268,10 @@
 
 // open tells the members of the standing view to serve; it returns how many do.
 func (m *Manager) open(ctx context.Context, view View) int {
-	opened := 0
-	for _, ok := range fanOut(view.Members, func(member GroupMember) bool {
+	return agreeing(view.Members, func(member GroupMember) bool {
 		answer, err := m.client(ctx, member).Open(withTimeout(ctx), &rpc.OpenRequest{View: view.wire()})
 		return err == nil && answer.GetOk()
-	}) {
-		if ok {
-			opened++
-		}
-	}
-	return opened
+	})
 }
 
 func (m *Manager) client(ctx context.Context, member GroupMember) rpc.DRPCGroupsClient {
@@ -311,3 +299,14 @@
 	open.Wait()
 	return answers
 }
+
+// agreeing calls all members side by side and counts those that agree.
+func agreeing(members []GroupMember, call func(GroupMember) bool) int {
+	count := 0
+	for _, agrees := range fanOut(members, call) {
+		if agrees {
+			count++
+		}
+	}
+	return count
+}
--- a/group/service.go
+++ b/group/service.go
@@ -23,52 +23,39 @@
 func (s *Service) Claim(_ context.Context, ask *rpc.ClaimRequest) (*rpc.ClaimAnswer, error) {
 	view := viewOf(ask.GetView())
 	verdict, standing := s.member.Claim(time.Now(), view, recordOf(ask.GetRecord()))
-	return s.claimAnswer(view, verdict, standing), nil
+	return claimAnswer(verdict, standing), nil
 }
 
 // Look implements the Groups rpc.
 func (s *Service) Look(_ context.Context, ask *rpc.LookRequest) (*rpc.ClaimAnswer, error) {
 	view := viewOf(ask.GetView())
 	verdict, standing := s.member.Look(time.Now(), view, ask.GetKey())
-	return s.claimAnswer(view, verdict, standing), nil
+	return claimAnswer(verdict, standing), nil
 }
 
-func (s *Service) claimAnswer(view View, verdict Verdict, standing Record) *rpc.ClaimAnswer {
+func claimAnswer(verdict Verdict, standing Record) *rpc.ClaimAnswer {
 	answer := &rpc.ClaimAnswer{Verdict: uint32(verdict)}
-	switch verdict {
-	case Standing:
+	if verdict == Standing {
 		answer.Standing = standing.wire()
-	case WrongView:
-		answer.View = s.member.View(view.Key()).wire()
 	}
 	return answer
 }
 
 // Withdraw implements the Groups rpc.
 func (s *Service) Withdraw(_ context.Context, ask *rpc.WithdrawRequest) (*rpc.GroupAnswer, error) {
-	view := viewOf(ask.GetView())
-	return s.groupAnswer(view, s.member.Withdraw(view, ask.GetKey(), ask.GetRequestId())), nil
+	return &rpc.GroupAnswer{Ok: s.member.Withdraw(viewOf(ask.GetView()), ask.GetKey(), ask.GetRequestId())}, nil
 }
 
 // Settle implements the Groups rpc.
 func (s *Service) Settle(_ context.Context, ask *rpc.SettleRequest) (*rpc.GroupAnswer, error) {
-	view := viewOf(ask.GetView())
-	return s.groupAnswer(view, s.member.Settle(time.Now(), view, recordOf(ask.GetRecord()))), nil
-}
-
-func (s *Service) groupAnswer(view View, ok bool) *rpc.GroupAnswer {
-	answer := &rpc.GroupAnswer{Ok: ok}
-	if !ok {
-		answer.View = s.member.View(view.Key()).wire()
-	}
-	return answer
+	return &rpc.GroupAnswer{Ok: s.member.Settle(time.Now(), viewOf(ask.GetView()), recordOf(ask.GetRecord()))}, nil
 }
 
 // Promise implements the Groups rpc.
 func (s *Service) Promise(_ context.Context, ask *rpc.PromiseRequest) (*rpc.PlanAnswer, error) {
 	view := viewOf(ask.GetView())
 	verdict, state := s.member.Promise(view, ask.GetBallot(), ask.GetProposer())
-	return &rpc.PlanAnswer{Verdict: uint32(verdict), State: state.wire(), View: s.member.View(view.Key()).wire()}, nil
+	return &rpc.PlanAnswer{Verdict: uint32(verdict), State: state.wire()}, nil
 }
 
 // Accept implements the Groups rpc.
@@ -91,14 +78,12 @@
 
 // Install implements the Groups rpc.
 func (s *Service) Install(_ context.Context, ask *rpc.InstallRequest) (*rpc.GroupAnswer, error) {
-	view := viewOf(ask.GetView())
-	return s.groupAnswer(view, s.member.Install(view, stateOf(ask.GetState()))), nil
+	return &rpc.GroupAnswer{Ok: s.member.Install(viewOf(ask.GetView()), stateOf(ask.GetState()))}, nil
 }
 
 // Open implements the Groups rpc.
 func (s *Service) Open(_ context.Context, ask *rpc.OpenRequest) (*rpc.GroupAnswer, error) {
-	view := viewOf(ask.GetView())
-	return s.groupAnswer(view, s.member.Open(view)), nil
+	return &rpc.GroupAnswer{Ok: s.member.Open(viewOf(ask.GetView()))}, nil
 }
 
 // View implements the Groups rpc.
--- a/home/client.go
+++ b/home/client.go
@@ -12,6 +12,7 @@
 	"github.com/finchspoke/finchspoke/membership"
 	"github.com/finchspoke/finchspoke/request"
 	"github.com/finchspoke/finchspoke/rpc"
+	"github.com/finchspoke/finchspoke/sleep"
 	"github.com/finchspoke/finchspoke/transport"
 )
 
@@ -362,7 +363,7 @@
 		if time.Since(began) > linkPauseLast {
 			wait = linkPauseFirst
 		}
-		pause(l.ctx, wait)
+		sleep.For(l.ctx, wait)
 		wait = min(2*wait, linkPauseLast)
 	}
 }
--- a/home/placement.go
+++ b/home/placement.go
@@ -8,6 +8,7 @@
 
 	"github.com/finchspoke/finchspoke/queue"
 	"github.com/finchspoke/finchspoke/rpc"
+	"github.com/finchspoke/finchspoke/sleep"
 	"github.com/finchspoke/finchspoke/transport"
 )
 
@@ -43,18 +44,11 @@
 		if err := r.follow(ctx); err != nil && ctx.Err() == nil {
 			r.server.log.WithError(err).Debug("no placer; replicas known last stay in use")
 		}
-		pause(ctx, placerRetryPause)
+		sleep.For(ctx, placerRetryPause)
 	}
 	return ctx.Err()
 }
 
-func pause(ctx context.Context, wait time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
-}
-
 // follow keeps one stream to the placer until it breaks or another should place.
 func (r *Reporter) follow(ctx context.Context) error {
 	placer, found := r.server.view().Placer(r.region)
@@ -85,7 +79,7 @@
 		case err := <-ended:
 			return err
 		case <-r.server.urgent:
-			pause(ctx, urgentPause)
+			sleep.For(ctx, urgentPause)
 		case <-ticker.C:
 			if now, found := r.server.view().Placer(r.region); !found || now.ID != placer.ID {
 				return errors.New("another member places now")
--- a/membership/service.go
+++ b/membership/service.go
@@ -10,11 +10,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/finchspoke/finchspoke/rpc"
+	"github.com/finchspoke/finchspoke/sleep"
 	"github.com/finchspoke/finchspoke/transport"
 )
 
@@ -37,12 +39,11 @@
 // Service runs a Core on a UDP socket. It is a suture service and serves the
 // Membership rpc.
 type Service struct {
-	config  Config
-	seeds   []string // rpc addresses
-	keys    [][]byte // the first signs; any verifies; none: unsigned
-	socket  net.PacketConn
-	log     logrus.FieldLogger
-	started time.Time
+	config Config
+	seeds  []string // rpc addresses
+	keys   [][]byte // the first signs; any verifies; none: unsigned
+	socket net.PacketConn
+	log    logrus.FieldLogger
 
 	mutex     sync.Mutex
 	core      *Core
@@ -60,22 +61,13 @@
 	self.Process = uint64(now.UnixMilli())
 	self.Incarnation = self.Process
 	self.Since = now
-	random := rand.New(rand.NewPCG(uint64(now.UnixNano()), xorSeed(self.ID)))
-	service := &Service{config: config, seeds: seeds, keys: keys, socket: socket, log: log, started: now,
+	random := rand.New(rand.NewPCG(uint64(now.UnixNano()), xxhash.Sum64String(self.ID)))
+	service := &Service{config: config, seeds: seeds, keys: keys, socket: socket, log: log,
 		core: NewCore(config, self, random)}
 	service.view.Store(&View{SelfID: self.ID, Members: service.core.Members()})
 	return service
 }
 
-func xorSeed(id string) uint64 {
-	sum := sha256.Sum256([]byte(id))
-	seed := uint64(0)
-	for _, octet := range sum[:8] {
-		seed = seed<<8 | uint64(octet)
-	}
-	return seed
-}
-
 // String names the service in the supervisor's events.
 func (s *Service) String() string { return "membership" }
 
@@ -258,7 +250,7 @@
 		for _, seed := range s.seeds {
 			_ = s.syncWith(ctx, seed) // the next round tries again
 		}
-		pause(ctx, joinPause)
+		sleep.For(ctx, joinPause)
 	}
 	// At first whole lists are exchanged often: many that start together would
 	// take long to find each other by news alone.
@@ -266,7 +258,7 @@
 	nextRepair := time.Now().Add(interval)
 	nextRejoin := time.Now().Add(rejoinInterval)
 	for ctx.Err() == nil {
-		pause(ctx, joinPause)
+		sleep.For(ctx, joinPause)
 		now := time.Now()
 		if now.After(nextRejoin) {
 			nextRejoin = now.Add(rejoinInterval)
@@ -284,13 +276,6 @@
 	}
 }
 
-func pause(ctx context.Context, wait time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
-}
-
 // joined tells whether another member was found, or there is none to find.
 func (s *Service) joined() bool {
 	return len(s.lostSeeds()) == 0 || len(s.View().Members) > 1
--- a/placer/service.go
+++ b/placer/service.go
@@ -22,6 +22,7 @@
 	"github.com/finchspoke/finchspoke/membership"
 	"github.com/finchspoke/finchspoke/placement"
 	"github.com/finchspoke/finchspoke/settings"
+	"github.com/finchspoke/finchspoke/sleep"
 )
 
 const (
@@ -94,21 +95,14 @@
 			err := s.lead(ctx)
 			if err != nil && ctx.Err() == nil {
 				s.Log.WithError(err).WithField("region", s.Region).Warn("placer stopped leading")
-				wait(ctx, retryPause)
+				sleep.For(ctx, retryPause)
 			}
 		}
-		wait(ctx, checkInterval)
+		sleep.For(ctx, checkInterval)
 	}
 	return ctx.Err()
 }
 
-func wait(ctx context.Context, pause time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(pause):
-	}
-}
-
 func (s *Service) shouldLead() bool {
 	chosen, found := s.View().Placer(s.Region)
 	return found && chosen.ID == s.SelfID
@@ -156,7 +150,7 @@
 			return ctx.Err()
 		case <-ticker.C:
 		case <-term.cell.dirty:
-			wait(ctx, gatherPause)
+			sleep.For(ctx, gatherPause)
 		}
 		if highest := term.cell.highestEpoch(); highest > term.epoch {
 			s.floor = highest + 1
@@ -168,7 +162,7 @@
 		}
 		if err != nil && ctx.Err() == nil {
 			s.Log.WithError(err).WithField("epoch", term.epoch).Warn("plan not committed; the earlier one stands")
-			wait(ctx, retryPause)
+			sleep.For(ctx, retryPause)
 			continue
 		}
 		s.apply(ctx, term, workers)
@@ -227,7 +221,7 @@
 		machines, err := s.Machines.Machines(ctx, s.Region)
 		if err != nil {
 			s.Log.WithError(err).Debug("machine list not read; the earlier one stands")
-			wait(ctx, machineInterval)
+			sleep.For(ctx, machineInterval)
 			continue
 		}
 		wanted := term.cell.setMachines(machines)
@@ -253,7 +247,7 @@
 			first = false
 			close(listed)
 		}
-		wait(ctx, machineInterval)
+		sleep.For(ctx, machineInterval)
 	}
 	for _, cancel := range watching {
 		cancel()
@@ -271,7 +265,7 @@
 		if err != nil {
 			version = 0
 			term.cell.setInventory(id, nil, time.Now())
-			wait(ctx, retryPause)
+			sleep.For(ctx, retryPause)
 			continue
 		}
 		version = inventory.Version
--- a/settings/registry.go
+++ b/settings/registry.go
@@ -128,7 +128,8 @@
 		}
 		return nil, r.conflict(ctx, application, newest)
 	}
-	return Decode(record)
+	return &Revision{Number: number, OperationID: record.OperationID, Author: record.Author, AppliedAt: record.AppliedAt,
+		YAML: text, Tree: application.Tree}, nil
 }
 
 // expired returns the keys of the revision that leaves the history. If it cannot
--- a/standin/engines/batch.go
+++ b/standin/engines/batch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/finchspoke/finchspoke/engine"
+	"github.com/finchspoke/finchspoke/sleep"
 )
 
 // sequence is one request being answered.
@@ -102,7 +103,7 @@
 func (b *batch) drain(ctx context.Context) {
 	for {
 		running, waiting := b.load()
-		if running+waiting == 0 || !sleep(ctx, drainPoll) {
+		if running+waiting == 0 || !sleep.For(ctx, drainPoll) {
 			return
 		}
 	}
@@ -138,7 +139,7 @@
 	case <-b.stopped:
 		return false
 	default:
-		return sleep(ctx, step)
+		return sleep.For(ctx, step)
 	}
 }
 
--- a/standin/engines/inference.go
+++ b/standin/engines/inference.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 
 	"github.com/finchspoke/finchspoke/engine"
+	"github.com/finchspoke/finchspoke/sleep"
 	"github.com/finchspoke/finchspoke/standin/fault"
 )
 
@@ -191,7 +192,7 @@
 	e.workers.Add(1)
 	go func() {
 		defer e.workers.Done()
-		sleep(e.ctx, e.config.ResumeWindow)
+		sleep.For(e.ctx, e.config.ResumeWindow)
 		running.mutex.Lock()
 		unread := running.readers == 0
 		running.mutex.Unlock()
--- a/standin/engines/orders.go
+++ b/standin/engines/orders.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/finchspoke/finchspoke/engine"
+	"github.com/finchspoke/finchspoke/sleep"
 	"github.com/finchspoke/finchspoke/standin/fault"
 )
 
@@ -182,15 +183,15 @@
 func (e *Engine) transfer(ctx context.Context, tier engine.CacheTier, order engine.Order, bytes int64) bool {
 	switch tier {
 	case engine.InMemory:
-		return sleep(ctx, durationOf(bytes, e.config.Timing.MemoryBytesPerSecond))
+		return sleep.For(ctx, durationOf(bytes, e.config.Timing.MemoryBytesPerSecond))
 	case engine.OnDisk:
-		return sleep(ctx, durationOf(bytes, e.config.Timing.DiskBytesPerSecond))
+		return sleep.For(ctx, durationOf(bytes, e.config.Timing.DiskBytesPerSecond))
 	}
 	for ctx.Err() == nil {
 		if e.fetch(ctx, order, bytes) {
 			return true
 		}
-		if !sleep(ctx, storeRetryPause) {
+		if !sleep.For(ctx, storeRetryPause) {
 			return false
 		}
 	}
@@ -266,7 +267,7 @@
 	e.workers.Add(1)
 	go func() {
 		defer e.workers.Done()
-		if !sleep(e.ctx, e.config.Timing.AdapterLoad) {
+		if !sleep.For(e.ctx, e.config.Timing.AdapterLoad) {
 			return
 		}
 		e.mutex.Lock()
@@ -283,16 +284,6 @@
 	return time.Duration(float64(bytes) / perSecond * float64(time.Second))
 }
 
-// sleep waits and tells whether the wait was whole.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(wait):
-		return true
-	}
-}
-
 func parseUint(text string) uint64 {
 	value, err := strconv.ParseUint(text, 10, 64)
 	if err != nil {
