--- a/command/command.go
+++ b/command/command.go
@@ -18,6 +18,8 @@
 	return []cli.Command{
 		{Name: "serve", Short: "Run a daemon", Data: &serveCommand{},
 			Long: "Runs a daemon until it is stopped. SIGTERM begins a planned stop, which cuts no request; a second signal stops at once."},
+		{Name: "node", Short: "Run a daemon on the users' platform", Data: &nodeCommand{},
+			Long: "Runs a daemon that routes requests by the operator's imported configuration to replicas which the platform's registry lists. It reads the platform's settings file, whose path stands in FINCHSPOKE_CONFIG. SIGTERM begins a planned stop, SIGHUP reads the settings file again."},
 		{Name: "settings", Short: "Work with the settings tree", Commands: []cli.Command{
 			{Name: "check", Short: "Check settings files", Data: &checkCommand{}},
 			{Name: "render", Short: "Show what each branch inherits and overrides", Data: &renderCommand{}},
--- /dev/null
+++ b/core/core.go
@@ -0,0 +1,243 @@
+package core
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/finchspoke/finchspoke/demand"
+	"github.com/finchspoke/finchspoke/failure"
+	"github.com/finchspoke/finchspoke/fleet"
+	"github.com/finchspoke/finchspoke/routing"
+)
+
+// Call is one request, read whole and checked by a caller interface.
+type Call struct {
+	ID      string
+	Route   *routing.Route
+	Service *routing.Service
+	Target  fleet.Target
+	// Prefix names the shared part of the prompt; empty if there is none.
+	Prefix string
+	// ResumeAfter is the id of the last event that the caller has; empty: none.
+	ResumeAfter string
+	Method      string
+	URI         string // path and query as they came
+	Host        string
+	Header      http.Header // without those of one connection
+	Body        []byte
+	Arrived     time.Time
+	// Deadline is when the caller stops to wait, or the route's time ends.
+	Deadline time.Time
+	Version  int64 // of the routing table
+}
+
+// key names what the call needs loaded.
+func (c *Call) key() demand.Key { return demand.Key{Service: c.Service.Name, Target: c.Target} }
+
+// Caller is the caller's side of a call, made by a caller interface.
+type Caller interface {
+	// Begin sends the head of a replica's answer. length is that of the whole body,
+	// or negative.
+	Begin(status int, header http.Header, length int64)
+	// Write sends a part of the body. Its error says that the caller is gone.
+	Write(data []byte) error
+	// Flush sends what was written on its way.
+	Flush() error
+}
+
+// Disposition is what a replica's answer says of the request.
+type Disposition uint8
+
+// The dispositions.
+const (
+	Ran          Disposition = iota // it ran, well or not
+	Rejected                        // the replica did not run it, for now
+	WrongReplica                    // the replica is another, or lacks the target
+	Unsound                         // the answer cannot be relied on
+)
+
+// Reply is the head of a replica's answer.
+type Reply struct {
+	Status      int
+	Header      http.Header // without those of one connection
+	Length      int64       // of the body; negative if not known
+	Disposition Disposition
+	Body        Body
+}
+
+// Body is the body of a reply; io.EOF says that it is whole.
+type Body interface {
+	Read(data []byte) (int, error)
+	Buffered() int // bytes that can be read without waiting
+	Close() error
+}
+
+// Dispatch is a call on its way to one replica.
+type Dispatch struct {
+	Call        *Call
+	ReplicaID   string
+	Address     string
+	Left        time.Duration // until the call's deadline
+	ResumeAfter string
+}
+
+// Driver speaks the replicas' protocol.
+type Driver interface {
+	// Send sends a dispatch and returns the head of the answer. An error is a
+	// *SendError.
+	Send(ctx context.Context, dispatch Dispatch) (*Reply, error)
+}
+
+// SendError is a dispatch that got no answer.
+type SendError struct {
+	Written bool // the replica may have read the request
+	Cause   error
+}
+
+// Error returns the cause.
+func (e *SendError) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *SendError) Unwrap() error { return e.Cause }
+
+// RetryPolicy bounds the retries of each service.
+type RetryPolicy struct {
+	Share   float64 // of the requests
+	Reserve float64
+}
+
+// Core leads calls to their ends.
+type Core struct {
+	Fleet   *fleet.Directory
+	Demand  *demand.Tracker
+	Driver  Driver
+	Retries RetryPolicy
+	Metrics *Metrics
+	Log     logrus.FieldLogger
+
+	mutex   sync.Mutex
+	budgets map[string]*RetryBudget // by service
+}
+
+// budget returns the retry budget of a service.
+func (c *Core) budget(service string) *RetryBudget {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.budgets == nil {
+		c.budgets = map[string]*RetryBudget{}
+	}
+	budget := c.budgets[service]
+	if budget == nil {
+		budget = &RetryBudget{Share: c.Retries.Share, Reserve: c.Retries.Reserve}
+		c.budgets[service] = budget
+	}
+	return budget
+}
+
+// run is the progress of one call.
+type run struct {
+	*Call
+	caller    Caller
+	life      *Lifecycle
+	tried     []string // ids of replicas that failed the call
+	began     bool     // the head of an answer went to the caller
+	lastEvent string   // id of the last event that went to the caller
+	waited    time.Duration
+	lastID    string // of the replica dispatched to last
+}
+
+// Serve leads a call to its end. It returns nil when a whole answer went to the
+// caller, a replica's own failure included. Otherwise the caller is to get the
+// failure returned; where began is true part of an answer went out, and the
+// caller's connection must not look as if the answer were complete.
+func (c *Core) Serve(ctx context.Context, call *Call, caller Caller) (failed *failure.Error, began bool) {
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	defer cancel()
+	running := &run{
+		Call: call, caller: caller, lastEvent: call.ResumeAfter,
+		life: &Lifecycle{Repeatable: call.Route.Repeatable(), Resumable: call.Route.Resumable, MaxRuns: max(1, call.Route.Attempts), Deadline: call.Deadline},
+	}
+	c.Demand.Arrive(call.key())
+	c.budget(call.Service.Name).Earn()
+	failed = c.lead(ctx, running)
+	c.logEnd(running, failed)
+	return failed, running.began
+}
+
+// lead dispatches until the call has an end.
+func (c *Core) lead(ctx context.Context, running *run) *failure.Error {
+	for {
+		pick, failed := c.await(ctx, running)
+		if failed != nil {
+			return failed
+		}
+		outcome := c.dispatch(ctx, running, pick)
+		verdict := running.life.After(time.Now(), outcome.result, c.spender(running, outcome))
+		c.logDispatch(running, pick, outcome, verdict)
+		if verdict.Done {
+			return nil
+		}
+		if verdict.Retry && ctx.Err() == nil {
+			continue
+		}
+		if outcome.held != nil && ctx.Err() == nil {
+			return c.passOn(running, outcome.held)
+		}
+		return c.ended(ctx, running, verdict.Kind, outcome.cause)
+	}
+}
+
+// spender returns how a retry is paid for: what never reached a replica is free.
+func (c *Core) spender(running *run, outcome dispatchOutcome) func() bool {
+	if outcome.result == NotWritten {
+		return func() bool { return true }
+	}
+	return c.budget(running.Service.Name).Spend
+}
+
+// passOn answers with a replica's own failure.
+func (c *Core) passOn(running *run, held *heldReply) *failure.Error {
+	running.began = true
+	running.caller.Begin(held.status, held.header, int64(len(held.body)))
+	if err := running.caller.Write(held.body); err != nil {
+		return callerLeft(err, running.life.Execution())
+	}
+	return nil
+}
+
+func callerLeft(cause error, execution failure.Execution) *failure.Error {
+	return failure.Wrap(cause, failure.CallerLeft, "none: the caller closed the connection", "the caller left").WithExecution(execution)
+}
+
+// ended is the failure of a call that is not tried again.
+func (c *Core) ended(ctx context.Context, running *run, kind failure.Kind, cause error) *failure.Error {
+	execution := running.life.Execution()
+	if cause == nil {
+		cause = errors.New("no cause is known")
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return callerLeft(cause, execution)
+	case ctx.Err() != nil:
+		kind = failure.DeadlineExceeded
+	case running.life.MayHaveRun() && kind != failure.AnswerBroken:
+		kind = failure.OutcomeUnknown
+	}
+	remedy := "come back after the time given"
+	if execution != failure.NotRun {
+		remedy = "find out whether it took effect before asking again, unless it may be repeated"
+	}
+	failed := failure.Wrap(cause, kind, remedy, "no whole answer from a replica of %s", running.Service.Name).WithExecution(execution)
+	if execution == failure.NotRun {
+		failed = failed.WithRetryAfter(retrySoon)
+	}
+	return failed
+}
+
+// retrySoon is the advice to callers when replicas took no request just now.
+const retrySoon = 300 * time.Millisecond
--- /dev/null
+++ b/core/log.go
@@ -0,0 +1,69 @@
+package core
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/finchspoke/finchspoke/failure"
+	"github.com/finchspoke/finchspoke/fleet"
+	"github.com/finchspoke/finchspoke/logging"
+)
+
+// outcomeAnswered is the outcome of a call whose whole answer was passed on.
+const outcomeAnswered = "answered"
+
+func (c *Core) entry(running *run) logrus.FieldLogger {
+	return c.Log.WithFields(logrus.Fields{
+		logging.RequestID: running.ID, logging.Route: running.Route.Name, logging.Service: running.Service.Name,
+		logging.Model: running.Target.Model, logging.Adapter: running.Target.Adapter,
+	})
+}
+
+// logWait records that no replica could take a call at once, and what was decided.
+func (c *Core) logWait(running *run, miss fleet.Miss, decision waitDecision) {
+	c.entry(running).WithFields(logrus.Fields{
+		logging.Reason: miss.String(), logging.ReadyInMs: decision.readyIn.Milliseconds(), logging.Source: decision.source,
+		logging.Outcome: map[bool]string{true: "waits", false: "refused"}[decision.wait],
+	}).Info("no replica at once")
+}
+
+// logDispatch records a dispatch that did not end in an answer.
+func (c *Core) logDispatch(running *run, pick *fleet.Pick, outcome dispatchOutcome, verdict Verdict) {
+	c.Metrics.dispatches.WithLabelValues(outcome.result.String()).Inc()
+	if outcome.result == Answered {
+		return
+	}
+	c.entry(running).WithFields(logrus.Fields{
+		logging.Replica: pick.ID, logging.Address: pick.Address, logging.Inflight: pick.Inflight, logging.Status: outcome.status,
+		logging.Outcome: outcome.result.String(), logging.Retry: verdict.Retry, logging.LastEvent: running.lastEvent,
+		logging.AgeMs: time.Since(running.Arrived).Milliseconds(), logging.Cause: errorText(outcome.cause),
+	}).Warn("dispatch failed")
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// logEnd records the end of a call.
+func (c *Core) logEnd(running *run, failed *failure.Error) {
+	outcome, execution := outcomeAnswered, failure.Completed
+	entry := c.entry(running).WithFields(logrus.Fields{
+		logging.Replica: running.lastID, logging.WaitedMs: running.waited.Milliseconds(),
+		logging.DurationMs: time.Since(running.Arrived).Milliseconds(), logging.ConfigVersion: running.Version,
+	})
+	if failed != nil {
+		outcome, execution = string(failed.Kind), failed.Execution
+		entry = entry.WithFields(logrus.Fields{logging.Cause: failed.Error(), logging.RetryAfterMs: failed.RetryAfter.Milliseconds()})
+	}
+	c.Metrics.end(running, outcome, execution)
+	entry = entry.WithFields(logrus.Fields{logging.Outcome: outcome, logging.Execution: execution})
+	if failed != nil {
+		entry.Warn("request ended")
+		return
+	}
+	entry.Info("request ended")
+}
--- /dev/null
+++ b/core/metrics.go
@@ -0,0 +1,48 @@
+package core
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/finchspoke/finchspoke/failure"
+)
+
+// Metrics are the counters and histograms of the request core.
+type Metrics struct {
+	ended      *prometheus.CounterVec
+	first      *prometheus.HistogramVec
+	waited     *prometheus.HistogramVec
+	dispatches *prometheus.CounterVec
+}
+
+// NewMetrics registers the core's metrics.
+func NewMetrics(registerer prometheus.Registerer) *Metrics {
+	buckets := []float64{.005, .025, .05, .1, .25, .5, 1, 2.5, 5, 10, 25}
+	created := &Metrics{
+		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "finchspoke_core_requests_total", Help: "Requests ended, by kind of route, outcome and what is known of the execution.",
+		}, []string{"kind", "outcome", "execution"}),
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "finchspoke_core_first_byte_seconds", Help: "Time from the arrival of a request to the first byte of its answer.", Buckets: buckets,
+		}, []string{"kind"}),
+		waited: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "finchspoke_core_wait_seconds", Help: "Time that requests waited for a replica.", Buckets: buckets,
+		}, []string{"kind"}),
+		dispatches: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "finchspoke_core_dispatches_total", Help: "Dispatches to replicas, by result.",
+		}, []string{"result"}),
+	}
+	registerer.MustRegister(created.ended, created.first, created.waited, created.dispatches)
+	return created
+}
+
+func (m *Metrics) firstByte(running *run) {
+	m.first.WithLabelValues(running.Route.Kind.String()).Observe(time.Since(running.Arrived).Seconds())
+}
+
+func (m *Metrics) end(running *run, outcome string, execution failure.Execution) {
+	kind := running.Route.Kind.String()
+	m.ended.WithLabelValues(kind, outcome, string(execution)).Inc()
+	m.waited.WithLabelValues(kind).Observe(running.waited.Seconds())
+}
--- /dev/null
+++ b/core/wait.go
@@ -0,0 +1,155 @@
+package core
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/finchspoke/finchspoke/failure"
+	"github.com/finchspoke/finchspoke/fleet"
+	"github.com/finchspoke/finchspoke/routing"
+)
+
+const (
+	// looseEnd is kept between the end of a wait and the time it must end by, for
+	// the answer to begin.
+	looseEnd = 200 * time.Millisecond
+	// wordTime is how long a call waits for word of a load before it is judged by
+	// the catalogue's times, as a share of its objective at most.
+	wordTime         = 150 * time.Millisecond
+	wordShare        = 4
+	adapterLoadGuess = 250 * time.Millisecond
+	// decisionGuess is added to a load's own time before it was ordered.
+	decisionGuess = 300 * time.Millisecond
+	// noReplicaShare is the share of the objective that a call waits for a service
+	// that has no replica.
+	noReplicaShare = 4
+	recheck        = 200 * time.Millisecond
+)
+
+// patience returns until when a caller waits for the first byte: streams are given
+// up after a silence that the route's times set.
+func patience(call *Call) time.Time {
+	if call.Route.Kind != routing.Stream {
+		return call.Deadline
+	}
+	const (
+		leastSilence     = 2 * time.Second
+		silentObjectives = 4
+		silentGaps       = 8
+	)
+	silence := max(leastSilence, silentObjectives*call.Route.Objective, silentGaps*call.Route.MaxGap)
+	until := call.Arrived.Add(silence)
+	if until.After(call.Deadline) {
+		return call.Deadline
+	}
+	return until
+}
+
+// waitDecision is what to do with a call that no replica can take now.
+type waitDecision struct {
+	wait    bool
+	readyIn time.Duration // the estimate it was decided by
+	source  string        // where the estimate came from
+}
+
+// decideWait decides whether a call waits on or is refused. expected is when its
+// target will be loaded, if that is known.
+func decideWait(now time.Time, call *Call, miss fleet.Miss, expected time.Time, known bool) waitDecision {
+	until := patience(call)
+	switch miss {
+	case fleet.NoReplica:
+		grace := call.Arrived.Add(call.Route.Objective / noReplicaShare)
+		return waitDecision{wait: now.Before(grace), readyIn: retrySoon, source: "no_replica"}
+	case fleet.NotLoaded, fleet.AdapterAbsent:
+	default:
+		return waitDecision{readyIn: retrySoon, source: miss.String()}
+	}
+	decision := waitDecision{readyIn: loadGuess(call, miss), source: "catalogue"}
+	if known {
+		decision.readyIn, decision.source = max(0, expected.Sub(now)), "order_holder"
+	} else if now.Before(call.Arrived.Add(min(wordTime, call.Route.Objective/wordShare))) {
+		decision.wait = true
+		return decision
+	}
+	if now.Sub(call.Arrived) > decision.readyIn && !known {
+		// The guess has passed: only the caller's patience counts.
+		decision.readyIn = 0
+	}
+	decision.wait = now.Add(decision.readyIn + looseEnd).Before(until)
+	return decision
+}
+
+// loadGuess is how long a load takes that nothing is known of.
+func loadGuess(call *Call, miss fleet.Miss) time.Duration {
+	if miss == fleet.AdapterAbsent {
+		return adapterLoadGuess
+	}
+	if call.Service.Engine != nil {
+		if model := call.Service.Engine.Models[call.Target.Model]; model != nil {
+			return model.StoreLoad + decisionGuess
+		}
+	}
+	return decisionGuess
+}
+
+// await returns the replica for the next dispatch, waiting for one if that is worth
+// it; otherwise the failure that ends the call.
+func (c *Core) await(ctx context.Context, running *run) (*fleet.Pick, *failure.Error) {
+	ask := fleet.Ask{Service: running.Service.Name, Target: running.Target, Prefix: running.Prefix, Tried: running.tried}
+	var stopWaiting func()
+	defer func() {
+		if stopWaiting != nil {
+			stopWaiting()
+		}
+	}()
+	began := time.Now()
+	for {
+		changed := c.Fleet.Changed()
+		now := time.Now()
+		pick, miss := c.Fleet.Choose(ask, now)
+		if miss == fleet.AllTried && len(ask.Tried) > 0 {
+			// Better the same replica again than none.
+			ask.Tried = nil
+			continue
+		}
+		if pick != nil {
+			running.waited += now.Sub(began)
+			return pick, nil
+		}
+		expected, known := c.Fleet.Expected(running.Service.Name, missing(running.Target, miss))
+		decision := decideWait(now, running.Call, miss, expected, known)
+		if stopWaiting == nil {
+			stopWaiting = c.Demand.Wait(running.key())
+			c.logWait(running, miss, decision)
+		}
+		if !decision.wait {
+			running.waited += now.Sub(began)
+			return nil, c.refused(running, miss, decision)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, c.ended(ctx, running, failure.DeadlineExceeded, errors.New(miss.String()))
+		case <-changed:
+		case <-time.After(recheck):
+		}
+	}
+}
+
+// missing returns what has to be loaded first for a target.
+func missing(target fleet.Target, miss fleet.Miss) fleet.Target {
+	if miss == fleet.NotLoaded {
+		return fleet.Target{Model: target.Model}
+	}
+	return target
+}
+
+// refused is the failure of a call that is not worth waiting for.
+func (c *Core) refused(running *run, miss fleet.Miss, decision waitDecision) *failure.Error {
+	if running.life.MayHaveRun() {
+		return c.ended(context.Background(), running, failure.OutcomeUnknown, errors.New(miss.String()))
+	}
+	return failure.New(failure.NoCapacity, "come back after the time given", "no replica of %s can take the request in time: %s",
+		running.Service.Name, miss).WithRetryAfter(max(retrySoon, decision.readyIn))
+}
--- /dev/null
+++ b/election/election.go
@@ -0,0 +1,317 @@
+// Package election gives one daemon at a time a term under a lease in the key-value
+// service. The term's fence rises from each term to the next, so whoever is given
+// orders can tell an earlier holder from a later one.
+//
+// A lease that cannot be renewed is not lost at once: while the service is down for
+// all, nobody else can take a term either. What the holder may do meanwhile is for
+// the holder to decide; Standing tells how sure the term is.
+package election
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/finchspoke/finchspoke/kv"
+	"github.com/finchspoke/finchspoke/logging"
+	"github.com/finchspoke/finchspoke/rendezvous"
+	"github.com/finchspoke/finchspoke/sleep"
+)
+
+// Holder is the record of who holds the term.
+type Holder struct {
+	Daemon  string `json:"daemon"`
+	Address string `json:"address"` // where daemons reach it
+	// Nonce tells this write from every other, so that a lost answer can be settled.
+	Nonce string `json:"nonce"`
+	// Fence is the revision of the record; it is not part of the value.
+	Fence int64 `json:"-"`
+}
+
+// ParseHolder reads a holder's record.
+func ParseHolder(pair kv.Pair) (Holder, error) {
+	var holder Holder
+	if err := json.Unmarshal(pair.Value, &holder); err != nil {
+		return Holder{}, errors.Wrap(err, "read the record of the order holder")
+	}
+	holder.Fence = pair.ModRevision
+	return holder, nil
+}
+
+// Standing is how sure a daemon is of its term.
+type Standing uint8
+
+// The standings.
+const (
+	// None means that the daemon holds no term.
+	None Standing = iota
+	// Unsure means that the lease may be over: it was not renewed in time, and the
+	// service was not asked lately.
+	Unsure
+	// Blind means that the lease was not renewed in time because the service does
+	// not answer.
+	Blind
+	// Sure means that the lease holds.
+	Sure
+)
+
+// Config is what an election needs.
+type Config struct {
+	Key     string
+	Daemon  string
+	Address string
+	TTL     time.Duration
+}
+
+// Election campaigns for the term and keeps it. It is a suture service.
+type Election struct {
+	Config
+	store kv.LeaseStore
+	log   logrus.FieldLogger
+	now   func() time.Time
+
+	mutex     sync.Mutex
+	vacant    bool // the record is known to be absent
+	current   Holder
+	term      Holder // of this daemon; its nonce is empty without a term
+	lease     kv.LeaseID
+	renewed   time.Time // when the last renewal that succeeded was sent
+	attempted time.Time // when the last renewal that failed was given up
+	resigned  bool
+	wake      chan struct{}
+	onHolder  []func(Holder)
+}
+
+const (
+	renewsPerTTL = 3
+	// sureShare is the share of the lease's time for which a renewal vouches.
+	sureShare = 0.8
+	// blindShare is how lately, as a share of the lease's time, the service must
+	// have been asked for its silence to be known.
+	blindShare    = 0.5
+	campaignPause = 250 * time.Millisecond
+	callTimeout   = 800 * time.Millisecond
+)
+
+// New returns an election that has not been told of any record.
+func New(config Config, store kv.LeaseStore, log logrus.FieldLogger) *Election {
+	return &Election{Config: config, store: store, log: log, now: time.Now, wake: make(chan struct{}, 1)}
+}
+
+// Listen calls listener, one call at a time, whenever the holder's record changes;
+// an empty holder means that nobody holds the term.
+func (e *Election) Listen(listener func(Holder)) { e.onHolder = append(e.onHolder, listener) }
+
+// Observe takes in a change of the record, as the mirror of the service's records
+// sees it.
+func (e *Election) Observe(event kv.Event) {
+	holder := Holder{}
+	if !event.Deleted {
+		parsed, err := ParseHolder(event.Pair)
+		if err != nil {
+			e.log.WithError(err).Warn("a record is not used")
+			return
+		}
+		holder = parsed
+	}
+	e.mutex.Lock()
+	if event.Pair.ModRevision < e.current.Fence {
+		e.mutex.Unlock()
+		return // from before the record that is known
+	}
+	e.vacant = event.Deleted
+	e.current = holder
+	if e.term.Nonce != "" && e.term.Nonce != holder.Nonce {
+		e.loseTerm("another record stands")
+	}
+	e.mutex.Unlock()
+	e.log.WithFields(logrus.Fields{logging.Holder: holder.Daemon, logging.Fence: holder.Fence}).Info("order holder changed")
+	e.signal()
+	for _, listener := range e.onHolder {
+		listener(holder)
+	}
+}
+
+// Vacate takes in that no record was found when the service's records were read.
+func (e *Election) Vacate() {
+	e.mutex.Lock()
+	if e.current.Nonce == "" && e.term.Nonce == "" {
+		e.vacant = true
+	}
+	e.mutex.Unlock()
+	e.signal()
+}
+
+func (e *Election) signal() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// loseTerm ends this daemon's term; the mutex is held.
+func (e *Election) loseTerm(reason string) {
+	e.log.WithFields(logrus.Fields{logging.Fence: e.term.Fence, logging.Reason: reason}).Warn("term lost")
+	e.term, e.lease = Holder{}, 0
+}
+
+// Term returns the fence of this daemon's term and how sure it is.
+func (e *Election) Term() (fence int64, standing Standing) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.term.Nonce == "" || e.resigned {
+		return 0, None
+	}
+	now := e.now()
+	switch {
+	case now.Sub(e.renewed) < time.Duration(sureShare*float64(e.TTL)):
+		return e.term.Fence, Sure
+	case now.Sub(e.attempted) < time.Duration(blindShare*float64(e.TTL)):
+		return e.term.Fence, Blind
+	}
+	return e.term.Fence, Unsure
+}
+
+// HolderAddress returns the address of the holder that is known; empty: none.
+func (e *Election) HolderAddress() string {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.current.Address
+}
+
+// Deposed ends the term because someone with a higher fence was seen.
+func (e *Election) Deposed(reason string) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.term.Nonce != "" {
+		e.loseTerm(reason)
+	}
+}
+
+// String names the service in the supervisor's events.
+func (e *Election) String() string { return "election" }
+
+// Serve implements suture.Service.
+func (e *Election) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		e.mutex.Lock()
+		holding, vacant, resigned := e.term.Nonce != "", e.vacant, e.resigned
+		e.mutex.Unlock()
+		switch {
+		case holding && !resigned:
+			e.renew(ctx)
+			e.rest(ctx, e.TTL/renewsPerTTL)
+		case vacant && !resigned:
+			e.campaign(ctx)
+			e.rest(ctx, campaignPause)
+		default:
+			e.rest(ctx, e.TTL)
+		}
+	}
+	return ctx.Err()
+}
+
+func (e *Election) rest(ctx context.Context, most time.Duration) {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-e.wake:
+	}
+}
+
+const (
+	staggerSteps = 8
+	staggerStep  = 20 * time.Millisecond
+)
+
+// stagger delays this daemon's campaigns, so that not all ask at once.
+func (e *Election) stagger() time.Duration {
+	return time.Duration(rendezvous.Score(e.Key, e.Daemon)%staggerSteps) * staggerStep
+}
+
+// campaign tries to take the term.
+func (e *Election) campaign(ctx context.Context) {
+	if !sleep.For(ctx, e.stagger()) || !e.stillVacant() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, e.TTL)
+	defer cancel()
+	sent := e.now()
+	lease, err := e.store.GrantLease(ctx, e.TTL)
+	if err != nil {
+		return
+	}
+	term := Holder{Daemon: e.Daemon, Address: e.Address, Nonce: uuid.NewString()}
+	value, err := json.Marshal(term)
+	if err != nil {
+		return
+	}
+	result, err := kv.CommitResolved(ctx, e.store, kv.Txn{
+		Conditions: []kv.Condition{{Key: e.Key}}, Puts: []kv.Put{{Key: e.Key, Value: value, Lease: lease}},
+	})
+	if err == nil && !result.Succeeded {
+		e.mutex.Lock()
+		e.vacant = false // until the mirror says otherwise
+		e.mutex.Unlock()
+	}
+	if err != nil || !result.Succeeded {
+		// The record, if it came after all, is bound to the lease.
+		_ = e.store.EndLease(context.WithoutCancel(ctx), lease)
+		return
+	}
+	term.Fence = result.Revision
+	e.mutex.Lock()
+	e.term, e.lease, e.renewed, e.attempted, e.vacant, e.current = term, lease, sent, time.Time{}, false, term
+	e.mutex.Unlock()
+	e.log.WithFields(logrus.Fields{logging.Holder: e.Daemon, logging.Fence: term.Fence}).Info("term begins")
+	for _, listener := range e.onHolder {
+		listener(term)
+	}
+}
+
+func (e *Election) stillVacant() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.vacant
+}
+
+func (e *Election) renew(ctx context.Context) {
+	e.mutex.Lock()
+	lease := e.lease
+	e.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sent := e.now()
+	err := e.store.KeepLease(ctx, lease)
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	switch {
+	case e.lease != lease:
+	case err == nil:
+		e.renewed = sent
+	case errors.Is(err, kv.ErrNoLease):
+		e.loseTerm("the lease is over")
+		e.vacant = true
+	default:
+		e.attempted = e.now()
+	}
+}
+
+// Resign ends the term, if this daemon has it, and campaigns no more.
+func (e *Election) Resign(ctx context.Context) {
+	e.mutex.Lock()
+	e.resigned = true
+	lease := e.lease
+	e.mutex.Unlock()
+	if lease != 0 {
+		_ = e.store.EndLease(ctx, lease) // it runs out by itself otherwise
+	}
+	e.signal()
+}
--- /dev/null
+++ b/fleet/choose.go
@@ -0,0 +1,187 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/finchspoke/finchspoke/rendezvous"
+)
+
+// Ask is what a request needs of a replica.
+type Ask struct {
+	Service string
+	Target  Target
+	// Prefix names the shared part of the prompt; requests with the same one are
+	// led to the same replica, which may still have it in its cache. Empty: none.
+	Prefix string
+	// Tried are the ids of replicas not to be used again.
+	Tried []string
+}
+
+// Miss says why no replica can take a request now.
+type Miss uint8
+
+// The reasons.
+const (
+	Found         Miss = iota
+	NoReplica          // the service has none that takes requests
+	AllTried           // all that could were tried
+	NotLoaded          // none holds the model
+	AdapterAbsent      // some hold the model, none with the adapter
+)
+
+// String returns the reason's name in logs.
+func (m Miss) String() string {
+	return [...]string{"found", "no_replica", "all_tried", "model_not_loaded", "adapter_not_loaded"}[m]
+}
+
+// Pick is a replica chosen for one dispatch. It must be released.
+type Pick struct {
+	ID       string
+	Address  string
+	Zone     string
+	Inflight int // of this daemon there, this one excluded
+	replica  *Replica
+	fleet    *Directory
+}
+
+// Costs of a candidate, in requests that run there already.
+const (
+	costOtherZone    = 0.7
+	costNotOwner     = 2.0 // another replica has the prompt's prefix
+	costFailureShare = 12.0
+	costResting      = 1000.0
+	costTie          = 0.5
+)
+
+// Choose returns the best replica for a request, or why there is none.
+func (d *Directory) Choose(ask Ask, now time.Time) (*Pick, Miss) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	candidates, miss := d.candidates(ask, now)
+	if len(candidates) == 0 {
+		return nil, miss
+	}
+	owner := prefixOwner(ask.Prefix, candidates)
+	var best *Replica
+	lowest := 0.0
+	for _, candidate := range candidates {
+		cost := d.cost(candidate, ask, owner, now)
+		if best == nil || cost < lowest || (cost == lowest && candidate.ID < best.ID) {
+			best, lowest = candidate, cost
+		}
+	}
+	pick := &Pick{ID: best.ID, Address: best.Address, Zone: best.Zone, Inflight: best.inflight, replica: best, fleet: d}
+	best.inflight++
+	return pick, Found
+}
+
+// candidates lists the replicas that can take a request; the mutex is held.
+func (d *Directory) candidates(ask Ask, now time.Time) ([]*Replica, Miss) {
+	var usable []*Replica
+	miss := NoReplica
+	for _, member := range d.members {
+		if member.Service != ask.Service || member.Draining {
+			continue
+		}
+		switch {
+		case !member.holds(Target{Model: ask.Target.Model}, now):
+			miss = worse(miss, NotLoaded)
+		case !member.holds(ask.Target, now):
+			miss = worse(miss, AdapterAbsent)
+		case contains(ask.Tried, member.ID):
+			miss = worse(miss, AllTried)
+		default:
+			usable = append(usable, member)
+		}
+	}
+	return usable, miss
+}
+
+// missRank orders the reasons by how close the request came to a replica.
+var missRank = [...]int{Found: 0, NoReplica: 1, NotLoaded: 2, AdapterAbsent: 3, AllTried: 4}
+
+func worse(a, b Miss) Miss {
+	if missRank[b] > missRank[a] {
+		return b
+	}
+	return a
+}
+
+func contains(ids []string, id string) bool {
+	for _, one := range ids {
+		if one == id {
+			return true
+		}
+	}
+	return false
+}
+
+// prefixOwner returns the candidate that should have a prefix in its cache.
+func prefixOwner(prefix string, candidates []*Replica) *Replica {
+	if prefix == "" {
+		return nil
+	}
+	var owner *Replica
+	highest := uint64(0)
+	for _, candidate := range candidates {
+		score := rendezvous.Score(prefix, candidate.ID)
+		if owner == nil || score > highest {
+			owner, highest = candidate, score
+		}
+	}
+	return owner
+}
+
+// cost weighs a candidate; the lowest is chosen.
+func (d *Directory) cost(candidate *Replica, ask Ask, owner *Replica, now time.Time) float64 {
+	cost := float64(candidate.inflight) + costFailureShare*candidate.health.failureShare + costTie*d.random()
+	if candidate.Zone != d.zone {
+		cost += costOtherZone
+	}
+	if owner != nil && candidate != owner {
+		cost += costNotOwner
+	}
+	if candidate.health.resting(now) {
+		cost += costResting
+	}
+	return cost
+}
+
+// Result is how a dispatch ended, as far as the replica's health goes.
+type Result uint8
+
+// The results.
+const (
+	Answered    Result = iota // whole, or the caller left
+	Failed                    // the replica answered with a failure of its own
+	Refused                   // the replica said that it did not run the request
+	Absent                    // the replica lacks the target
+	Unreachable               // no whole answer came
+)
+
+// refusedFor is how long a replica that refused a request is not asked again for
+// the same target.
+const refusedFor = 150 * time.Millisecond
+
+// Release ends a dispatch.
+func (p *Pick) Release(result Result, target Target, now time.Time) {
+	p.fleet.mutex.Lock()
+	defer p.fleet.mutex.Unlock()
+	p.replica.inflight--
+	switch result {
+	case Answered:
+		p.replica.health.answered(false)
+	case Failed:
+		p.replica.health.answered(true)
+	case Refused:
+		p.replica.health.answered(true)
+		if target.Model != "" {
+			// An order may be under way that concerns the target.
+			p.replica.absentTill[target] = now.Add(refusedFor)
+		}
+	case Absent:
+		p.replica.absentTill[target] = now.Add(absentFor)
+	case Unreachable:
+		p.replica.health.unreachable(now)
+	}
+}
--- a/gateway/core_test.go
+++ b/gateway/core_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/finchspoke/finchspoke/core"
 	"github.com/finchspoke/finchspoke/failure"
 	"github.com/finchspoke/finchspoke/queue"
 	"github.com/finchspoke/finchspoke/request"
@@ -29,7 +30,7 @@
 // coreRequest is the oracle's record of one request.
 type coreRequest struct {
 	item      queue.Item
-	life      *lifecycle
+	life      *core.Lifecycle
 	started   int // runs begun on engines, which only the oracle knows
 	ends      int
 	execution failure.Execution
@@ -90,7 +91,7 @@
 // end gives a request its one end and checks what is said of it.
 func (m *coreMachine) end(t *rapid.T, held *coreRequest) {
 	held.ends++
-	held.execution = held.life.execution()
+	held.execution = held.life.Execution()
 	require.Equal(t, 1, held.ends, "%s ended twice", held.item.ID)
 	if held.execution == failure.NotRun {
 		require.Zero(t, held.started, "%s said not run and had run", held.item.ID)
@@ -111,7 +112,7 @@
 			Branch: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "branch"), Share: rapid.IntRange(1, 3).Draw(t, "share"),
 			Limits: settings.Limits{MaxWaiting: 6, MaxRunning: 3}, Class: request.Class(rapid.IntRange(0, request.ClassCount-1).Draw(t, "class")), Arrived: m.now, Deadline: deadline,
 		},
-		life:    &lifecycle{repeatable: rapid.Bool().Draw(t, "repeatable"), deadline: deadline},
+		life:    &core.Lifecycle{Repeatable: rapid.Bool().Draw(t, "repeatable"), Deadline: deadline},
 		waiting: true,
 	}
 	m.requests[id] = held
@@ -138,19 +139,19 @@
 // engine really began.
 func (m *coreMachine) finishDispatch(t *rapid.T) {
 	held := m.pick(t, dispatched)
-	result := rapid.SampledFrom([]dispatchResult{answered, notWritten, notStarted, lost, broken}).Draw(t, "result")
-	ran := result == answered || result == broken || (result == lost && rapid.Bool().Draw(t, "lost after start"))
+	result := rapid.SampledFrom([]core.Result{core.Answered, core.NotWritten, core.NotStarted, core.Lost, core.Broken}).Draw(t, "result")
+	ran := result == core.Answered || result == core.Broken || (result == core.Lost && rapid.Bool().Draw(t, "lost after start"))
 	if ran {
 		held.started++
-		if !held.life.repeatable {
+		if !held.life.Repeatable {
 			require.Equal(t, 1, held.started, "%s may not be repeated and ran twice", held.item.ID)
 		}
 	}
 	held.grantedTo = ""
-	actions := m.queue.Release(m.now, held.item.ID, result != answered, 100*time.Millisecond)
-	next := held.life.after(m.now, result, func() bool { return m.budget })
+	actions := m.queue.Release(m.now, held.item.ID, result != core.Answered, 100*time.Millisecond)
+	next := held.life.After(m.now, result, func() bool { return m.budget })
 	m.carryOut(t, actions)
-	if !next.retry {
+	if !next.Retry {
 		m.end(t, held)
 		return
 	}
@@ -262,7 +263,7 @@
 			held.started++
 			held.grantedTo = ""
 			m.carryOut(t, m.queue.Release(m.now, id, false, time.Millisecond))
-			held.life.after(m.now, answered, nil)
+			held.life.After(m.now, core.Answered, nil)
 			m.end(t, held)
 		}
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -44,8 +44,3 @@
 	registerer.MustRegister(created.requests, created.firstByte, created.waited, created.dispatches, created.inFlight, created.relayEvents)
 	return created
 }
-
-// String names the result in metrics and logs.
-func (r dispatchResult) String() string {
-	return [...]string{"answered", "not_written", "not_started", "lost", "broken"}[r]
-}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/finchspoke/finchspoke/core"
 	"github.com/finchspoke/finchspoke/engine"
 	"github.com/finchspoke/finchspoke/failure"
 	"github.com/finchspoke/finchspoke/home"
@@ -28,28 +29,28 @@
 // The answer goes to out; the failure is left to the caller of run. The second
 // value is what may be said of the execution either way.
 func (s *Server) run(ctx context.Context, incoming *call, out *sink) (*failure.Error, failure.Execution) {
-	life := &lifecycle{repeatable: incoming.repeatable, deadline: incoming.deadline}
+	life := &core.Lifecycle{Repeatable: incoming.repeatable, Deadline: incoming.deadline}
 	for {
 		slot, err := s.homes.Acquire(ctx, home.Ask{
 			RequestID: incoming.id, Model: incoming.model.Name, Regions: incoming.model.ServiceRegions, Target: incoming.target.Name,
 			Branch: incoming.branch.Path, Class: incoming.class, Tokens: incoming.tokens, Prefix: incoming.prefix, Arrived: incoming.arrived, Deadline: incoming.deadline,
 		})
 		if err != nil {
-			return s.notGranted(ctx, incoming, life, err), life.execution()
+			return s.notGranted(ctx, incoming, life, err), life.Execution()
 		}
 		incoming.log.home, incoming.log.engine, incoming.log.waited = slot.HomeID, slot.EngineID, time.Since(incoming.arrived)
 		s.metrics.waited.WithLabelValues(incoming.class.String()).Observe(incoming.log.waited.Seconds())
 		dispatched := s.dispatch(ctx, incoming, slot, out)
 		s.metrics.dispatches.WithLabelValues(dispatched.result.String()).Inc()
 		if dispatched.rejection != nil {
-			return dispatched.rejection, life.execution()
+			return dispatched.rejection, life.Execution()
 		}
-		next := life.after(time.Now(), dispatched.result, s.budget.spend)
-		if next.done {
-			return nil, life.execution()
+		next := life.After(time.Now(), dispatched.result, s.budget.Spend)
+		if next.Done {
+			return nil, life.Execution()
 		}
-		if !next.retry || ctx.Err() != nil {
-			return s.ended(ctx, incoming, life, next.kind, dispatched.cause), life.execution()
+		if !next.Retry || ctx.Err() != nil {
+			return s.ended(ctx, incoming, life, next.Kind, dispatched.cause), life.Execution()
 		}
 		s.Log.WithError(dispatched.cause).WithField("request_id", incoming.id).WithField("engine", slot.EngineID).
 			WithField("result", dispatched.result.String()).Debug("dispatch is tried again")
@@ -58,10 +59,10 @@
 }
 
 // notGranted explains why a call got no slot (this time).
-func (s *Server) notGranted(ctx context.Context, incoming *call, life *lifecycle, err error) *failure.Error {
+func (s *Server) notGranted(ctx context.Context, incoming *call, life *core.Lifecycle, err error) *failure.Error {
 	var refusal *failure.Error
 	if errors.As(err, &refusal) {
-		if life.mayHaveRun {
+		if life.MayHaveRun() {
 			return s.ended(ctx, incoming, life, failure.OutcomeUnknown, err)
 		}
 		return refusal
@@ -70,8 +71,8 @@
 }
 
 // ended is the failure of a call that is not tried again.
-func (s *Server) ended(ctx context.Context, incoming *call, life *lifecycle, kind failure.Kind, cause error) *failure.Error {
-	execution := life.execution()
+func (s *Server) ended(ctx context.Context, incoming *call, life *core.Lifecycle, kind failure.Kind, cause error) *failure.Error {
+	execution := life.Execution()
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return failure.Wrap(cause, failure.CallerLeft, "none: the caller closed the connection", "the caller left").WithExecution(execution)
 	}
@@ -98,7 +99,7 @@
 
 // dispatchOutcome is the result of a dispatch with its cause.
 type dispatchOutcome struct {
-	result dispatchResult
+	result core.Result
 	cause  error
 	// rejection is the engine's word that the request itself is not valid.
 	rejection *failure.Error
@@ -112,9 +113,9 @@
 		Address: slot.Address, ReplicaID: slot.ReplicaID, Path: incoming.path, RequestID: incoming.id, Priority: int(incoming.class), Body: incoming.body})
 	if err != nil {
 		var failed *engine.DispatchError
-		outcome := dispatchOutcome{result: lost, cause: err}
+		outcome := dispatchOutcome{result: core.Lost, cause: err}
 		if errors.As(err, &failed) && !failed.Written {
-			outcome.result = notWritten
+			outcome.result = core.NotWritten
 		}
 		s.abandon(ctx, incoming, slot, outcome.result)
 		slot.Release(ctx.Err() == nil, 0)
@@ -122,12 +123,12 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	outcome := s.takeAnswer(ctx, incoming, slot, response, out)
-	if outcome.result == lost || outcome.result == broken {
+	if outcome.result == core.Lost || outcome.result == core.Broken {
 		s.abandon(ctx, incoming, slot, outcome.result)
 	}
-	engineFailed := outcome.rejection == nil && outcome.result != answered && ctx.Err() == nil
+	engineFailed := outcome.rejection == nil && outcome.result != core.Answered && ctx.Err() == nil
 	service := time.Duration(0)
-	if outcome.result == answered {
+	if outcome.result == core.Answered {
 		service = time.Since(began)
 	}
 	slot.Release(engineFailed, service)
@@ -135,8 +136,8 @@
 }
 
 // abandon tells the engine that nobody waits for the request any more.
-func (s *Server) abandon(ctx context.Context, incoming *call, slot *home.Slot, result dispatchResult) {
-	if result == notWritten {
+func (s *Server) abandon(ctx context.Context, incoming *call, slot *home.Slot, result core.Result) {
+	if result == core.NotWritten {
 		return
 	}
 	background := context.WithoutCancel(ctx)
@@ -146,7 +147,7 @@
 // takeAnswer passes an engine's answer on.
 func (s *Server) takeAnswer(ctx context.Context, incoming *call, slot *home.Slot, response *http.Response, out *sink) dispatchOutcome {
 	if response.Header.Get(engine.HeaderRequestID) != incoming.id {
-		return dispatchOutcome{result: lost, cause: errors.New("the engine answered for another request")}
+		return dispatchOutcome{result: core.Lost, cause: errors.New("the engine answered for another request")}
 	}
 	if response.StatusCode != http.StatusOK {
 		return engineRefused(response)
@@ -157,17 +158,17 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxWholeAnswer+1))
 	if err != nil {
-		return dispatchOutcome{result: lost, cause: err}
+		return dispatchOutcome{result: core.Lost, cause: err}
 	}
 	if len(body) > maxWholeAnswer {
-		return dispatchOutcome{result: lost, cause: errors.New("the engine's answer is too long")}
+		return dispatchOutcome{result: core.Lost, cause: errors.New("the engine's answer is too long")}
 	}
 	s.firstByte(incoming)
 	out.begin(http.StatusOK, contentTypeJSON, headers)
 	if err := out.write(body); err != nil {
-		return dispatchOutcome{result: broken, cause: err}
+		return dispatchOutcome{result: core.Broken, cause: err}
 	}
-	return dispatchOutcome{result: answered}
+	return dispatchOutcome{result: core.Answered}
 }
 
 const (
@@ -194,9 +195,9 @@
 		s.metrics.relayEvents.Add(float64(ended.events))
 		switch {
 		case ended.whole:
-			return dispatchOutcome{result: answered}
+			return dispatchOutcome{result: core.Answered}
 		case ended.writeErr != nil:
-			return dispatchOutcome{result: broken, cause: ended.writeErr}
+			return dispatchOutcome{result: core.Broken, cause: ended.writeErr}
 		}
 		resumed, err := s.resume(ctx, incoming, slot, events, resumes)
 		if err == nil {
@@ -204,9 +205,9 @@
 			continue
 		}
 		if events == 0 {
-			return dispatchOutcome{result: lost, cause: ended.readErr}
+			return dispatchOutcome{result: core.Lost, cause: ended.readErr}
 		}
-		return dispatchOutcome{result: broken, cause: ended.readErr}
+		return dispatchOutcome{result: core.Broken, cause: ended.readErr}
 	}
 }
 
@@ -228,18 +229,18 @@
 func engineRefused(response *http.Response) dispatchOutcome {
 	text, err := io.ReadAll(io.LimitReader(response.Body, maxEngineError))
 	if err != nil {
-		return dispatchOutcome{result: lost, cause: err}
+		return dispatchOutcome{result: core.Lost, cause: err}
 	}
 	message := strings.TrimSpace(string(text))
 	cause := errors.Errorf("engine answered status %d: %s", response.StatusCode, message)
 	if response.Header.Get(engine.HeaderExecution) != engine.ExecutionNotStarted {
-		return dispatchOutcome{result: lost, cause: cause}
+		return dispatchOutcome{result: core.Lost, cause: cause}
 	}
 	if response.StatusCode == http.StatusBadRequest {
-		return dispatchOutcome{result: notStarted, cause: cause,
+		return dispatchOutcome{result: core.NotStarted, cause: cause,
 			rejection: failure.New(failure.InvalidRequest, "mend the request", "the engine does not accept the request: %s", message)}
 	}
-	return dispatchOutcome{result: notStarted, cause: cause}
+	return dispatchOutcome{result: core.NotStarted, cause: cause}
 }
 
 func (s *Server) firstByte(incoming *call) {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/net/netutil"
 
+	"github.com/finchspoke/finchspoke/core"
 	"github.com/finchspoke/finchspoke/engine"
 	"github.com/finchspoke/finchspoke/failure"
 	"github.com/finchspoke/finchspoke/group"
@@ -33,6 +34,10 @@
 	idleTimeout       = 2 * time.Minute
 	objectList        = "list"
 	objectModel       = "model"
+	// retryShare is how many retries each request pays for; retryReserve bounds
+	// what is saved up.
+	retryShare   = 0.1
+	retryReserve = 50
 )
 
 // Dependencies are what the gateway works with.
@@ -52,7 +57,7 @@
 	listener   net.Listener
 	http       *http.Server
 	metrics    *metrics
-	budget     *retryBudget
+	budget     *core.RetryBudget
 	lastEnded  endedRing
 	background sync.WaitGroup // keyed requests whose caller may be gone
 }
@@ -60,7 +65,7 @@
 // New returns a gateway on a listener.
 func New(dependencies Dependencies, homes *home.Client, listener net.Listener) *Server {
 	server := &Server{
-		Dependencies: dependencies, homes: homes, metrics: newMetrics(dependencies.Registerer), budget: newRetryBudget(),
+		Dependencies: dependencies, homes: homes, metrics: newMetrics(dependencies.Registerer), budget: &core.RetryBudget{Share: retryShare, Reserve: retryReserve},
 		listener: netutil.LimitListener(listener, dependencies.MaxConnections),
 	}
 	mux := http.NewServeMux()
--- /dev/null
+++ b/loader/attach.go
@@ -0,0 +1,155 @@
+package loader
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/finchspoke/finchspoke/demand"
+	"github.com/finchspoke/finchspoke/fleet"
+	"github.com/finchspoke/finchspoke/loading"
+	"github.com/finchspoke/finchspoke/rpc"
+)
+
+// viewPause gathers changes that come together into one view.
+const viewPause = 5 * time.Millisecond
+
+// Attach serves one daemon's stream. It implements rpc.DRPCLoadsServer.
+func (h *Holder) Attach(stream rpc.DRPCLoads_AttachStream) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	daemonID := first.GetDaemonId()
+	leave := h.join(daemonID)
+	defer leave()
+	h.report(first)
+	failed := make(chan error, 1)
+	go func() {
+		for {
+			message, err := stream.Recv()
+			if err != nil {
+				failed <- err
+				return
+			}
+			h.report(message)
+		}
+	}()
+	return h.tell(stream, failed)
+}
+
+var errTermOver = errors.New("the term of the holder of load orders is over")
+
+// join counts an attached daemon; the function returned ends it.
+func (h *Holder) join(daemonID string) func() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.attached++
+	h.attachedMax = max(h.attachedMax, h.attached)
+	return func() {
+		h.mutex.Lock()
+		defer h.mutex.Unlock()
+		h.attached--
+		if reported := h.daemons[daemonID]; reported != nil {
+			reported.detached = time.Now()
+		}
+	}
+}
+
+// report takes in a daemon's demand.
+func (h *Holder) report(message *rpc.LoadsDemand) {
+	now := time.Now()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	known := h.daemons[message.GetDaemonId()]
+	if known == nil {
+		known = &daemonDemand{counts: map[demand.Key]demand.Count{}}
+		h.daemons[message.GetDaemonId()] = known
+	}
+	known.detached = time.Time{}
+	for _, one := range message.GetKeys() {
+		key := demand.Key{Service: one.GetService(), Target: fleet.Target{Model: one.GetModel(), Adapter: one.GetAdapter()}}
+		before, had := known.counts[key]
+		count := demand.Count{Arrivals: one.GetArrivals(), Waiting: int(one.GetWaiting()), Running: int(one.GetRunning())}
+		known.counts[key] = count
+		arrivals := h.rates[key]
+		if arrivals == nil {
+			arrivals = &rate{}
+			h.rates[key] = arrivals
+		}
+		// What a daemon counted before it attached came some time ago.
+		if had && count.Arrivals >= before.Arrivals {
+			arrivals.add(count.Arrivals-before.Arrivals, now)
+		} else if count.Waiting+count.Running > 0 {
+			arrivals.add(1, now)
+		}
+	}
+	h.Wake()
+}
+
+// tell sends what is loaded, first all and then each change.
+func (h *Holder) tell(stream rpc.DRPCLoads_AttachStream, failed <-chan error) error {
+	sent, term := uint64(0), int64(0)
+	for {
+		h.mutex.Lock()
+		view, version, changed := h.view(sent, time.Now()), h.version, h.changed
+		h.mutex.Unlock()
+		if term != 0 && view.GetFence() != term {
+			return errTermOver
+		}
+		term = view.GetFence()
+		if len(view.GetReplicas()) > 0 {
+			if err := stream.Send(view); err != nil {
+				return err
+			}
+		}
+		sent = version
+		select {
+		case err := <-failed:
+			return err
+		case <-stream.Context().Done():
+			return stream.Context().Err()
+		case <-changed:
+			time.Sleep(viewPause)
+		}
+	}
+}
+
+// view makes the message of what changed after a version; the mutex is held.
+func (h *Holder) view(after uint64, now time.Time) *rpc.LoadsView {
+	view := &rpc.LoadsView{Fence: h.fence}
+	for _, id := range sortedIDs(h.states) {
+		state := h.states[id]
+		if h.versions[id] > after && state.Known {
+			view.Replicas = append(view.Replicas, replicaView(state, now))
+		}
+	}
+	return view
+}
+
+func replicaView(state *loading.Replica, now time.Time) *rpc.ReplicaLoads {
+	told := &rpc.ReplicaLoads{ReplicaId: state.ID, Sequence: state.Sequence}
+	leaving := map[fleet.Target]bool{}
+	for _, order := range state.UnderWay {
+		if order.Verb == loading.Unload {
+			leaving[order.Target] = true
+			continue
+		}
+		told.Loading = append(told.Loading, &rpc.LoadUnderWay{
+			Model: order.Target.Model, Adapter: order.Target.Adapter, ReadyInMs: max(0, order.ReadyAt().Sub(now).Milliseconds()),
+		})
+	}
+	for model, adapters := range state.Holdings {
+		if leaving[fleet.Target{Model: model}] {
+			continue
+		}
+		held := &rpc.HeldModel{Model: model}
+		for _, adapter := range adapters {
+			if !leaving[fleet.Target{Model: model, Adapter: adapter}] {
+				held.Adapters = append(held.Adapters, adapter)
+			}
+		}
+		told.Models = append(told.Models, held)
+	}
+	return told
+}
--- /dev/null
+++ b/loader/follower.go
@@ -0,0 +1,172 @@
+package loader
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/finchspoke/finchspoke/demand"
+	"github.com/finchspoke/finchspoke/election"
+	"github.com/finchspoke/finchspoke/fleet"
+	"github.com/finchspoke/finchspoke/logging"
+	"github.com/finchspoke/finchspoke/rpc"
+	"github.com/finchspoke/finchspoke/sleep"
+	"github.com/finchspoke/finchspoke/transport"
+)
+
+const (
+	// reportPause is the time between reports of demand that has changed.
+	reportPause = 300 * time.Millisecond
+	// urgentPause gathers requests that begin to wait together.
+	urgentPause = 3 * time.Millisecond
+	attachPause = 200 * time.Millisecond
+)
+
+// Follower keeps one stream to the holder of load orders. It is a suture service.
+type Follower struct {
+	Daemon  string
+	Demand  *demand.Tracker
+	Fleet   *fleet.Directory
+	Holder  *Holder // of this daemon, told of orders that others gave
+	Log     logrus.FieldLogger
+	mutex   sync.Mutex
+	current election.Holder
+	changed chan struct{}
+}
+
+// Prepare makes the follower ready for use.
+func (f *Follower) Prepare() { f.changed = make(chan struct{}) }
+
+// HolderChanged takes in who holds the orders now.
+func (f *Follower) HolderChanged(holder election.Holder) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	// A record that went away leaves the last holder in place: while the service
+	// that keeps the record is down, the holder goes on.
+	if holder.Nonce == "" || holder.Nonce == f.current.Nonce {
+		return
+	}
+	f.current = holder
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *Follower) holder() (election.Holder, <-chan struct{}) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.current, f.changed
+}
+
+// String names the service in the supervisor's events.
+func (f *Follower) String() string { return "load-order-follower" }
+
+// Serve implements suture.Service.
+func (f *Follower) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		holder, changed := f.holder()
+		if holder.Nonce == "" {
+			select {
+			case <-ctx.Done():
+			case <-changed:
+			}
+			continue
+		}
+		err := f.attach(ctx, holder, changed)
+		if ctx.Err() == nil {
+			f.Log.WithFields(logrus.Fields{logging.Dependency: "order holder", logging.Holder: holder.Daemon, logging.Fence: holder.Fence,
+				logging.Cause: err.Error()}).Info("dependency lost")
+			sleep.For(ctx, attachPause)
+		}
+	}
+	return ctx.Err()
+}
+
+var errHolderChanged = errors.New("the holder changed")
+
+// attach keeps a stream to a holder until it breaks or another holder is known.
+func (f *Follower) attach(ctx context.Context, holder election.Holder, changed <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	conn, err := transport.Dial(ctx, holder.Address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	stream, err := rpc.NewDRPCLoadsClient(conn).Attach(ctx)
+	if err != nil {
+		return errors.Wrap(err, "attach to the holder of load orders")
+	}
+	sent := map[demand.Key]demand.Count{}
+	if err := stream.Send(f.message(sent)); err != nil {
+		return err
+	}
+	f.Log.WithFields(logrus.Fields{logging.Dependency: "order holder", logging.Holder: holder.Daemon, logging.Fence: holder.Fence}).Info("dependency regained")
+	failed := make(chan error, 1)
+	go func() { failed <- f.listen(stream) }()
+	ticker := time.NewTicker(reportPause)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-failed:
+			return err
+		case <-changed:
+			return errHolderChanged
+		case <-f.Demand.Urgent():
+			sleep.For(ctx, urgentPause)
+		case <-ticker.C:
+		}
+		if message := f.message(sent); len(message.GetKeys()) > 0 {
+			if err := stream.Send(message); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// message makes a report of the demand that differs from what was sent.
+func (f *Follower) message(sent map[demand.Key]demand.Count) *rpc.LoadsDemand {
+	message := &rpc.LoadsDemand{DaemonId: f.Daemon}
+	for key, count := range f.Demand.Counts() {
+		if key.Target.Model == "" || sent[key] == count {
+			continue
+		}
+		sent[key] = count
+		message.Keys = append(message.Keys, &rpc.TargetLoadDemand{
+			Service: key.Service, Model: key.Target.Model, Adapter: key.Target.Adapter,
+			Arrivals: count.Arrivals, Waiting: uint32(count.Waiting), Running: uint32(count.Running),
+		})
+	}
+	return message
+}
+
+// listen takes in what the holder tells.
+func (f *Follower) listen(stream rpc.DRPCLoads_AttachClient) error {
+	for {
+		view, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		now := time.Now()
+		f.Holder.OrderSeen(now)
+		for _, told := range view.GetReplicas() {
+			f.confirm(told, now)
+		}
+	}
+}
+
+func (f *Follower) confirm(told *rpc.ReplicaLoads, now time.Time) {
+	holdings := fleet.Holdings{}
+	for _, held := range told.GetModels() {
+		holdings[held.GetModel()] = held.GetAdapters()
+	}
+	loads := map[fleet.Target]time.Time{}
+	for _, load := range told.GetLoading() {
+		loads[fleet.Target{Model: load.GetModel(), Adapter: load.GetAdapter()}] = now.Add(time.Duration(load.GetReadyInMs()) * time.Millisecond)
+	}
+	f.Fleet.Confirm(told.GetReplicaId(), told.GetSequence(), holdings, loads)
+}
--- /dev/null
+++ b/loader/holder.go
@@ -0,0 +1,339 @@
+// Package loader carries out load decisions where replicas take orders one by one.
+// The daemon that holds the term (package election) hears the demand of all
+// daemons, decides with package loading, gives the orders, and tells all daemons
+// what is loaded.
+package loader
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/finchspoke/finchspoke/demand"
+	"github.com/finchspoke/finchspoke/election"
+	"github.com/finchspoke/finchspoke/fleet"
+	"github.com/finchspoke/finchspoke/loading"
+	"github.com/finchspoke/finchspoke/routing"
+)
+
+// Answer is what a replica says to an order.
+type Answer uint8
+
+// The answers.
+const (
+	// Accepted means that the order is being carried out.
+	Accepted Answer = iota
+	// Done means that nothing more is needed.
+	Done
+	// Refused means that another order is under way, or that the replica has taken
+	// another number of orders than the order says.
+	Refused
+	// Fenced means that the replica has seen a higher fence.
+	Fenced
+	// Gone means that the address belongs to another replica now.
+	Gone
+)
+
+var answerNames = [...]string{"accepted", "done", "refused", "fenced", "gone"}
+
+// String returns the answer's name in logs.
+func (a Answer) String() string { return answerNames[a] }
+
+// Replicas is the protocol by which replicas take orders.
+type Replicas interface {
+	// Order sends an order. An error means that the replica may or may not have
+	// taken it.
+	Order(ctx context.Context, replica fleet.Entry, order loading.Order, holder string, fence int64) (Answer, error)
+	// Report asks a replica for its state.
+	Report(ctx context.Context, replica fleet.Entry) (loading.Report, error)
+}
+
+// Limits bound the loads from the weight store over all replicas: in any Window at
+// most PerSecond x Window x Slack + Extra may begin.
+type Limits struct {
+	Window time.Duration
+	Slack  float64
+	Extra  int
+	// TermGap is the least time between the orders of two holders.
+	TermGap time.Duration
+}
+
+const (
+	// tick is the time between decisions when nothing happens.
+	tick = 250 * time.Millisecond
+	// leastRest is the least time between two rounds that nothing woke.
+	leastRest = 5 * time.Millisecond
+	// callTimeout bounds an order or a report.
+	callTimeout = 700 * time.Millisecond
+	// pollPause is the time between reports of a replica that is being watched.
+	pollPause = 90 * time.Millisecond
+	// rateWindow is the time constant over which arrivals are averaged.
+	rateWindow = 4 * time.Second
+	// storeShare is the share of the allowed loads that one term uses, so that the
+	// loads of two terms together stay below.
+	storeShare = 0.7
+	// forgetAfter is how long the demand of a daemon that is not attached counts.
+	forgetAfter = 5 * time.Second
+)
+
+// Holder is the state of a term. It exists in every daemon and works in the one
+// that holds the term.
+type Holder struct {
+	Daemon   string
+	Fleet    *fleet.Directory
+	Table    *routing.Store
+	Replicas Replicas
+	Election *election.Election
+	Limits   Limits
+	Metrics  *Metrics
+	Log      logrus.FieldLogger
+	// FirstStart tells that no holder can have been at work before.
+	FirstStart bool
+
+	mutex  sync.Mutex
+	fence  int64 // of the term that the state belongs to; zero without one
+	begins time.Time
+	states map[string]*loading.Replica
+	// calling holds the replicas with a call on its way: the order, or nil if a
+	// report is asked for.
+	calling     map[string]*loading.Order
+	polled      map[string]time.Time // when each was last asked for its report
+	window      loading.StoreWindow
+	daemons     map[string]*daemonDemand
+	rates       map[demand.Key]*rate
+	attached    int
+	attachedMax int
+	version     uint64
+	versions    map[string]uint64 // of each replica's state
+	changed     chan struct{}
+	wake        chan struct{}
+	next        time.Time // when to look again; zero: at the next tick
+	lastOrder   time.Time // of any holder, as far as this daemon has heard
+}
+
+// daemonDemand is the last report of one daemon.
+type daemonDemand struct {
+	counts   map[demand.Key]demand.Count
+	detached time.Time // zero while attached
+}
+
+// rate is a moving average of arrivals.
+type rate struct {
+	perSecond float64
+	at        time.Time
+	lastUsed  time.Time
+}
+
+func (r *rate) add(arrivals uint64, now time.Time) {
+	r.decay(now)
+	r.perSecond += float64(arrivals) / rateWindow.Seconds()
+	r.lastUsed = now
+}
+
+func (r *rate) decay(now time.Time) {
+	if !r.at.IsZero() {
+		r.perSecond *= math.Exp(-now.Sub(r.at).Seconds() / rateWindow.Seconds())
+	}
+	r.at = now
+}
+
+// Prepare makes the holder ready for use.
+func (h *Holder) Prepare() {
+	h.wake = make(chan struct{}, 1)
+	h.changed = make(chan struct{})
+	h.daemons = map[string]*daemonDemand{}
+	h.rates = map[demand.Key]*rate{}
+	h.reset(0, time.Time{})
+}
+
+// reset forgets what an earlier term knew of the replicas; the mutex is held, or
+// nobody else has the holder yet.
+func (h *Holder) reset(fence int64, begins time.Time) {
+	h.fence, h.begins = fence, begins
+	h.states = map[string]*loading.Replica{}
+	h.calling = map[string]*loading.Order{}
+	h.polled = map[string]time.Time{}
+	h.versions = map[string]uint64{}
+	h.window = loading.StoreWindow{Length: h.Limits.Window}
+	h.attachedMax = h.attached
+	h.notify()
+}
+
+// notify wakes the streams that tell daemons what is loaded; the mutex is held.
+func (h *Holder) notify() {
+	h.version++
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// Wake makes the holder decide soon.
+func (h *Holder) Wake() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// String names the service in the supervisor's events.
+func (h *Holder) String() string { return "load-order-holder" }
+
+// Serve implements suture.Service.
+func (h *Holder) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		h.turn(ctx, time.Now())
+		timer := time.NewTimer(h.untilNext(time.Now()))
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-h.wake:
+		}
+		timer.Stop()
+	}
+	return ctx.Err()
+}
+
+// untilNext returns how long the holder may rest when nothing wakes it.
+func (h *Holder) untilNext(now time.Time) time.Duration {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.next.IsZero() {
+		return tick
+	}
+	return min(tick, max(leastRest, h.next.Sub(now)))
+}
+
+// turn is one round of decisions.
+func (h *Holder) turn(ctx context.Context, now time.Time) {
+	fence, standing := h.Election.Term()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.next = time.Time{}
+	if fence != h.fence {
+		h.beginTerm(fence, now)
+	}
+	if fence == 0 || h.Table.Current() == nil {
+		return
+	}
+	h.refreshStates()
+	if !h.mayOrder(standing, now) {
+		return
+	}
+	h.checkReplicas(ctx, now)
+	if now.Before(h.begins) {
+		return
+	}
+	for _, order := range loading.Decide(h.snapshot(now)) {
+		h.give(ctx, order, now)
+	}
+}
+
+// beginTerm starts a term, or ends one; the mutex is held.
+func (h *Holder) beginTerm(fence int64, now time.Time) {
+	begins := now
+	switch {
+	case fence == 0:
+	case !h.lastOrder.IsZero():
+		begins = h.lastOrder.Add(h.Limits.TermGap)
+	case !h.FirstStart:
+		begins = now.Add(h.Limits.TermGap)
+	}
+	h.reset(fence, begins)
+}
+
+// OrderSeen notes that a holder of orders was at work just now, which a later
+// holder has to keep a distance from.
+func (h *Holder) OrderSeen(now time.Time) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.lastOrder = now
+}
+
+// mayOrder tells whether orders may be given: under a lease that holds, or while
+// the service is silent and most daemons are still attached, so that no other
+// holder can be at work; the mutex is held.
+func (h *Holder) mayOrder(standing election.Standing, now time.Time) bool {
+	switch standing {
+	case election.Sure:
+		return true
+	case election.Blind:
+		return 2*h.attached >= h.attachedMax
+	}
+	return false
+}
+
+// refreshStates takes in what the registry says of replicas; the mutex is held.
+func (h *Holder) refreshStates() {
+	table := h.Table.Current()
+	seen := map[string]bool{}
+	for _, entry := range h.Fleet.Entries() {
+		service := table.Service(entry.Service)
+		if service == nil || service.Engine == nil {
+			continue
+		}
+		seen[entry.ID] = true
+		state := h.states[entry.ID]
+		if state == nil {
+			state = &loading.Replica{ID: entry.ID, Service: entry.Service, Zone: entry.Zone, Sequence: entry.Sequence, Holdings: entry.Holdings}
+			h.states[entry.ID] = state
+		}
+		state.Draining = entry.Draining
+		if len(entry.InMemory)+len(entry.OnDisk) > 0 {
+			state.InMemory, state.OnDisk = entry.InMemory, entry.OnDisk
+		}
+	}
+	for id := range h.states {
+		if !seen[id] {
+			delete(h.states, id)
+		}
+	}
+}
+
+// snapshot joins what is known into the input of a decision; the mutex is held.
+func (h *Holder) snapshot(now time.Time) loading.Snapshot {
+	snapshot := loading.Snapshot{Now: now, Services: map[string]*routing.Engine{}, Demand: h.demandOf(now)}
+	perSecond := 0.0
+	h.Table.Current().Services(func(service *routing.Service) {
+		if service.Engine != nil {
+			snapshot.Services[service.Name] = service.Engine
+			perSecond = max(perSecond, service.Engine.LoadsPerSecond)
+		}
+	})
+	h.window.Most = int(storeShare * (perSecond*h.Limits.Window.Seconds()*h.Limits.Slack + float64(h.Limits.Extra)))
+	snapshot.StoreLoads = h.window.Allowed(now)
+	for _, id := range sortedIDs(h.states) {
+		state := h.states[id]
+		if order, calling := h.calling[id]; calling {
+			state = state.WithCall(order, now, now.Add(tick))
+		}
+		snapshot.Replicas = append(snapshot.Replicas, state)
+	}
+	return snapshot
+}
+
+// demandOf sums the demand of all daemons; the mutex is held.
+func (h *Holder) demandOf(now time.Time) map[demand.Key]loading.Demand {
+	total := map[demand.Key]loading.Demand{}
+	for key, arrivals := range h.rates {
+		arrivals.decay(now)
+		total[key] = loading.Demand{PerSecond: arrivals.perSecond, LastUsed: arrivals.lastUsed}
+	}
+	for id, reported := range h.daemons {
+		if !reported.detached.IsZero() && now.Sub(reported.detached) > forgetAfter {
+			delete(h.daemons, id)
+			continue
+		}
+		for key, count := range reported.counts {
+			sum := total[key]
+			sum.Waiting += count.Waiting
+			sum.Running += count.Running
+			if count.Waiting+count.Running > 0 {
+				sum.LastUsed = now
+			}
+			total[key] = sum
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/loader/orders.go
@@ -0,0 +1,154 @@
+package loader
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/finchspoke/finchspoke/loading"
+	"github.com/finchspoke/finchspoke/logging"
+)
+
+// give sends an order; the mutex is held. The answer is taken in later.
+func (h *Holder) give(ctx context.Context, order loading.Order, now time.Time) {
+	entry, found := h.Fleet.Entry(order.ReplicaID)
+	if !found {
+		return
+	}
+	h.calling[order.ReplicaID] = &order
+	h.lastOrder = now
+	if order.Verb == loading.Load && order.Target.Adapter == "" && order.Origin == loading.FromStore {
+		h.window.Began(now)
+	}
+	fence := h.fence
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		answer, err := h.Replicas.Order(ctx, entry, order, h.Daemon, fence)
+		h.answered(order, fence, answer, err)
+	}()
+}
+
+// answered takes in what a replica said to an order.
+func (h *Holder) answered(order loading.Order, fence int64, answer Answer, err error) {
+	now := time.Now()
+	h.mutex.Lock()
+	if fence == h.fence {
+		delete(h.calling, order.ReplicaID)
+		if state := h.states[order.ReplicaID]; state != nil {
+			h.apply(state, order, answer, err, now)
+			h.touch(order.ReplicaID)
+		}
+	}
+	h.mutex.Unlock()
+	h.logOrder(order, fence, answer, err)
+	if err == nil && answer == Fenced {
+		h.Election.Deposed("a replica has seen a higher fence")
+	}
+	h.Wake()
+}
+
+func (h *Holder) apply(state *loading.Replica, order loading.Order, answer Answer, err error, now time.Time) {
+	switch {
+	case err != nil, answer == Refused, answer == Gone, answer == Fenced:
+		state.Doubt(now)
+	case answer == Accepted:
+		state.Took(order, now)
+	case answer == Done:
+		state.Did(order)
+	}
+}
+
+// touch marks a replica's state as changed; the mutex is held.
+func (h *Holder) touch(id string) {
+	h.notify()
+	h.versions[id] = h.version
+}
+
+func (h *Holder) logOrder(order loading.Order, fence int64, answer Answer, err error) {
+	outcome := answer.String()
+	entry := h.Log.WithFields(logrus.Fields{
+		logging.Replica: order.ReplicaID, logging.Order: order.Verb.String(), logging.Model: order.Target.Model, logging.Adapter: order.Target.Adapter,
+		logging.Sequence: order.Sequence, logging.Fence: fence, logging.Reason: order.Reason, logging.Source: order.Origin.String(),
+		logging.ReadyInMs: order.Takes.Milliseconds(),
+	})
+	if err != nil {
+		outcome = "unanswered"
+		entry = entry.WithField(logging.Cause, err.Error())
+	}
+	h.Metrics.orders.WithLabelValues(order.Verb.String(), outcome).Inc()
+	entry.WithField(logging.Outcome, outcome).Info("load order")
+}
+
+// checkReplicas asks for the reports of replicas of which more must be known; the
+// mutex is held.
+func (h *Holder) checkReplicas(ctx context.Context, now time.Time) {
+	for id, state := range h.states {
+		at := state.NextCheck(now)
+		if _, calling := h.calling[id]; calling || state.Draining && state.Known || at.IsZero() {
+			continue
+		}
+		if earliest := h.polled[id].Add(pollPause); at.Before(earliest) {
+			at = earliest
+		}
+		if at.After(now) {
+			h.due(at)
+			continue
+		}
+		h.check(ctx, id, now)
+	}
+}
+
+// due notes a moment at which the holder has to look again; the mutex is held.
+func (h *Holder) due(at time.Time) {
+	if h.next.IsZero() || at.Before(h.next) {
+		h.next = at
+	}
+}
+
+// check asks a replica for its report; the mutex is held.
+func (h *Holder) check(ctx context.Context, id string, now time.Time) {
+	entry, found := h.Fleet.Entry(id)
+	if !found {
+		return
+	}
+	h.calling[id] = nil
+	h.polled[id] = now
+	fence := h.fence
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		report, err := h.Replicas.Report(ctx, entry)
+		h.heard(id, fence, report, err)
+	}()
+}
+
+// heard takes in a replica's report.
+func (h *Holder) heard(id string, fence int64, report loading.Report, err error) {
+	now := time.Now()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if fence != h.fence {
+		return
+	}
+	delete(h.calling, id)
+	state := h.states[id]
+	if state == nil {
+		return
+	}
+	if err != nil {
+		h.polled[id] = now.Add(pollPause) // ask less often where nothing answers
+		return
+	}
+	if state.Hear(report, now) {
+		h.touch(id)
+		h.Log.WithFields(logrus.Fields{logging.Replica: id, logging.Sequence: report.Sequence, logging.Model: slices.Sorted(maps.Keys(report.Holdings)),
+			logging.Busy: report.Busy, logging.Fence: fence}).Info("replica state heard")
+	}
+	h.Wake()
+}
+
+func sortedIDs(states map[string]*loading.Replica) []string { return slices.Sorted(maps.Keys(states)) }
--- /dev/null
+++ b/loading/adapters.go
@@ -0,0 +1,146 @@
+package loading
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/finchspoke/finchspoke/demand"
+	"github.com/finchspoke/finchspoke/fleet"
+	"github.com/finchspoke/finchspoke/rendezvous"
+)
+
+const (
+	// adapterTime is how long the load of an adapter takes from the weight store.
+	adapterTime = 200 * time.Millisecond
+	// adapterRatePerCopy is the arrivals a second that one copy of an adapter is
+	// meant for.
+	adapterRatePerCopy = 3.0
+	// mostAdaptersComing is how many adapters may be on their way to a replica.
+	mostAdaptersComing = 4
+)
+
+// loadAdapters gives orders for adapters that requests wait for.
+func (p *planner) loadAdapters() {
+	for _, key := range p.adaptersAskedFor() {
+		asked := p.Demand[key]
+		copies := p.adapterCopies(key.Target)
+		if copies == 0 && asked.Waiting > 0 || float64(copies)*adapterRatePerCopy < asked.PerSecond {
+			p.loadAdapter(key.Target)
+		}
+	}
+}
+
+// adaptersAskedFor lists the service's adapters with demand, those that most wait
+// for first.
+func (p *planner) adaptersAskedFor() []demand.Key {
+	var keys []demand.Key
+	for key, asked := range p.Demand {
+		if key.Service == p.service && key.Target.Adapter != "" && (asked.Waiting > 0 || asked.PerSecond > adapterRatePerCopy) {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, func(a, b demand.Key) int {
+		return cmp.Or(cmp.Compare(p.Demand[b].Waiting, p.Demand[a].Waiting),
+			cmp.Compare(a.Target.Model, b.Target.Model), cmp.Compare(a.Target.Adapter, b.Target.Adapter))
+	})
+	return keys
+}
+
+// adapterCopies counts the replicas that hold an adapter or are loading it.
+func (p *planner) adapterCopies(target fleet.Target) int {
+	copies := 0
+	for _, replica := range p.Replicas {
+		if replica.Service != p.service || replica.Draining {
+			continue
+		}
+		order := replica.underWay(target)
+		if order != nil && order.Verb == Load || order == nil && replica.Holdings.Has(target) {
+			copies++
+		}
+	}
+	return copies
+}
+
+// loadAdapter loads an adapter on the replica that suits it best, or makes a place
+// for it.
+func (p *planner) loadAdapter(target fleet.Target) {
+	var best *Replica
+	bestUsed, bestScore := 0, uint64(0)
+	for _, replica := range p.candidates() {
+		_, held := replica.Holdings[target.Model]
+		if !held || replica.busy() || unloading(replica, target.Model) || replica.Holdings.Has(target) || adaptersComing(replica) >= mostAdaptersComing {
+			continue
+		}
+		// Full replicas are equal; among the others the emptiest is best, so that
+		// adapters spread. Hashing keeps an adapter where it was before.
+		used := min(adaptersOn(replica), p.engine.AdapterSlots)
+		score := rendezvous.Score(target.Adapter, replica.ID)
+		if best == nil || used < bestUsed || (used == bestUsed && score > bestScore) {
+			best, bestUsed, bestScore = replica, used, score
+		}
+	}
+	if best == nil {
+		return
+	}
+	memory := p.engine.Models[target.Model].AdapterMemoryMB
+	if adaptersOn(best) < p.engine.AdapterSlots && p.memoryLeft(best, false) >= memory {
+		p.give(best, Order{Verb: Load, Target: target, Takes: adapterTime, Reason: "requests wait"})
+		return
+	}
+	if victim, found := p.idleAdapter(best); found {
+		p.give(best, Order{Verb: Unload, Target: victim, Takes: unloadTime, Reason: "a place for " + target.Model + "/" + target.Adapter})
+	}
+}
+
+// adaptersOn counts the adapter places that are taken or may be.
+func adaptersOn(replica *Replica) int {
+	count := 0
+	for _, adapters := range replica.Holdings {
+		count += len(adapters)
+	}
+	for _, order := range replica.UnderWay {
+		if order.Verb == Load && order.Target.Adapter != "" && !replica.Holdings.Has(order.Target) {
+			count++
+		}
+	}
+	return count
+}
+
+func adaptersComing(replica *Replica) int {
+	count := 0
+	for _, order := range replica.UnderWay {
+		if order.Verb == Load && order.Target.Adapter != "" {
+			count++
+		}
+	}
+	return count
+}
+
+// idleAdapter returns the adapter on a replica that is used least: those that
+// nobody runs or waits for first, then those used longest ago.
+func (p *planner) idleAdapter(replica *Replica) (fleet.Target, bool) {
+	var victim fleet.Target
+	var least Demand
+	found := false
+	for _, model := range sortedKeys(replica.Holdings) {
+		for _, adapter := range replica.Holdings[model] {
+			target := fleet.Target{Model: model, Adapter: adapter}
+			asked := p.Demand[demand.Key{Service: p.service, Target: target}]
+			if replica.underWay(target) != nil || asked.Waiting > 0 {
+				continue
+			}
+			if !found || lessUsed(asked, least) {
+				victim, least, found = target, asked, true
+			}
+		}
+	}
+	return victim, found
+}
+
+func lessUsed(a, b Demand) bool {
+	if (a.Running == 0) != (b.Running == 0) {
+		return a.Running == 0
+	}
+	return a.LastUsed.Before(b.LastUsed)
+}
--- /dev/null
+++ b/loading/loading_test.go
@@ -0,0 +1,196 @@
+package loading
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/finchspoke/finchspoke/demand"
+	"github.com/finchspoke/finchspoke/fleet"
+	"github.com/finchspoke/finchspoke/routing"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+const second = time.Second
+
+func testEngine() *routing.Engine {
+	engine := &routing.Engine{MemoryMB: 200, AdapterSlots: 2, LoadsPerSecond: 2, Models: map[string]*routing.Model{}}
+	for rank := range 6 {
+		name := fmt.Sprintf("m%d", rank)
+		engine.Models[name] = &routing.Model{Name: name, MemoryMB: 90, AdapterMemoryMB: 1, StoreLoad: 4 * second, DiskLoad: 2 * second, MemoryLoad: second, Rank: rank}
+	}
+	engine.Models["m0"].Adapters = 5
+	return engine
+}
+
+func replica(id string, models ...string) *Replica {
+	made := &Replica{ID: id, Service: "press", Known: true, Holdings: fleet.Holdings{}, LoadedAt: map[string]time.Time{}}
+	for _, model := range models {
+		made.Holdings[model] = nil
+	}
+	return made
+}
+
+func key(model, adapter string) demand.Key {
+	return demand.Key{Service: "press", Target: fleet.Target{Model: model, Adapter: adapter}}
+}
+
+func snapshot(asked map[demand.Key]Demand, replicas ...*Replica) Snapshot {
+	return Snapshot{Now: start, Services: map[string]*routing.Engine{"press": testEngine()}, Replicas: replicas, Demand: asked, StoreLoads: 5}
+}
+
+func waitingFor(model, adapter string) map[demand.Key]Demand {
+	return map[demand.Key]Demand{key(model, adapter): {Waiting: 1, PerSecond: 0.1, LastUsed: start}}
+}
+
+func TestAModelThatRequestsWaitForIsLoadedWhereThereIsRoom(t *testing.T) {
+	orders := Decide(snapshot(waitingFor("m5", ""), replica("r1", "m1", "m2"), replica("r2", "m3")))
+	require.Len(t, orders, 1)
+	require.Equal(t, "r2", orders[0].ReplicaID)
+	require.Equal(t, Load, orders[0].Verb)
+	require.Equal(t, "m5", orders[0].Target.Model)
+}
+
+func TestACopyNearbyGoesBeforeTheStore(t *testing.T) {
+	near := replica("r2", "m1")
+	near.OnDisk = []string{"m5"}
+	orders := Decide(snapshot(waitingFor("m5", ""), replica("r1"), near))
+	require.Equal(t, "r2", orders[0].ReplicaID)
+	require.Equal(t, FromDisk, orders[0].Origin)
+}
+
+func TestNothingIsLoadedTwiceWhileALoadIsUnderWay(t *testing.T) {
+	loading := replica("r1")
+	loading.Took(Order{Verb: Load, Target: fleet.Target{Model: "m5"}, Takes: 4 * second}, start)
+	require.Empty(t, Decide(snapshot(waitingFor("m5", ""), loading, replica("r2"))))
+}
+
+func TestRoomIsMadeByTheModelThatIsWorthLeast(t *testing.T) {
+	asked := waitingFor("m5", "")
+	asked[key("m3", "")] = Demand{PerSecond: 1, Running: 2, LastUsed: start}
+	asked[key("m0", "")] = Demand{PerSecond: 1, LastUsed: start}
+	full := replica("r1", "m3", "m4")
+	orders := Decide(snapshot(asked, full, replica("r2", "m0", "m1")))
+	require.Len(t, orders, 1)
+	require.Equal(t, Order{ReplicaID: "r1", Verb: Unload, Target: fleet.Target{Model: "m4"}, Takes: unloadTime, Reason: "room for m5", RoomFor: "m5"}, orders[0])
+	// While it is unloaded, its room is promised: nothing else is evicted.
+	full.Took(orders[0], start)
+	require.Empty(t, Decide(snapshot(asked, full, replica("r2", "m0", "m1"))))
+	// Once free, it is kept for the model, whatever else wants a copy.
+	full.Hear(Report{Sequence: 1, Holdings: fleet.Holdings{"m3": nil}}, start.Add(second))
+	asked[key("m2", "")] = Demand{Waiting: 9, LastUsed: start}
+	for _, order := range Decide(snapshot(asked, full, replica("r2", "m0", "m1"))) {
+		require.False(t, order.ReplicaID == "r1" && order.Target.Model != "m5")
+	}
+}
+
+// While an order is on its way it counts as under way, or each answer to one of
+// several would bring out the same order to yet another replica.
+func TestAnOrderOnItsWayCounts(t *testing.T) {
+	order := Order{ReplicaID: "r1", Verb: Unload, Target: fleet.Target{Model: "m4"}, RoomFor: "m5"}
+	calling := replica("r1", "m3", "m4").WithCall(&order, start, start.Add(second))
+	require.Empty(t, Decide(snapshot(waitingFor("m5", ""), calling, replica("r2", "m0", "m1"))))
+}
+
+func TestNoAdapterIsOrderedWhileAModelIsLoaded(t *testing.T) {
+	busy := replica("r1", "m0")
+	busy.Took(Order{Verb: Load, Target: fleet.Target{Model: "m1"}, Takes: 4 * second}, start)
+	require.Empty(t, Decide(snapshot(waitingFor("m0", "a1"), busy)))
+}
+
+func TestWhatMayBeUnderWayStaysCharged(t *testing.T) {
+	engine := testEngine()
+	charged := replica("r1", "m1")
+	charged.Took(Order{Verb: Load, Target: fleet.Target{Model: "m2"}, Takes: 4 * second}, start)
+	made := &planner{Snapshot: snapshot(nil, charged), engine: engine}
+	require.InDelta(t, 20, made.memoryLeft(charged, false), 0.001)
+	unloads := replica("r2", "m1", "m2")
+	unloads.Took(Order{Verb: Unload, Target: fleet.Target{Model: "m1"}}, start)
+	require.InDelta(t, 20, made.memoryLeft(unloads, false), 0.001)
+	require.InDelta(t, 110, made.memoryLeft(unloads, true), 0.001)
+}
+
+func TestLoadsFromTheStoreStopAtItsCeiling(t *testing.T) {
+	asked := map[demand.Key]Demand{}
+	var replicas []*Replica
+	for number := range 5 {
+		asked[key(fmt.Sprintf("m%d", number+1), "")] = Demand{Waiting: 1, LastUsed: start}
+		replicas = append(replicas, replica(fmt.Sprintf("r%d", number)))
+	}
+	limited := snapshot(asked, replicas...)
+	limited.StoreLoads = 2
+	require.Len(t, Decide(limited), 2)
+}
+
+func TestBusyModelsGetCopiesButNotAtTheCostOfOnesInUse(t *testing.T) {
+	asked := map[demand.Key]Demand{
+		key("m1", ""): {PerSecond: 5, Running: 8, LastUsed: start},
+		key("m2", ""): {PerSecond: 4, Running: 8, LastUsed: start},
+	}
+	orders := Decide(snapshot(asked, replica("r1", "m1"), replica("r2", "m2"), replica("r3")))
+	require.NotEmpty(t, orders)
+	for _, order := range orders {
+		require.Equal(t, Load, order.Verb)
+	}
+	require.Empty(t, Decide(snapshot(asked, replica("r1", "m1", "m2"), replica("r2", "m1", "m2"), replica("r3", "m1", "m2"))))
+}
+
+func TestAnAdapterIsLoadedWhereItsModelIsAndAnIdleOneMakesPlace(t *testing.T) {
+	holder := replica("r2", "m0")
+	orders := Decide(snapshot(waitingFor("m0", "a1"), replica("r1", "m1"), holder))
+	require.Equal(t, []Order{{ReplicaID: "r2", Verb: Load, Target: fleet.Target{Model: "m0", Adapter: "a1"}, Takes: adapterTime, Reason: "requests wait"}}, orders)
+	holder.Holdings["m0"] = []string{"a2", "a3"}
+	asked := waitingFor("m0", "a1")
+	asked[key("m0", "a3")] = Demand{Running: 1, LastUsed: start}
+	orders = Decide(snapshot(asked, holder))
+	require.Len(t, orders, 1)
+	require.Equal(t, Unload, orders[0].Verb)
+	require.Equal(t, "a2", orders[0].Target.Adapter)
+}
+
+func TestALeavingReplicaCountsForNothing(t *testing.T) {
+	leaving := replica("r1", "m5")
+	leaving.Draining = true
+	orders := Decide(snapshot(waitingFor("m5", ""), leaving, replica("r2")))
+	require.Equal(t, "r2", orders[0].ReplicaID)
+}
+
+func TestAReplicaOfWhichNothingIsKnownGetsNoOrder(t *testing.T) {
+	silent := replica("r1")
+	silent.Doubt(start)
+	require.Empty(t, Decide(snapshot(waitingFor("m5", ""), silent)))
+	require.Equal(t, start, silent.NextCheck(start))
+}
+
+func TestAReportFromBeforeTheLastOrderIsNotTaken(t *testing.T) {
+	held := replica("r1", "m1")
+	held.Sequence = 4
+	order := Order{Verb: Load, Target: fleet.Target{Model: "m2"}, Sequence: 4, Takes: 4 * second}
+	held.Took(order, start)
+	require.False(t, held.Hear(Report{Sequence: 4, Holdings: fleet.Holdings{"m1": nil}}, start))
+	require.Len(t, held.UnderWay, 1)
+	require.False(t, held.Hear(Report{Sequence: 5, Busy: true, Holdings: fleet.Holdings{"m1": nil}}, start.Add(second)))
+	require.True(t, held.Hear(Report{Sequence: 5, Holdings: fleet.Holdings{"m1": nil, "m2": nil}}, start.Add(4*second)))
+	require.Empty(t, held.UnderWay)
+	require.True(t, held.Holdings.Has(fleet.Target{Model: "m2"}))
+}
+
+func TestALoadOfAnotherHolderKeepsOrdersBackUntilItHasEnded(t *testing.T) {
+	held := replica("r1", "m1")
+	held.Doubt(start)
+	held.Hear(Report{Sequence: 7, Busy: true, Holdings: fleet.Holdings{"m1": nil}}, start.Add(second))
+	require.False(t, held.open(start.Add(second)))
+	held.Hear(Report{Sequence: 7, Holdings: fleet.Holdings{"m1": nil, "m2": nil}}, start.Add(2*second))
+	require.True(t, held.open(start.Add(2*second)))
+}
+
+func TestTheStoreWindowSlides(t *testing.T) {
+	window := StoreWindow{Length: 5 * second, Most: 2}
+	window.Began(start)
+	window.Began(start.Add(second))
+	require.Zero(t, window.Allowed(start.Add(5*second)))
+	require.Equal(t, 1, window.Allowed(start.Add(5*second+1)))
+}
--- /dev/null
+++ b/node/frontend.go
@@ -0,0 +1,116 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/finchspoke/finchspoke/routing"
+	"github.com/finchspoke/finchspoke/sleep"
+)
+
+const (
+	// maxHeaderBytes bounds a caller's headers before a table says otherwise.
+	maxHeaderBytes    = 64 << 10
+	readHeaderTimeout = 10 * time.Second
+	// idleSlack is kept beyond the idle time of the table, since callers may use a
+	// connection nearly that long.
+	idleSlack     = 1.1
+	sweepInterval = time.Second
+	// turnAway is how long a stopping daemon goes on to take new connections, for
+	// the entry to notice that it is not ready.
+	turnAway = 3 * time.Second
+)
+
+// frontend serves callers. It is a suture service.
+type frontend struct {
+	listener net.Listener
+	server   *http.Server
+	routes   *routing.Store
+	log      logrus.FieldLogger
+	leaving  atomic.Bool
+	mutex    sync.Mutex
+	idle     map[net.Conn]time.Time // since when
+}
+
+func newFrontend(listener net.Listener, handler http.Handler, routes *routing.Store, log logrus.FieldLogger) *frontend {
+	created := &frontend{listener: listener, routes: routes, log: log, idle: map[net.Conn]time.Time{}}
+	created.server = &http.Server{
+		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, ConnState: created.track,
+		DisableGeneralOptionsHandler: true,
+	}
+	return created
+}
+
+// track keeps the connections that rest.
+func (f *frontend) track(conn net.Conn, state http.ConnState) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if state == http.StateIdle {
+		f.idle[conn] = time.Now()
+		return
+	}
+	delete(f.idle, conn)
+}
+
+// sweep closes connections that have rested longer than the table allows.
+func (f *frontend) sweep(now time.Time) {
+	table := f.routes.Current()
+	if table == nil || table.Limits.IdleTimeout <= 0 {
+		return
+	}
+	longest := time.Duration(idleSlack * float64(table.Limits.IdleTimeout))
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for conn, since := range f.idle {
+		if now.Sub(since) > longest {
+			delete(f.idle, conn)
+			_ = conn.Close()
+		}
+	}
+}
+
+// String names the service in the supervisor's events.
+func (f *frontend) String() string { return "frontend" }
+
+// Serve implements suture.Service.
+func (f *frontend) Serve(ctx context.Context) error {
+	failed := make(chan error, 1)
+	go func() { failed <- f.server.Serve(f.listener) }()
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			_ = f.server.Close()
+			<-failed
+			return ctx.Err()
+		case err := <-failed:
+			if errors.Is(err, http.ErrServerClosed) {
+				<-ctx.Done() // drained
+				return ctx.Err()
+			}
+			return errors.Wrap(err, "serve callers")
+		case now := <-ticker.C:
+			f.sweep(now)
+		}
+	}
+}
+
+func (f *frontend) stopping() bool { return f.leaving.Load() }
+
+// drain makes the daemon not ready, serves what still comes for a while, and waits
+// for what runs.
+func (f *frontend) drain(ctx context.Context) error {
+	f.leaving.Store(true)
+	// Answers carry Connection: close from now on, so callers move by themselves.
+	f.server.SetKeepAlivesEnabled(false)
+	sleep.For(ctx, turnAway)
+	return f.server.Shutdown(ctx)
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,300 @@
+// Package node assembles the daemon that routes requests by an imported table to
+// replicas which a registry lists, and that takes its turn in deciding what is
+// loaded on them. What the platform's interfaces look like is given by Adapters.
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/finchspoke/finchspoke/core"
+	"github.com/finchspoke/finchspoke/demand"
+	"github.com/finchspoke/finchspoke/election"
+	"github.com/finchspoke/finchspoke/failure"
+	"github.com/finchspoke/finchspoke/fleet"
+	"github.com/finchspoke/finchspoke/kv"
+	"github.com/finchspoke/finchspoke/loader"
+	"github.com/finchspoke/finchspoke/logging"
+	"github.com/finchspoke/finchspoke/records"
+	"github.com/finchspoke/finchspoke/routing"
+	"github.com/finchspoke/finchspoke/rpc"
+	"github.com/finchspoke/finchspoke/transport"
+	"github.com/finchspoke/finchspoke/upstream"
+)
+
+// Config is what a node is started with. Addresses are host:port.
+type Config struct {
+	ID            string
+	Zone          string
+	CallerAddress string
+	ReadyAddress  string
+	PeerAddress   string // for daemons; advertised to them
+	MetricsAddr   string // empty: none
+	// Seeds are peer addresses of some daemons, which may be out of date.
+	Seeds []string
+	// FirstStart tells that the whole system starts for the first time.
+	FirstStart bool
+	// StopTime is how long a planned stop may take.
+	StopTime time.Duration
+	// TermKey is the record of who holds the load orders; LeaseTime is its lease.
+	TermKey     string
+	LeaseTime   time.Duration
+	Retries     core.RetryPolicy
+	LoadLimits  loader.Limits
+	RecordsRoot string // prefix of the records that are followed
+}
+
+// Adapters are the platform's interfaces.
+type Adapters struct {
+	Store kv.LeaseStore
+	// ReplicaPrefix is the prefix of the registry's records; ReadReplica reads one.
+	ReplicaPrefix string
+	ReadReplica   func(kv.Pair) (fleet.Entry, error)
+	// TableKey is the record of the routing table; ReadTable reads it.
+	TableKey  string
+	ReadTable func(kv.Pair) (routing.Revision, error)
+	// Driver speaks the replicas' protocol for requests, Replicas that for orders.
+	Driver   func(*upstream.Pool) core.Driver
+	Replicas func(*upstream.Pool) loader.Replicas
+	// Callers serves the caller interface; ReadyPath is where readiness is asked.
+	Callers   func(*routing.Store, *core.Core) http.Handler
+	ReadyPath string
+}
+
+// Node is one daemon.
+type Node struct {
+	config     Config
+	log        logrus.FieldLogger
+	metrics    *prometheus.Registry
+	routes     *routing.Store
+	fleet      *fleet.Directory
+	mirror     *records.Mirror
+	election   *election.Election
+	holder     *loader.Holder
+	frontend   *frontend
+	pool       *upstream.Pool
+	listeners  listeners
+	supervisor *suture.Supervisor
+	seeds      atomic.Pointer[[]string]
+}
+
+type listeners struct {
+	callers, ready, peers, metrics net.Listener
+}
+
+func (l listeners) close() {
+	for _, one := range []net.Listener{l.callers, l.ready, l.peers, l.metrics} {
+		if one != nil {
+			_ = one.Close()
+		}
+	}
+}
+
+func listen(config Config) (opened listeners, err error) {
+	defer func() {
+		if err != nil {
+			opened.close()
+		}
+	}()
+	for _, one := range []struct {
+		name, address string
+		into          *net.Listener
+	}{
+		{"callers", config.CallerAddress, &opened.callers}, {"readiness", config.ReadyAddress, &opened.ready},
+		{"daemons", config.PeerAddress, &opened.peers}, {"metrics", config.MetricsAddr, &opened.metrics},
+	} {
+		if one.address == "" && one.name == "metrics" {
+			continue
+		}
+		if *one.into, err = net.Listen("tcp", one.address); err != nil {
+			return opened, failure.Wrap(err, failure.InvalidConfig, "give a free address of this machine", "cannot listen on %q for %s", one.address, one.name)
+		}
+	}
+	return opened, nil
+}
+
+// New opens a node's sockets and assembles it; Run starts it.
+func New(config Config, adapters Adapters, log logrus.FieldLogger) (*Node, error) {
+	opened, err := listen(config)
+	if err != nil {
+		return nil, err
+	}
+	config.PeerAddress = opened.peers.Addr().String()
+	node := &Node{
+		config: config, log: log.WithField(logging.Daemon, config.ID), metrics: prometheus.NewRegistry(),
+		routes: &routing.Store{}, fleet: fleet.NewDirectory(config.Zone, rand.Float64), listeners: opened,
+	}
+	node.seeds.Store(&config.Seeds)
+	node.assemble(adapters)
+	return node, nil
+}
+
+func (n *Node) assemble(adapters Adapters) {
+	opened := prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "finchspoke_replica_connections_opened_total", Help: "Connections opened to replicas.",
+	})
+	n.metrics.MustRegister(opened)
+	n.pool = upstream.NewPool(opened.Inc)
+	tracker := demand.NewTracker()
+	requests := &core.Core{
+		Fleet: n.fleet, Demand: tracker, Driver: adapters.Driver(n.pool), Retries: n.config.Retries,
+		Metrics: core.NewMetrics(n.metrics), Log: n.log,
+	}
+	n.mirror = records.NewMirror(adapters.Store, n.config.RecordsRoot, n.log)
+	n.election = election.New(election.Config{
+		Key: n.config.TermKey, Daemon: n.config.ID, Address: n.config.PeerAddress, TTL: n.config.LeaseTime,
+	}, adapters.Store, n.log)
+	n.holder = &loader.Holder{
+		Daemon: n.config.ID, Fleet: n.fleet, Table: n.routes, Replicas: adapters.Replicas(n.pool), Election: n.election,
+		Limits: n.config.LoadLimits, Metrics: loader.NewMetrics(n.metrics), Log: n.log, FirstStart: n.config.FirstStart,
+	}
+	n.holder.Prepare()
+	follower := &loader.Follower{Daemon: n.config.ID, Demand: tracker, Fleet: n.fleet, Holder: n.holder, Log: n.log}
+	follower.Prepare()
+	n.election.Listen(func(holder election.Holder) {
+		follower.HolderChanged(holder)
+		n.holder.Wake()
+	})
+	n.follow(adapters)
+	n.frontend = newFrontend(n.listeners.callers, adapters.Callers(n.routes, requests), n.routes, n.log)
+	server := transport.NewServer(n.listeners.peers)
+	n.register(server)
+	n.supervisor = suture.New("finchspoke", suture.Spec{EventHook: func(event suture.Event) {
+		n.log.WithField(logging.Cause, event.String()).Warn("supervisor")
+	}})
+	for _, service := range []suture.Service{
+		n.mirror, n.election, n.holder, follower, server, n.frontend, &introduction{node: n}, &sweeper{node: n},
+		&readiness{node: n, path: adapters.ReadyPath, listener: n.listeners.ready},
+	} {
+		n.supervisor.Add(service)
+	}
+	if n.listeners.metrics != nil {
+		n.supervisor.Add(&metricsServer{registry: n.metrics, listener: n.listeners.metrics})
+	}
+}
+
+func (n *Node) register(server *transport.Server) {
+	for _, err := range []error{
+		rpc.DRPCRegisterLoads(server.Mux(), n.holder), rpc.DRPCRegisterPeers(server.Mux(), &knowledge{n.mirror}),
+	} {
+		if err != nil {
+			panic(err) // a service registered twice: a mistake in this function
+		}
+	}
+}
+
+// follow leads records to the parts that use them.
+func (n *Node) follow(adapters Adapters) {
+	n.mirror.Handle(adapters.TableKey, func(event kv.Event) {
+		if event.Pair.Key == adapters.TableKey && !event.Deleted {
+			n.takeTable(adapters, event.Pair)
+		}
+	})
+	n.mirror.Handle(adapters.ReplicaPrefix, func(event kv.Event) { n.takeReplica(adapters, event) })
+	n.mirror.Handle(n.config.TermKey, n.election.Observe)
+	n.mirror.Loaded(func() {
+		if _, held := n.mirror.Get(n.config.TermKey); !held {
+			n.election.Vacate()
+		}
+	})
+}
+
+// takeTable takes an imported table into force. One that cannot be read leaves the
+// one in force.
+func (n *Node) takeTable(adapters Adapters, pair kv.Pair) {
+	revision, err := adapters.ReadTable(pair)
+	if err == nil {
+		var table *routing.Table
+		if table, err = routing.NewTable(revision); err == nil {
+			taken := n.routes.Put(table)
+			n.log.WithFields(logrus.Fields{logging.ConfigVersion: table.Version, logging.Revision: pair.ModRevision, logging.Outcome: taken}).
+				Info("routing table read")
+			n.holder.Wake()
+			return
+		}
+	}
+	n.log.WithFields(logrus.Fields{logging.Cause: err.Error(), logging.ConfigVersion: n.routes.Version(), logging.Revision: pair.ModRevision}).
+		Error("routing table not used; the one in force stays")
+}
+
+func (n *Node) takeReplica(adapters Adapters, event kv.Event) {
+	if event.Deleted {
+		id := event.Pair.Key[len(adapters.ReplicaPrefix):]
+		n.fleet.Remove(id)
+		n.log.WithFields(logrus.Fields{logging.Replica: id, logging.Revision: event.Pair.ModRevision}).Info("replica gone from the registry")
+		n.holder.Wake()
+		return
+	}
+	entry, err := adapters.ReadReplica(event.Pair)
+	if err != nil {
+		n.log.WithFields(logrus.Fields{logging.Cause: err.Error(), logging.Revision: event.Pair.ModRevision}).Warn("registry entry not used")
+		return
+	}
+	n.fleet.Put(entry)
+	n.log.WithFields(logrus.Fields{logging.Replica: entry.ID, logging.Service: entry.Service, logging.Address: entry.Address,
+		logging.Draining: entry.Draining, logging.Sequence: entry.Sequence, logging.Revision: event.Pair.ModRevision}).Info("replica in the registry")
+	n.holder.Wake()
+}
+
+// Reload takes in settings that changed: the seeds. Others need a restart.
+func (n *Node) Reload(changed Config) {
+	n.seeds.Store(&changed.Seeds)
+	n.log.WithField(logging.Outcome, "seeds taken").Info("settings reloaded")
+}
+
+// ready tells whether the node should get callers.
+func (n *Node) ready() bool {
+	return !n.frontend.stopping() && n.routes.Current() != nil && n.fleet.Len() > 0
+}
+
+const (
+	// stopMargin is kept from the time that a planned stop may take.
+	stopMargin = 700 * time.Millisecond
+	// resignTime is how long the end of this daemon's term may take to be recorded.
+	resignTime = 500 * time.Millisecond
+)
+
+// Run serves until ctx ends, which begins a planned stop: callers are sent
+// elsewhere, what still comes is served, and what runs is finished.
+func (n *Node) Run(ctx context.Context) error {
+	serving, stop := context.WithCancel(context.Background())
+	defer stop()
+	ended := n.supervisor.ServeBackground(serving)
+	n.log.WithFields(logrus.Fields{logging.Address: n.listeners.callers.Addr().String(), logging.Zone: n.config.Zone}).Info("daemon started")
+	var err error
+	select {
+	case <-ctx.Done():
+		err = n.leave()
+	case err = <-ended:
+		return errors.Wrap(err, "the daemon's services ended")
+	}
+	stop()
+	<-ended
+	n.pool.Close()
+	n.listeners.close()
+	n.log.Info("daemon stopped")
+	return err
+}
+
+// leave is a planned stop.
+func (n *Node) leave() error {
+	n.log.Info("planned stop begins")
+	ctx, cancel := context.WithTimeout(context.Background(), n.config.StopTime-stopMargin)
+	defer cancel()
+	resigning, done := context.WithTimeout(ctx, resignTime)
+	defer done()
+	go n.election.Resign(resigning)
+	if err := n.frontend.drain(ctx); err != nil {
+		n.log.WithField(logging.Cause, err.Error()).Warn("requests were still running at the end of the stop")
+	}
+	return nil
+}
