Replace a watch that is never answered again once the store answers

Keep-alive probes do not see it: the store's host is there. Change: a cheap read a second; when it is answered again after it was not, or is ahead of the watch twice, the watch begins anew where it was.

--- a/kv/lease.go
+++ b/kv/lease.go
@@ -17,3 +17,9 @@
 	// EndLease ends a lease; the keys bound to it go with it.
 	EndLease(ctx context.Context, lease LeaseID) error
 }
+
+// Pulser is a Store that can be asked cheaply whether it answers.
+type Pulser interface {
+	// Pulse returns a revision of the store, perhaps one of some seconds ago.
+	Pulse(ctx context.Context) (int64, error)
+}
--- a/records/records.go
+++ b/records/records.go
@@ -20,8 +20,10 @@
 type Handler func(kv.Event)
 
 const (
-	pauseFirst   = 100 * time.Millisecond
-	pauseLongest = time.Second
+	pulseInterval = time.Second
+	pulsesBehind  = 2
+	pauseFirst    = 100 * time.Millisecond
+	pauseLongest  = time.Second
 )
 
 // Mirror follows the records under a prefix. It is a suture service.
@@ -72,6 +74,9 @@
 		if ctx.Err() != nil {
 			break
 		}
+		if errors.Is(err, context.Canceled) {
+			continue // the watch was ended to begin anew
+		}
 		if time.Since(began) > pauseLongest {
 			pause = pauseFirst
 		}
@@ -95,13 +100,53 @@
 		m.replace(pairs, revision)
 		*whole = true
 	}
+	outer := ctx
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if pulser, able := m.store.(kv.Pulser); able {
+		go m.pulse(ctx, pulser, cancel)
+	}
 	err := m.store.Watch(ctx, m.prefix, m.Revision()+1, m.apply)
 	if errors.Is(err, kv.ErrCompacted) {
 		*whole = false
 	}
+	if ctx.Err() != nil && outer.Err() == nil {
+		return context.Canceled
+	}
 	return err
 }
 
+// pulse asks the service now and then whether it answers, since a watch that hears
+// nothing looks like one that is never answered again. It ends the watch when the
+// service answers again after it did not, and when the service is ahead of the
+// watch for two pulses in a row.
+func (m *Mirror) pulse(ctx context.Context, pulser kv.Pulser, endWatch func()) {
+	silent, behind := false, 0
+	for sleep.For(ctx, pulseInterval) {
+		revision, err := pulser.Pulse(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
+			silent = true
+			m.reach(false, err)
+			continue
+		case silent:
+			m.reach(true, nil)
+			endWatch()
+			return
+		}
+		if revision <= m.Revision() {
+			behind = 0
+			continue
+		}
+		if behind++; behind >= pulsesBehind {
+			endWatch()
+			return
+		}
+	}
+}
+
 // reach notes whether the service answers and logs the change.
 func (m *Mirror) reach(answers bool, cause error) {
 	m.mutex.Lock()
