--- a/kv/lease.go
+++ b/kv/lease.go
@@ -18,8 +18,12 @@
 	EndLease(ctx context.Context, lease LeaseID) error
 }
 
-// Pulser is a Store that can be asked cheaply whether it answers.
-type Pulser interface {
-	// Pulse returns a revision of the store, perhaps one of some seconds ago.
-	Pulse(ctx context.Context) (int64, error)
+// ChangeStore is a LeaseStore that is asked for changes again and again, in place of
+// one watch.
+type ChangeStore interface {
+	LeaseStore
+	// Changes returns the changes under prefix after a revision, as soon as there are
+	// any, and the revision up to which they are whole. After a while it returns
+	// none. The error wraps ErrCompacted if the service no longer has them.
+	Changes(ctx context.Context, prefix string, after int64) ([]Event, int64, error)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -55,7 +55,7 @@
 
 // Adapters are the platform's interfaces.
 type Adapters struct {
-	Store kv.LeaseStore
+	Store kv.ChangeStore
 	// ReplicaPrefix is the prefix of the registry's records; ReadReplica reads one.
 	ReplicaPrefix string
 	ReadReplica   func(kv.Pair) (fleet.Entry, error)
--- a/records/records.go
+++ b/records/records.go
@@ -1,5 +1,5 @@
 // Package records mirrors what the platform's key-value service holds, for all
-// parts of a daemon that follow it: one list, then one watch.
+// parts of a daemon that follow it: one list, then its changes.
 package records
 
 import (
@@ -20,15 +20,16 @@
 type Handler func(kv.Event)
 
 const (
-	pulseInterval = time.Second
-	pulsesBehind  = 2
-	pauseFirst    = 100 * time.Millisecond
-	pauseLongest  = time.Second
+	// gatherTime lets changes that come together be asked for together, since each
+	// call is paid for.
+	gatherTime   = 80 * time.Millisecond
+	pauseFirst   = 100 * time.Millisecond
+	pauseLongest = 600 * time.Millisecond
 )
 
 // Mirror follows the records under a prefix. It is a suture service.
 type Mirror struct {
-	store  kv.Store
+	store  kv.ChangeStore
 	prefix string
 	log    logrus.FieldLogger
 
@@ -47,7 +48,7 @@
 }
 
 // NewMirror returns a mirror of the records under a prefix.
-func NewMirror(store kv.Store, prefix string, log logrus.FieldLogger) *Mirror {
+func NewMirror(store kv.ChangeStore, prefix string, log logrus.FieldLogger) *Mirror {
 	return &Mirror{store: store, prefix: prefix, log: log, pairs: map[string]kv.Pair{}}
 }
 
@@ -67,29 +68,26 @@
 // Serve implements suture.Service.
 func (m *Mirror) Serve(ctx context.Context) error {
 	pause := pauseFirst
-	whole := false // the list is known, and the watch only has to go on
+	whole := false // the list is known, and only changes are asked for
 	for ctx.Err() == nil {
-		began := time.Now()
 		err := m.follow(ctx, &whole)
-		if ctx.Err() != nil {
-			break
-		}
-		if errors.Is(err, context.Canceled) {
-			continue // the watch was ended to begin anew
-		}
-		if time.Since(began) > pauseLongest {
+		switch {
+		case ctx.Err() != nil:
+		case err == nil:
 			pause = pauseFirst
+		case errors.Is(err, kv.ErrCompacted):
+			m.log.WithField(logging.Revision, m.Revision()).Warn("the key-value service lacks changes; its records are listed again")
+			whole = false
+		default:
+			m.reach(false, err)
+			sleep.For(ctx, pause)
+			pause = min(2*pause, pauseLongest)
 		}
-		m.reach(errors.Is(err, kv.ErrCompacted), err)
-		sleep.For(ctx, pause)
-		pause = min(2*pause, pauseLongest)
 	}
 	return ctx.Err()
 }
 
-// follow lists the records, unless they are known, and follows their changes until
-// the watch breaks. A watch that broke goes on where it was; only when the service
-// no longer has what came between are the records listed again.
+// follow lists the records, unless they are known, or asks once for their changes.
 func (m *Mirror) follow(ctx context.Context, whole *bool) error {
 	if !*whole {
 		pairs, revision, err := m.store.List(ctx, m.prefix)
@@ -99,52 +97,18 @@
 		m.reach(true, nil)
 		m.replace(pairs, revision)
 		*whole = true
+		return nil
 	}
-	outer := ctx
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	if pulser, able := m.store.(kv.Pulser); able {
-		go m.pulse(ctx, pulser, cancel)
+	events, revision, err := m.store.Changes(ctx, m.prefix, m.Revision())
+	if err != nil {
+		return err
 	}
-	err := m.store.Watch(ctx, m.prefix, m.Revision()+1, m.apply)
-	if errors.Is(err, kv.ErrCompacted) {
-		*whole = false
-	}
-	if ctx.Err() != nil && outer.Err() == nil {
-		return context.Canceled
-	}
-	return err
-}
-
-// pulse asks the service now and then whether it answers, since a watch that hears
-// nothing looks like one that is never answered again. It ends the watch when the
-// service answers again after it did not, and when the service is ahead of the
-// watch for two pulses in a row.
-func (m *Mirror) pulse(ctx context.Context, pulser kv.Pulser, endWatch func()) {
-	silent, behind := false, 0
-	for sleep.For(ctx, pulseInterval) {
-		revision, err := pulser.Pulse(ctx)
-		switch {
-		case ctx.Err() != nil:
-			return
-		case err != nil:
-			silent = true
-			m.reach(false, err)
-			continue
-		case silent:
-			m.reach(true, nil)
-			endWatch()
-			return
-		}
-		if revision <= m.Revision() {
-			behind = 0
-			continue
-		}
-		if behind++; behind >= pulsesBehind {
-			endWatch()
-			return
-		}
+	m.reach(true, nil)
+	m.apply(events, revision)
+	if len(events) > 0 {
+		sleep.For(ctx, gatherTime)
 	}
+	return nil
 }
 
 // reach notes whether the service answers and logs the change.
@@ -190,23 +154,26 @@
 	}
 }
 
-// apply takes in a change seen by the watch.
-func (m *Mirror) apply(event kv.Event) {
+// apply takes in changes that are whole up to a revision.
+func (m *Mirror) apply(events []kv.Event, revision int64) {
 	m.turn.Lock()
 	defer m.turn.Unlock()
+	var news []kv.Event
 	m.mutex.Lock()
-	if m.pairs[event.Pair.Key].ModRevision >= event.Pair.ModRevision {
-		m.mutex.Unlock()
-		return // known from a list already
-	}
-	m.revision = max(m.revision, event.Pair.ModRevision)
-	if event.Deleted {
-		delete(m.pairs, event.Pair.Key)
-	} else {
-		m.pairs[event.Pair.Key] = event.Pair
+	for _, event := range events {
+		if m.pairs[event.Pair.Key].ModRevision >= event.Pair.ModRevision {
+			continue // known from a list already
+		}
+		news = append(news, event)
+		if event.Deleted {
+			delete(m.pairs, event.Pair.Key)
+		} else {
+			m.pairs[event.Pair.Key] = event.Pair
+		}
 	}
+	m.revision = max(m.revision, revision)
 	m.mutex.Unlock()
-	m.dispatch([]kv.Event{event})
+	m.dispatch(news)
 }
 
 // dispatch calls the handlers; the turn is held.
--- a/records/records_test.go
+++ b/records/records_test.go
@@ -14,9 +14,9 @@
 )
 
 // fakeStore holds records; while silent, calls hang until their time is over, and
-// watches that began before stay silent for ever.
+// waits for changes that began before are never answered.
 type fakeStore struct {
-	kv.Store
+	kv.ChangeStore
 	mutex     sync.Mutex
 	pairs     map[string]kv.Pair
 	revision  int64
@@ -75,45 +75,41 @@
 	return pairs, s.revision, nil
 }
 
-func (s *fakeStore) Pulse(ctx context.Context) (int64, error) {
-	if err := s.wait(ctx); err != nil {
-		return 0, err
-	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.revision, nil
-}
+// changesWait is how long a call waits for changes.
+const changesWait = 2 * time.Second
 
-func (s *fakeStore) Watch(ctx context.Context, _ string, from int64, handle func(kv.Event)) error {
+func (s *fakeStore) Changes(ctx context.Context, _ string, after int64) ([]kv.Event, int64, error) {
 	if err := s.wait(ctx); err != nil {
-		return err
+		return nil, after, err
 	}
 	s.mutex.Lock()
 	life := s.life
 	s.mutex.Unlock()
+	timeout := time.After(changesWait)
 	for {
 		s.mutex.Lock()
-		if from <= s.compacted {
-			s.mutex.Unlock()
-			return kv.ErrCompacted
-		}
 		var events []kv.Event
-		if life == s.life {
-			for _, pair := range s.pairs {
-				if pair.ModRevision >= from {
-					events = append(events, kv.Event{Pair: pair})
-				}
+		for _, pair := range s.pairs {
+			if pair.ModRevision > after {
+				events = append(events, kv.Event{Pair: pair})
 			}
-			from = s.revision + 1
 		}
-		changed := s.changed
+		revision, changed, answers, compacted := s.revision, s.changed, life == s.life, after < s.compacted
 		s.mutex.Unlock()
-		for _, event := range events {
-			handle(event)
+		switch {
+		case answers && compacted:
+			return nil, after, kv.ErrCompacted
+		case answers && len(events) > 0:
+			return events, revision, nil
 		}
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return nil, after, ctx.Err()
+		case <-timeout:
+			if !answers {
+				return nil, after, kv.ErrUnavailable
+			}
+			return nil, revision, nil
 		case <-changed:
 		}
 	}
