--- a/election/election.go
+++ b/election/election.go
@@ -66,6 +66,9 @@
 	Daemon  string
 	Address string
 	TTL     time.Duration
+	// Informed tells whether this daemon knows when a holder was last at work; nil
+	// if it makes no difference.
+	Informed func() bool
 }
 
 // Election campaigns for the term and keeps it. It is a suture service.
@@ -236,9 +239,20 @@
 	return time.Duration(rendezvous.Score(e.Key, e.Daemon)%staggerSteps) * staggerStep
 }
 
+// handicap lets daemons campaign first that know when the last holder was at work.
+func (e *Election) handicap() time.Duration {
+	if e.Informed == nil || e.Informed() {
+		return 0
+	}
+	return uninformedDelay
+}
+
+// uninformedDelay is how much later a daemon campaigns that knows of no holder.
+const uninformedDelay = 300 * time.Millisecond
+
 // campaign tries to take the term.
 func (e *Election) campaign(ctx context.Context) {
-	if !sleep.For(ctx, e.stagger()) || !e.stillVacant() {
+	if !sleep.For(ctx, e.stagger()+e.handicap()) || !e.stillVacant() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, e.TTL)
--- a/loader/holder.go
+++ b/loader/holder.go
@@ -71,7 +71,7 @@
 	// pollPause is the time between reports of a replica that is being watched.
 	pollPause = 90 * time.Millisecond
 	// rateWindow is the time constant over which arrivals are averaged.
-	rateWindow = 4 * time.Second
+	rateWindow = 2500 * time.Millisecond
 	// storeShare is the share of the allowed loads that one term uses, so that the
 	// loads of two terms together stay below.
 	storeShare = 0.7
@@ -251,6 +251,13 @@
 	h.lastOrder = now
 }
 
+// Informed tells whether this daemon has heard from a holder of orders.
+func (h *Holder) Informed() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.FirstStart || !h.lastOrder.IsZero()
+}
+
 // mayOrder tells whether orders may be given: under a lease that holds, or while
 // the service is silent and most daemons are still attached, so that no other
 // holder can be at work; the mutex is held.
--- a/loading/loading.go
+++ b/loading/loading.go
@@ -244,13 +244,20 @@
 // more.
 const headroom = 0.15
 
+// urgencyHorizon is over how many seconds the requests are counted that a load
+// started now would help.
+const urgencyHorizon = 4.0
+
+// urgency returns about how many requests a load would help: those that wait for a
+// model without a copy, or those that come to copies which have more than enough.
 func (n *modelNeed) urgency() float64 {
-	const noCopy = 1e6
-	urgency := float64(n.desired-n.copies) + n.perSecond/100
-	if n.copies == 0 && n.waiting > 0 {
-		urgency += noCopy * float64(n.waiting)
+	if n.copies == 0 {
+		return float64(n.waiting) + n.perSecond*urgencyHorizon
+	}
+	if n.copies >= n.desired {
+		return 0
 	}
-	return urgency
+	return (n.perSecond - ratePerCopy*float64(n.copies)) * urgencyHorizon
 }
 
 // give adds an order.
--- a/node/node.go
+++ b/node/node.go
@@ -152,6 +152,7 @@
 	n.mirror = records.NewMirror(adapters.Store, n.config.RecordsRoot, n.log)
 	n.election = election.New(election.Config{
 		Key: n.config.TermKey, Daemon: n.config.ID, Address: n.config.PeerAddress, TTL: n.config.LeaseTime,
+		Informed: func() bool { return n.holder.Informed() },
 	}, adapters.Store, n.log)
 	n.holder = &loader.Holder{
 		Daemon: n.config.ID, Fleet: n.fleet, Table: n.routes, Replicas: adapters.Replicas(n.pool), Election: n.election,
