--- a/loader/holder.go
+++ b/loader/holder.go
@@ -71,7 +71,7 @@
 	// pollPause is the time between reports of a replica that is being watched.
 	pollPause = 90 * time.Millisecond
 	// rateWindow is the time constant over which arrivals are averaged.
-	rateWindow = 2500 * time.Millisecond
+	rateWindow = 4 * time.Second
 	// storeShare is the share of the allowed loads that one term uses, so that the
 	// loads of two terms together stay below.
 	storeShare = 0.7
