--- a/core/core.go
+++ b/core/core.go
@@ -148,7 +148,20 @@
 	began     bool     // the head of an answer went to the caller
 	lastEvent string   // id of the last event that went to the caller
 	waited    time.Duration
-	lastID    string // of the replica dispatched to last
+	firstByte time.Duration // from the arrival; zero before it
+	lastWrite time.Time
+	longest   time.Duration // pause between two parts of the answer
+	lastID    string        // of the replica dispatched to last
+}
+
+// wrote notes that a part of the answer went to the caller.
+func (r *run) wrote(now time.Time) {
+	if r.lastWrite.IsZero() {
+		r.firstByte = now.Sub(r.Arrived)
+	} else {
+		r.longest = max(r.longest, now.Sub(r.lastWrite))
+	}
+	r.lastWrite = now
 }
 
 // Serve leads a call to its end. It returns nil when a whole answer went to the
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -121,7 +121,7 @@
 			held: &heldReply{reply.Status, reply.Header, body}}
 	}
 	running.began = true
-	c.Metrics.firstByte(running)
+	running.wrote(time.Now())
 	running.caller.Begin(reply.Status, reply.Header, int64(len(body)))
 	if err := running.caller.Write(body); err != nil {
 		return dispatchOutcome{result: Broken, cause: err, health: fleet.Answered}
@@ -132,7 +132,7 @@
 // relayLong passes on an answer that is too long to be held.
 func (c *Core) relayLong(running *run, reply *Reply, begun []byte) dispatchOutcome {
 	running.began = true
-	c.Metrics.firstByte(running)
+	running.wrote(time.Now())
 	running.caller.Begin(reply.Status, reply.Header, reply.Length)
 	data := begun
 	buffer := make([]byte, chunkBytes)
--- a/core/events.go
+++ b/core/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -91,7 +92,6 @@
 	}
 	splitter := &eventSplitter{}
 	buffer := make([]byte, eventReadBytes)
-	first := true
 	for {
 		n, readErr := reply.Body.Read(buffer)
 		splitter.pending = append(splitter.pending, buffer[:n]...)
@@ -103,10 +103,7 @@
 			events = splitter.pending // a whole answer ends as it ends
 		}
 		if len(events) > 0 {
-			if first {
-				first = false
-				c.Metrics.firstByte(running)
-			}
+			running.wrote(time.Now())
 			if err := running.caller.Write(events); err != nil {
 				return dispatchOutcome{result: Broken, cause: err, health: fleet.Answered}
 			}
--- a/core/metrics.go
+++ b/core/metrics.go
@@ -1,8 +1,6 @@
 package core
 
 import (
-	"time"
-
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/finchspoke/finchspoke/failure"
@@ -37,12 +35,11 @@
 	return created
 }
 
-func (m *Metrics) firstByte(running *run) {
-	m.first.WithLabelValues(running.Route.Kind.String()).Observe(time.Since(running.Arrived).Seconds())
-}
-
 func (m *Metrics) end(running *run, outcome string, execution failure.Execution) {
 	kind := running.Route.Kind.String()
 	m.ended.WithLabelValues(kind, outcome, string(execution)).Inc()
+	if running.firstByte > 0 {
+		m.first.WithLabelValues(kind).Observe(running.firstByte.Seconds())
+	}
 	m.waited.WithLabelValues(kind).Observe(running.waited.Seconds())
 }
--- a/records/records.go
+++ b/records/records.go
@@ -22,7 +22,7 @@
 const (
 	// gatherTime lets changes that come together be asked for together, since each
 	// call is paid for.
-	gatherTime   = 80 * time.Millisecond
+	gatherTime   = 400 * time.Millisecond
 	pauseFirst   = 100 * time.Millisecond
 	pauseLongest = 600 * time.Millisecond
 )
