--- a/loading/loading.go
+++ b/loading/loading.go
@@ -163,6 +163,7 @@
 	copies    int // loaded or being loaded where requests may go
 	loaded    int
 	desired   int
+	successor bool // demand is expected to move here
 }
 
 const (
@@ -214,6 +215,7 @@
 		}
 	}
 	needs := make([]*modelNeed, 0, len(byName))
+	markSuccessors(byName)
 	for _, name := range sortedKeys(byName) {
 		need := byName[name]
 		need.desired = need.wanted(p.Now, replicas)
@@ -226,6 +228,28 @@
 	return needs
 }
 
+const (
+	// busyRate is the arrivals a second from which a model counts as busy.
+	busyRate = 1.0
+	// successorCopies is how many copies stand ready of the model that comes after
+	// busy ones in the catalogue.
+	successorCopies = 2
+)
+
+// markSuccessors marks the model after each busy one in the catalogue: demand moves
+// along it, and a load that begins with the demand comes seconds late.
+func markSuccessors(needs map[string]*modelNeed) {
+	byRank := make(map[int]*modelNeed, len(needs))
+	for _, need := range needs {
+		byRank[need.model.Rank] = need
+	}
+	for _, need := range needs {
+		if next := byRank[need.model.Rank+1]; need.perSecond >= busyRate && next != nil {
+			next.successor = true
+		}
+	}
+}
+
 func unloading(replica *Replica, model string) bool {
 	order := replica.underWay(fleet.Target{Model: model})
 	return order != nil && order.Verb == Unload
@@ -237,6 +261,9 @@
 	if n.waiting > 0 || (!n.lastUsed.IsZero() && now.Sub(n.lastUsed) < keepUsed) {
 		copies = max(copies, 1)
 	}
+	if n.successor {
+		copies = max(copies, successorCopies)
+	}
 	return min(copies, replicas)
 }
 
@@ -248,15 +275,21 @@
 // started now would help.
 const urgencyHorizon = 4.0
 
+// aheadUrgency is the urgency of a copy that is loaded ahead of demand.
+const aheadUrgency = 0.1
+
 // urgency returns about how many requests a load would help: those that wait for a
 // model without a copy, or those that come to copies which have more than enough.
 func (n *modelNeed) urgency() float64 {
-	if n.copies == 0 {
+	if n.copies == 0 && n.waiting > 0 {
 		return float64(n.waiting) + n.perSecond*urgencyHorizon
 	}
 	if n.copies >= n.desired {
 		return 0
 	}
+	if n.perSecond < busyRate {
+		return aheadUrgency
+	}
 	return (n.perSecond - ratePerCopy*float64(n.copies)) * urgencyHorizon
 }
 
--- a/loading/models.go
+++ b/loading/models.go
@@ -220,6 +220,9 @@
 	// places it falls.
 	worthRank = 3.0
 	rankScale = 4.0
+	// worthSuccessor is the worth of a copy of a model to which demand is expected to
+	// move.
+	worthSuccessor = 3.0
 	// surplusWorth is the worth of a copy beyond the number wanted.
 	surplusWorth = 0.1
 )
@@ -237,6 +240,9 @@
 	if need.model.Adapters > 0 {
 		worth += worthAdapters
 	}
+	if need.successor {
+		worth += worthSuccessor
+	}
 	return worth + worthRank*math.Exp(-float64(need.model.Rank)/rankScale)
 }
 
@@ -245,6 +251,9 @@
 	if need.copies == 0 {
 		return worthUnknown + need.perSecond*need.model.StoreLoad.Seconds()
 	}
+	if need.successor && need.copies < successorCopies {
+		return worthSuccessor / 2
+	}
 	return need.perSecond / float64(need.copies)
 }
 
