--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -47,14 +47,26 @@
 	OnDisk   []string
 }
 
+// Confirmation is what the holder of load orders knows of a replica.
+type Confirmation struct {
+	Sequence int64    // orders that the replica had taken
+	Holdings Holdings // without what is being unloaded
+	// Loading says when what is being loaded will be there.
+	Loading   map[Target]time.Time
+	Unloading []Target
+}
+
+// leaves tells whether a target is being unloaded, with its model or alone.
+func (c *Confirmation) leaves(target Target) bool {
+	return slices.Contains(c.Unloading, target) || slices.Contains(c.Unloading, Target{Model: target.Model})
+}
+
 // Replica is an entry with what this daemon has seen of it.
 type Replica struct {
 	Entry
 	inflight   int
 	health     health
-	confirmed  Holdings             // from the holder of load orders; nil if it said nothing
-	sequence   int64                // of confirmed
-	loading    map[Target]time.Time // when loads under way will have ended
+	confirmed  *Confirmation // nil if the holder of load orders said nothing
 	absentTill map[Target]time.Time
 }
 
@@ -70,34 +82,16 @@
 	if till, absent := r.absentTill[target]; absent && now.Before(till) {
 		return false
 	}
-	return r.effective().Has(target)
-}
-
-// effective joins the registry's word and the order holder's: the one that knows
-// of more orders counts, and of equals both, since a load that has ended shows in
-// one before the other.
-func (r *Replica) effective() Holdings {
+	confirmed := r.confirmed
 	switch {
-	case r.confirmed == nil || r.sequence < r.Sequence:
-		return r.Holdings
-	case r.sequence > r.Sequence:
-		return r.confirmed
-	}
-	joined := maps.Clone(r.Holdings)
-	if joined == nil {
-		joined = Holdings{}
-	}
-	for model, adapters := range r.confirmed {
-		for _, adapter := range adapters {
-			if !slices.Contains(joined[model], adapter) {
-				joined[model] = append(slices.Clone(joined[model]), adapter)
-			}
-		}
-		if _, held := joined[model]; !held {
-			joined[model] = adapters
-		}
+	case confirmed == nil || confirmed.Sequence < r.Sequence:
+		return r.Holdings.Has(target)
+	case confirmed.Sequence > r.Sequence:
+		return confirmed.Holdings.Has(target)
 	}
-	return joined
+	// Both know of the same orders: a load that has ended may show in one first, and
+	// the registry goes on to list what is being unloaded.
+	return (confirmed.Holdings.Has(target) || r.Holdings.Has(target)) && !confirmed.leaves(target)
 }
 
 // Directory holds all replicas that the daemon knows.
@@ -153,19 +147,17 @@
 	}
 }
 
-// Confirm takes in what the holder of load orders knows of a replica after it
-// took the given number of orders: what is loaded, and when what is being loaded
-// will be.
-func (d *Directory) Confirm(id string, sequence int64, holdings Holdings, loading map[Target]time.Time) {
+// Confirm takes in what the holder of load orders knows of a replica.
+func (d *Directory) Confirm(id string, told Confirmation) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	known := d.members[id]
-	if known == nil || (known.confirmed != nil && sequence < known.sequence) {
+	if known == nil || (known.confirmed != nil && told.Sequence < known.confirmed.Sequence) {
 		return
 	}
-	known.confirmed, known.sequence, known.loading = holdings, sequence, loading
+	known.confirmed = &told
 	for target := range known.absentTill {
-		if holdings.Has(target) {
+		if told.Holdings.Has(target) {
 			delete(known.absentTill, target)
 		}
 	}
@@ -178,10 +170,10 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	for _, member := range d.members {
-		if member.Service != service || member.Draining {
+		if member.Service != service || member.Draining || member.confirmed == nil {
 			continue
 		}
-		if ready, loading := member.loading[target]; loading && (!known || ready.Before(at)) {
+		if ready, loading := member.confirmed.Loading[target]; loading && (!known || ready.Before(at)) {
 			at, known = ready, true
 		}
 	}
--- a/loader/attach.go
+++ b/loader/attach.go
@@ -133,6 +133,7 @@
 	for _, order := range state.UnderWay {
 		if order.Verb == loading.Unload {
 			leaving[order.Target] = true
+			told.Unloading = append(told.Unloading, heldModel(order.Target))
 			continue
 		}
 		told.Loading = append(told.Loading, &rpc.LoadUnderWay{
@@ -153,3 +154,11 @@
 	}
 	return told
 }
+
+func heldModel(target fleet.Target) *rpc.HeldModel {
+	held := &rpc.HeldModel{Model: target.Model}
+	if target.Adapter != "" {
+		held.Adapters = []string{target.Adapter}
+	}
+	return held
+}
--- a/loader/follower.go
+++ b/loader/follower.go
@@ -168,5 +168,16 @@
 	for _, load := range told.GetLoading() {
 		loads[fleet.Target{Model: load.GetModel(), Adapter: load.GetAdapter()}] = now.Add(time.Duration(load.GetReadyInMs()) * time.Millisecond)
 	}
-	f.Fleet.Confirm(told.GetReplicaId(), told.GetSequence(), holdings, loads)
+	var unloading []fleet.Target
+	for _, held := range told.GetUnloading() {
+		if len(held.GetAdapters()) == 0 {
+			unloading = append(unloading, fleet.Target{Model: held.GetModel()})
+		}
+		for _, adapter := range held.GetAdapters() {
+			unloading = append(unloading, fleet.Target{Model: held.GetModel(), Adapter: adapter})
+		}
+	}
+	f.Fleet.Confirm(told.GetReplicaId(), fleet.Confirmation{
+		Sequence: told.GetSequence(), Holdings: holdings, Loading: loads, Unloading: unloading,
+	})
 }
--- a/loader/orders.go
+++ b/loader/orders.go
@@ -53,8 +53,10 @@
 
 func (h *Holder) apply(state *loading.Replica, order loading.Order, answer Answer, err error, now time.Time) {
 	switch {
-	case err != nil, answer == Refused, answer == Gone, answer == Fenced:
+	case err != nil, answer == Refused, answer == Fenced:
 		state.Doubt(now)
+	case answer == Gone:
+		state.Lost(now)
 	case answer == Accepted:
 		state.Took(order, now)
 	case answer == Done:
@@ -88,7 +90,7 @@
 func (h *Holder) checkReplicas(ctx context.Context, now time.Time) {
 	for id, state := range h.states {
 		at := state.NextCheck(now)
-		if _, calling := h.calling[id]; calling || state.Draining && state.Known || at.IsZero() {
+		if _, calling := h.calling[id]; calling || state.Draining && state.Known || state.Known && at.IsZero() {
 			continue
 		}
 		if earliest := h.polled[id].Add(pollPause); at.Before(earliest) {
@@ -140,7 +142,11 @@
 		return
 	}
 	if err != nil {
-		h.polled[id] = now.Add(pollPause) // ask less often where nothing answers
+		if state.Known {
+			h.polled[id] = now.Add(pollPause) // ask less often where nothing answers
+		} else {
+			state.Lost(now)
+		}
 		return
 	}
 	if state.Hear(report, now) {
--- a/loading/state.go
+++ b/loading/state.go
@@ -72,6 +72,16 @@
 	r.BlockedUntil = now.Add(refusedPause)
 }
 
+// Lost takes in that the address belongs to another replica, or that nothing listens
+// there: the registry will say so.
+func (r *Replica) Lost(now time.Time) {
+	r.Known = false
+	r.BlockedUntil = now.Add(lostPause)
+}
+
+// lostPause keeps orders and questions back from a replica that is not there.
+const lostPause = 1500 * time.Millisecond
+
 // Hear takes in a replica's report and tells whether it changed what is known.
 func (r *Replica) Hear(report Report, now time.Time) bool {
 	if report.Sequence < r.Sequence && r.Known {
@@ -154,7 +164,7 @@
 // NextCheck returns when the replica's report should be read next; zero: not needed.
 func (r *Replica) NextCheck(now time.Time) time.Time {
 	if !r.Known {
-		return now
+		return r.BlockedUntil
 	}
 	var next time.Time
 	for _, order := range r.UnderWay {
