The order holder's word on a replica goes before the registry's, by time

Change: the holder's word counts until the registry speaks 4 s later; words of one holder are ordered by fence and orders taken.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -38,8 +38,6 @@
 	Zone     string
 	Slots    int
 	Draining bool
-	// Sequence counts the load orders the replica has taken.
-	Sequence int64
 	Holdings Holdings
 	// InMemory and OnDisk name the models of which the replica keeps copies that
 	// load faster than from the weight store.
@@ -49,25 +47,27 @@
 
 // Confirmation is what the holder of load orders knows of a replica.
 type Confirmation struct {
+	Fence    int64    // of the holder's term
 	Sequence int64    // orders that the replica had taken
 	Holdings Holdings // without what is being unloaded
 	// Loading says when what is being loaded will be there.
-	Loading   map[Target]time.Time
-	Unloading []Target
+	Loading map[Target]time.Time
 }
 
-// leaves tells whether a target is being unloaded, with its model or alone.
-func (c *Confirmation) leaves(target Target) bool {
-	return slices.Contains(c.Unloading, target) || slices.Contains(c.Unloading, Target{Model: target.Model})
+// older tells whether another confirmation is known to be newer.
+func (c *Confirmation) older(than *Confirmation) bool {
+	return c.Fence < than.Fence || c.Fence == than.Fence && c.Sequence < than.Sequence
 }
 
 // Replica is an entry with what this daemon has seen of it.
 type Replica struct {
 	Entry
-	inflight   int
-	health     health
-	confirmed  *Confirmation // nil if the holder of load orders said nothing
-	absentTill map[Target]time.Time
+	entryAt     time.Time // when the registry's word came
+	inflight    int
+	health      health
+	confirmed   *Confirmation // nil if the holder of load orders said nothing
+	confirmedAt time.Time
+	absentTill  map[Target]time.Time
 }
 
 // absentFor is how long a replica's own word that it lacks a target goes before
@@ -82,18 +82,16 @@
 	if till, absent := r.absentTill[target]; absent && now.Before(till) {
 		return false
 	}
-	confirmed := r.confirmed
-	switch {
-	case confirmed == nil || confirmed.Sequence < r.Sequence:
+	if r.confirmed == nil || r.entryAt.After(r.confirmedAt.Add(registryLag)) {
 		return r.Holdings.Has(target)
-	case confirmed.Sequence > r.Sequence:
-		return confirmed.Holdings.Has(target)
 	}
-	// Both know of the same orders: a load that has ended may show in one first, and
-	// the registry goes on to list what is being unloaded.
-	return (confirmed.Holdings.Has(target) || r.Holdings.Has(target)) && !confirmed.leaves(target)
+	return r.confirmed.Holdings.Has(target)
 }
 
+// registryLag is how much later than the holder of load orders the registry may
+// tell of a change. What it says later than that is newer.
+const registryLag = 4 * time.Second
+
 // Directory holds all replicas that the daemon knows.
 type Directory struct {
 	zone    string
@@ -122,19 +120,17 @@
 	d.changed = make(chan struct{})
 }
 
-// Put takes in the registry's word on a replica and tells whether it changed.
-func (d *Directory) Put(entry Entry) bool {
+// Put takes in the registry's word on a replica.
+func (d *Directory) Put(entry Entry, now time.Time) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	known := d.members[entry.ID]
 	if known == nil {
-		d.members[entry.ID] = &Replica{Entry: entry, absentTill: map[Target]time.Time{}}
-		d.notify()
-		return true
+		known = &Replica{absentTill: map[Target]time.Time{}}
+		d.members[entry.ID] = known
 	}
-	known.Entry = entry
+	known.Entry, known.entryAt = entry, now
 	d.notify()
-	return true
 }
 
 // Remove forgets a replica that the registry no longer lists.
@@ -148,14 +144,14 @@
 }
 
 // Confirm takes in what the holder of load orders knows of a replica.
-func (d *Directory) Confirm(id string, told Confirmation) {
+func (d *Directory) Confirm(id string, told Confirmation, now time.Time) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	known := d.members[id]
-	if known == nil || (known.confirmed != nil && told.Sequence < known.confirmed.Sequence) {
+	if known == nil || (known.confirmed != nil && told.older(known.confirmed)) {
 		return
 	}
-	known.confirmed = &told
+	known.confirmed, known.confirmedAt = &told, now
 	for target := range known.absentTill {
 		if told.Holdings.Has(target) {
 			delete(known.absentTill, target)
--- a/loader/attach.go
+++ b/loader/attach.go
@@ -133,7 +133,6 @@
 	for _, order := range state.UnderWay {
 		if order.Verb == loading.Unload {
 			leaving[order.Target] = true
-			told.Unloading = append(told.Unloading, heldModel(order.Target))
 			continue
 		}
 		told.Loading = append(told.Loading, &rpc.LoadUnderWay{
@@ -154,11 +153,3 @@
 	}
 	return told
 }
-
-func heldModel(target fleet.Target) *rpc.HeldModel {
-	held := &rpc.HeldModel{Model: target.Model}
-	if target.Adapter != "" {
-		held.Adapters = []string{target.Adapter}
-	}
-	return held
-}
--- a/loader/follower.go
+++ b/loader/follower.go
@@ -154,12 +154,12 @@
 		now := time.Now()
 		f.Holder.OrderSeen(now)
 		for _, told := range view.GetReplicas() {
-			f.confirm(told, now)
+			f.confirm(view.GetFence(), told, now)
 		}
 	}
 }
 
-func (f *Follower) confirm(told *rpc.ReplicaLoads, now time.Time) {
+func (f *Follower) confirm(fence int64, told *rpc.ReplicaLoads, now time.Time) {
 	holdings := fleet.Holdings{}
 	for _, held := range told.GetModels() {
 		holdings[held.GetModel()] = held.GetAdapters()
@@ -168,16 +168,7 @@
 	for _, load := range told.GetLoading() {
 		loads[fleet.Target{Model: load.GetModel(), Adapter: load.GetAdapter()}] = now.Add(time.Duration(load.GetReadyInMs()) * time.Millisecond)
 	}
-	var unloading []fleet.Target
-	for _, held := range told.GetUnloading() {
-		if len(held.GetAdapters()) == 0 {
-			unloading = append(unloading, fleet.Target{Model: held.GetModel()})
-		}
-		for _, adapter := range held.GetAdapters() {
-			unloading = append(unloading, fleet.Target{Model: held.GetModel(), Adapter: adapter})
-		}
-	}
 	f.Fleet.Confirm(told.GetReplicaId(), fleet.Confirmation{
-		Sequence: told.GetSequence(), Holdings: holdings, Loading: loads, Unloading: unloading,
-	})
+		Fence: fence, Sequence: told.GetSequence(), Holdings: holdings, Loading: loads,
+	}, now)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -240,9 +240,9 @@
 		n.log.WithFields(logrus.Fields{logging.Cause: err.Error(), logging.Revision: event.Pair.ModRevision}).Warn("registry entry not used")
 		return
 	}
-	n.fleet.Put(entry)
+	n.fleet.Put(entry, time.Now())
 	n.log.WithFields(logrus.Fields{logging.Replica: entry.ID, logging.Service: entry.Service, logging.Address: entry.Address,
-		logging.Draining: entry.Draining, logging.Sequence: entry.Sequence, logging.Revision: event.Pair.ModRevision}).Info("replica in the registry")
+		logging.Draining: entry.Draining, logging.Revision: event.Pair.ModRevision}).Info("replica in the registry")
 	n.holder.Wake()
 }
 
