--- a/core/lifecycle.go
+++ b/core/lifecycle.go
@@ -36,7 +36,7 @@
 // String returns the name used in logs and metrics.
 func (r Result) String() string { return resultNames[r] }
 
-// maxDispatches bounds the dispatches of one request, lost ones and others.
+// maxDispatches bounds the dispatches of one request that a replica may have noticed.
 const maxDispatches = 6
 
 // Lifecycle is the pure state of one request: what may be said of its execution,
@@ -66,7 +66,9 @@
 // After takes in the result of a dispatch. budget is asked for permission to
 // retry, only if a retry is otherwise allowed and the replicas would notice it.
 func (l *Lifecycle) After(now time.Time, result Result, budget func() bool) Verdict {
-	l.dispatches++
+	if result != NotWritten {
+		l.dispatches++
+	}
 	switch result {
 	case Answered:
 		l.done = true
--- a/core/wait.go
+++ b/core/wait.go
@@ -25,7 +25,10 @@
 	// noReplicaShare is the share of the objective that a call waits for a service
 	// that has no replica.
 	noReplicaShare = 4
-	recheck        = 200 * time.Millisecond
+	// unknownShare is the share of a caller's patience that a call waits for a load
+	// that nobody is known to have begun.
+	unknownShare = 0.4
+	recheck      = 200 * time.Millisecond
 )
 
 // patience returns until when a caller waits for the first byte: streams are given
@@ -62,9 +65,10 @@
 	case fleet.NoReplica:
 		grace := call.Arrived.Add(call.Route.Objective / noReplicaShare)
 		return waitDecision{wait: now.Before(grace), readyIn: retrySoon, source: "no_replica"}
+	case fleet.AllTried:
+		// Better the same replicas again, after a pause, than none.
+		return waitDecision{wait: now.Add(recheck + looseEnd).Before(until), readyIn: retrySoon, source: miss.String()}
 	case fleet.NotLoaded, fleet.AdapterAbsent:
-	default:
-		return waitDecision{readyIn: retrySoon, source: miss.String()}
 	}
 	decision := waitDecision{readyIn: loadGuess(call, miss), source: "catalogue"}
 	if known {
@@ -78,6 +82,10 @@
 		decision.readyIn = 0
 	}
 	decision.wait = now.Add(decision.readyIn + looseEnd).Before(until)
+	if !known && now.Sub(call.Arrived) > time.Duration(unknownShare*float64(until.Sub(call.Arrived))) {
+		// Nobody has begun the load: better to come back than to be held to the end.
+		decision.wait, decision.readyIn, decision.source = false, loadGuess(call, miss), "not_begun"
+	}
 	return decision
 }
 
@@ -109,11 +117,6 @@
 		changed := c.Fleet.Changed()
 		now := time.Now()
 		pick, miss := c.Fleet.Choose(ask, now)
-		if miss == fleet.AllTried && len(ask.Tried) > 0 {
-			// Better the same replica again than none.
-			ask.Tried = nil
-			continue
-		}
 		if pick != nil {
 			running.waited += now.Sub(began)
 			return pick, nil
@@ -121,7 +124,7 @@
 		expected, known := c.Fleet.Expected(running.Service.Name, missing(running.Target, miss))
 		decision := decideWait(now, running.Call, miss, expected, known)
 		if stopWaiting == nil {
-			stopWaiting = c.Demand.Wait(running.key())
+			stopWaiting = c.Demand.Wait(running.key(), now)
 			c.logWait(running, miss, decision)
 		}
 		if !decision.wait {
@@ -133,6 +136,7 @@
 			return nil, c.ended(ctx, running, failure.DeadlineExceeded, errors.New(miss.String()))
 		case <-changed:
 		case <-time.After(recheck):
+			ask.Tried = nil
 		}
 	}
 }
--- a/demand/demand.go
+++ b/demand/demand.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/finchspoke/finchspoke/fleet"
 )
@@ -19,6 +20,9 @@
 	Arrivals uint64 // since the daemon started
 	Waiting  int    // for the target to be loaded
 	Running  int
+	// WaitingSince is when the first of those that wait now, or one before it without
+	// a gap, began to wait; zero if none waits.
+	WaitingSince time.Time
 }
 
 // Tracker counts demand. It is safe for concurrent use.
@@ -40,13 +44,23 @@
 func (t *Tracker) Arrive(key Key) { t.change(key, func(count *Count) { count.Arrivals++ }) }
 
 // Wait counts a request that waits for its target; the function returned ends it.
-func (t *Tracker) Wait(key Key) func() {
-	t.change(key, func(count *Count) { count.Waiting++ })
+func (t *Tracker) Wait(key Key, now time.Time) func() {
+	t.change(key, func(count *Count) {
+		if count.Waiting++; count.Waiting == 1 {
+			count.WaitingSince = now
+		}
+	})
 	select {
 	case t.urgent <- struct{}{}:
 	default:
 	}
-	return func() { t.change(key, func(count *Count) { count.Waiting-- }) }
+	return func() {
+		t.change(key, func(count *Count) {
+			if count.Waiting--; count.Waiting == 0 {
+				count.WaitingSince = time.Time{}
+			}
+		})
+	}
 }
 
 // Run counts a request that runs; the function returned ends it.
--- a/loader/attach.go
+++ b/loader/attach.go
@@ -71,6 +71,9 @@
 		key := demand.Key{Service: one.GetService(), Target: fleet.Target{Model: one.GetModel(), Adapter: one.GetAdapter()}}
 		before, had := known.counts[key]
 		count := demand.Count{Arrivals: one.GetArrivals(), Waiting: int(one.GetWaiting()), Running: int(one.GetRunning())}
+		if count.Waiting > 0 {
+			count.WaitingSince = now.Add(-time.Duration(one.GetWaitingMs()) * time.Millisecond)
+		}
 		known.counts[key] = count
 		arrivals := h.rates[key]
 		if arrivals == nil {
--- a/loader/follower.go
+++ b/loader/follower.go
@@ -100,7 +100,7 @@
 		return errors.Wrap(err, "attach to the holder of load orders")
 	}
 	sent := map[demand.Key]demand.Count{}
-	if err := stream.Send(f.message(sent)); err != nil {
+	if err := stream.Send(f.message(sent, time.Now())); err != nil {
 		return err
 	}
 	f.Log.WithFields(logrus.Fields{logging.Dependency: "order holder", logging.Holder: holder.Daemon, logging.Fence: holder.Fence}).Info("dependency regained")
@@ -120,7 +120,7 @@
 			sleep.For(ctx, urgentPause)
 		case <-ticker.C:
 		}
-		if message := f.message(sent); len(message.GetKeys()) > 0 {
+		if message := f.message(sent, time.Now()); len(message.GetKeys()) > 0 {
 			if err := stream.Send(message); err != nil {
 				return err
 			}
@@ -129,7 +129,7 @@
 }
 
 // message makes a report of the demand that differs from what was sent.
-func (f *Follower) message(sent map[demand.Key]demand.Count) *rpc.LoadsDemand {
+func (f *Follower) message(sent map[demand.Key]demand.Count, now time.Time) *rpc.LoadsDemand {
 	message := &rpc.LoadsDemand{DaemonId: f.Daemon}
 	for key, count := range f.Demand.Counts() {
 		if key.Target.Model == "" || sent[key] == count {
@@ -138,12 +138,19 @@
 		sent[key] = count
 		message.Keys = append(message.Keys, &rpc.TargetLoadDemand{
 			Service: key.Service, Model: key.Target.Model, Adapter: key.Target.Adapter,
-			Arrivals: count.Arrivals, Waiting: uint32(count.Waiting), Running: uint32(count.Running),
+			Arrivals: count.Arrivals, Waiting: uint32(count.Waiting), Running: uint32(count.Running), WaitingMs: waitingMs(count, now),
 		})
 	}
 	return message
 }
 
+func waitingMs(count demand.Count, now time.Time) int64 {
+	if count.WaitingSince.IsZero() {
+		return 0
+	}
+	return now.Sub(count.WaitingSince).Milliseconds()
+}
+
 // listen takes in what the holder tells.
 func (f *Follower) listen(stream rpc.DRPCLoads_AttachClient) error {
 	for {
--- a/loader/holder.go
+++ b/loader/holder.go
@@ -336,6 +336,9 @@
 			sum := total[key]
 			sum.Waiting += count.Waiting
 			sum.Running += count.Running
+			if count.Waiting > 0 {
+				sum.WaitingFor = max(sum.WaitingFor, now.Sub(count.WaitingSince))
+			}
 			if count.Waiting+count.Running > 0 {
 				sum.LastUsed = now
 			}
--- a/loading/adapters.go
+++ b/loading/adapters.go
@@ -31,6 +31,26 @@
 	}
 }
 
+// loadAdaptersAhead fills free places with the adapters of busy models and of those
+// to which demand is expected to move: while a replica loads a model, it takes no
+// adapter, and a holder of orders may be missing when one is asked for.
+func (p *planner) loadAdaptersAhead() {
+	for _, need := range p.models {
+		if need.perSecond < busyRate && !need.successor {
+			continue
+		}
+		for _, adapter := range need.model.Adapters {
+			target := fleet.Target{Model: need.model.Name, Adapter: adapter}
+			if p.adapterCopies(target) > 0 {
+				continue
+			}
+			if best := p.adapterSpot(target); best != nil && p.hasAdapterRoom(best, target) {
+				p.give(best, Order{Verb: Load, Target: target, Takes: adapterTime, Reason: "ahead of demand"})
+			}
+		}
+	}
+}
+
 // adaptersAskedFor lists the service's adapters with demand, those that most wait
 // for first.
 func (p *planner) adaptersAskedFor() []demand.Key {
@@ -65,6 +85,21 @@
 // loadAdapter loads an adapter on the replica that suits it best, or makes a place
 // for it.
 func (p *planner) loadAdapter(target fleet.Target) {
+	best := p.adapterSpot(target)
+	if best == nil {
+		return
+	}
+	if p.hasAdapterRoom(best, target) {
+		p.give(best, Order{Verb: Load, Target: target, Takes: adapterTime, Reason: "requests wait"})
+		return
+	}
+	if victim, found := p.idleAdapter(best); found {
+		p.give(best, Order{Verb: Unload, Target: victim, Takes: unloadTime, Reason: "a place for " + target.Model + "/" + target.Adapter})
+	}
+}
+
+// adapterSpot returns the replica that suits an adapter best, or nil.
+func (p *planner) adapterSpot(target fleet.Target) *Replica {
 	var best *Replica
 	bestUsed, bestScore := 0, uint64(0)
 	for _, replica := range p.candidates() {
@@ -80,17 +115,13 @@
 			best, bestUsed, bestScore = replica, used, score
 		}
 	}
-	if best == nil {
-		return
-	}
+	return best
+}
+
+// hasAdapterRoom tells whether a replica has a place and memory for an adapter.
+func (p *planner) hasAdapterRoom(replica *Replica, target fleet.Target) bool {
 	memory := p.engine.Models[target.Model].AdapterMemoryMB
-	if adaptersOn(best) < p.engine.AdapterSlots && p.memoryLeft(best, false) >= memory {
-		p.give(best, Order{Verb: Load, Target: target, Takes: adapterTime, Reason: "requests wait"})
-		return
-	}
-	if victim, found := p.idleAdapter(best); found {
-		p.give(best, Order{Verb: Unload, Target: victim, Takes: unloadTime, Reason: "a place for " + target.Model + "/" + target.Adapter})
-	}
+	return adaptersOn(replica) < p.engine.AdapterSlots && p.memoryLeft(replica, false) >= memory
 }
 
 // adaptersOn counts the adapter places that are taken or may be.
--- a/loading/loading.go
+++ b/loading/loading.go
@@ -115,6 +115,8 @@
 	Waiting   int
 	Running   int
 	LastUsed  time.Time
+	// WaitingFor is how long requests have been waiting.
+	WaitingFor time.Duration
 }
 
 // Snapshot is all that a decision is made from.
@@ -139,6 +141,7 @@
 		}
 		planner.loadAdapters()
 		planner.loadModels()
+		planner.loadAdaptersAhead()
 	}
 	return planner.orders
 }
@@ -157,13 +160,16 @@
 type modelNeed struct {
 	model     *routing.Model
 	perSecond float64
-	waiting   int
+	waiting   int // for the model
 	running   int
 	lastUsed  time.Time
+	waitedFor time.Duration
 	copies    int // loaded or being loaded where requests may go
 	loaded    int
 	desired   int
-	successor bool // demand is expected to move here
+	// adapterWaiting is how many wait for an adapter, or for the model of one.
+	adapterWaiting int
+	successor      bool // demand is expected to move here
 }
 
 const (
@@ -188,7 +194,12 @@
 			continue
 		}
 		need.perSecond += asked.PerSecond
-		need.waiting += asked.Waiting
+		if key.Target.Adapter == "" {
+			need.waiting += asked.Waiting
+			need.waitedFor = max(need.waitedFor, asked.WaitingFor)
+		} else {
+			need.adapterWaiting += asked.Waiting
+		}
 		need.running += asked.Running
 		if asked.LastUsed.After(need.lastUsed) {
 			need.lastUsed = asked.LastUsed
@@ -216,6 +227,11 @@
 	}
 	needs := make([]*modelNeed, 0, len(byName))
 	markSuccessors(byName)
+	for _, need := range byName {
+		if need.copies == 0 {
+			need.waiting += need.adapterWaiting
+		}
+	}
 	for _, name := range sortedKeys(byName) {
 		need := byName[name]
 		need.desired = need.wanted(p.Now, replicas)
@@ -258,6 +274,9 @@
 // wanted returns how many copies a model should have.
 func (n *modelNeed) wanted(now time.Time, replicas int) int {
 	copies := int(math.Ceil(max(n.perSecond/ratePerCopy-headroom, float64(n.running)/runningPerCopy)))
+	if n.waiting > 0 && n.waitedFor > unreachableAfter && n.loaded > 0 {
+		copies = max(copies, n.copies+1) // those that are loaded do not serve
+	}
 	if n.waiting > 0 || (!n.lastUsed.IsZero() && now.Sub(n.lastUsed) < keepUsed) {
 		copies = max(copies, 1)
 	}
@@ -267,6 +286,10 @@
 	return min(copies, replicas)
 }
 
+// unreachableAfter is how long requests wait for a model that is loaded before it
+// gets another copy: its replicas cannot be reached, or reject them.
+const unreachableAfter = 800 * time.Millisecond
+
 // headroom keeps a rate just above a whole number of copies from asking for one
 // more.
 const headroom = 0.15
@@ -275,6 +298,10 @@
 // started now would help.
 const urgencyHorizon = 4.0
 
+// ageUrgency is how much more urgent a model becomes with each second that requests
+// wait for it, so that none is passed over for ever.
+const ageUrgency = 0.7
+
 // aheadUrgency is the urgency of a copy that is loaded ahead of demand.
 const aheadUrgency = 0.1
 
@@ -282,11 +309,14 @@
 // model without a copy, or those that come to copies which have more than enough.
 func (n *modelNeed) urgency() float64 {
 	if n.copies == 0 && n.waiting > 0 {
-		return float64(n.waiting) + n.perSecond*urgencyHorizon
+		return float64(n.waiting) + n.perSecond*urgencyHorizon + ageUrgency*n.waitedFor.Seconds()
 	}
 	if n.copies >= n.desired {
 		return 0
 	}
+	if n.waiting > 0 {
+		return float64(n.waiting)
+	}
 	if n.perSecond < busyRate {
 		return aheadUrgency
 	}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -72,7 +72,7 @@
 	Name            string
 	MemoryMB        float64
 	AdapterMemoryMB float64
-	Adapters        int           // how many the model has
+	Adapters        []string      // names of the adapters that the model has
 	StoreLoad       time.Duration // load from the weight store
 	MemoryLoad      time.Duration // from the replica's host memory
 	DiskLoad        time.Duration // from the replica's disk
