--- a/loading/loading.go
+++ b/loading/loading.go
@@ -274,7 +274,7 @@
 // wanted returns how many copies a model should have.
 func (n *modelNeed) wanted(now time.Time, replicas int) int {
 	copies := int(math.Ceil(max(n.perSecond/ratePerCopy-headroom, float64(n.running)/runningPerCopy)))
-	if n.waiting > 0 && n.waitedFor > unreachableAfter && n.loaded > 0 {
+	if n.waiting > 0 && n.waitedFor > unreachableAfter && n.loaded == 1 && n.copies == 1 {
 		copies = max(copies, n.copies+1) // those that are loaded do not serve
 	}
 	if n.waiting > 0 || (!n.lastUsed.IsZero() && now.Sub(n.lastUsed) < keepUsed) {
@@ -288,7 +288,7 @@
 
 // unreachableAfter is how long requests wait for a model that is loaded before it
 // gets another copy: its replicas cannot be reached, or reject them.
-const unreachableAfter = 800 * time.Millisecond
+const unreachableAfter = 1500 * time.Millisecond
 
 // headroom keeps a rate just above a whole number of copies from asking for one
 // more.
