--- a/loading/loading.go
+++ b/loading/loading.go
@@ -174,7 +174,7 @@
 
 const (
 	// ratePerCopy is the arrivals a second that one copy of a model is meant for.
-	ratePerCopy = 2.0
+	ratePerCopy = 5.0
 	// runningPerCopy is the requests at once that one copy is meant for.
 	runningPerCopy = 12.0
 	// keepUsed is how long a model that was used keeps at least one copy.
