--- a/loading/loading.go
+++ b/loading/loading.go
@@ -176,7 +176,7 @@
 	// ratePerCopy is the arrivals a second that one copy of a model is meant for.
 	ratePerCopy = 5.0
 	// runningPerCopy is the requests at once that one copy is meant for.
-	runningPerCopy = 12.0
+	runningPerCopy = 16.0
 	// keepUsed is how long a model that was used keeps at least one copy.
 	keepUsed = 15 * time.Second
 	// freshFor is how long a model that was just loaded is not evicted.
