A planned stop refuses what waits for a load, and answers what runs at its end

Ruled out: connections closed early; requests with a replica (they ended or were in the last sixth of the grace). Change: core.Stop.

--- a/core/core.go
+++ b/core/core.go
@@ -122,6 +122,39 @@
 
 	mutex   sync.Mutex
 	budgets map[string]*RetryBudget // by service
+
+	stopOnce sync.Once
+	stopping chan struct{}   // closed when a planned stop begins
+	ending   context.Context // ends when calls must have ended
+	end      context.CancelCauseFunc
+}
+
+// errStopped ends calls that a planned stop leaves no more time.
+var errStopped = errors.New("the daemon stops")
+
+// Prepare makes the core ready for use.
+func (c *Core) Prepare() {
+	c.stopping = make(chan struct{})
+	c.ending, c.end = context.WithCancelCause(context.Background())
+}
+
+// Stop begins a planned stop: calls that wait for a load are refused, and those
+// that still run at a moment get their final answer then.
+func (c *Core) Stop(endBy time.Time) {
+	c.stopOnce.Do(func() {
+		close(c.stopping)
+		time.AfterFunc(time.Until(endBy), func() { c.end(errStopped) })
+	})
+}
+
+// isStopping tells whether a planned stop has begun.
+func (c *Core) isStopping() bool {
+	select {
+	case <-c.stopping:
+		return true
+	default:
+		return false
+	}
 }
 
 // budget returns the retry budget of a service.
@@ -171,6 +204,9 @@
 func (c *Core) Serve(ctx context.Context, call *Call, caller Caller) (failed *failure.Error, began bool) {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	defer context.AfterFunc(c.ending, func() { stop(errStopped) })()
 	running := &run{
 		Call: call, caller: caller, lastEvent: call.ResumeAfter,
 		life: &Lifecycle{Repeatable: call.Route.Repeatable(), Resumable: call.Route.Resumable, MaxRuns: max(1, call.Route.Attempts), Deadline: call.Deadline},
@@ -234,6 +270,8 @@
 		cause = errors.New("no cause is known")
 	}
 	switch {
+	case errors.Is(context.Cause(ctx), errStopped):
+		kind = failure.Unavailable
 	case errors.Is(ctx.Err(), context.Canceled):
 		return callerLeft(cause, execution)
 	case ctx.Err() != nil:
--- a/core/wait.go
+++ b/core/wait.go
@@ -123,6 +123,10 @@
 		}
 		expected, known := c.Fleet.Expected(running.Service.Name, missing(running.Target, miss))
 		decision := decideWait(now, running.Call, miss, expected, known)
+		if c.isStopping() {
+			// Another daemon waits as well, and has the time to serve.
+			decision.wait, decision.readyIn, decision.source = false, 0, "stopping"
+		}
 		if stopWaiting == nil {
 			stopWaiting = c.Demand.Wait(running.key(), now)
 			c.logWait(running, miss, decision)
@@ -134,6 +138,7 @@
 		select {
 		case <-ctx.Done():
 			return nil, c.ended(ctx, running, failure.DeadlineExceeded, errors.New(miss.String()))
+		case <-c.stopping:
 		case <-changed:
 		case <-time.After(recheck):
 			ask.Tried = nil
--- a/node/node.go
+++ b/node/node.go
@@ -77,6 +77,7 @@
 	metrics    *prometheus.Registry
 	routes     *routing.Store
 	fleet      *fleet.Directory
+	core       *core.Core
 	mirror     *records.Mirror
 	election   *election.Election
 	holder     *loader.Holder
@@ -149,6 +150,8 @@
 		Fleet: n.fleet, Demand: tracker, Driver: adapters.Driver(n.pool), Retries: n.config.Retries,
 		Metrics: core.NewMetrics(n.metrics), Log: n.log,
 	}
+	requests.Prepare()
+	n.core = requests
 	n.mirror = records.NewMirror(adapters.Store, n.config.RecordsRoot, n.log)
 	n.election = election.New(election.Config{
 		Key: n.config.TermKey, Daemon: n.config.ID, Address: n.config.PeerAddress, TTL: n.config.LeaseTime,
@@ -259,7 +262,9 @@
 
 const (
 	// stopMargin is kept from the time that a planned stop may take.
-	stopMargin = 700 * time.Millisecond
+	stopMargin = 600 * time.Millisecond
+	// lastAnswers is the time for the final answers of calls that still run then.
+	lastAnswers = 200 * time.Millisecond
 	// resignTime is how long the end of this daemon's term may take to be recorded.
 	resignTime = 500 * time.Millisecond
 )
@@ -290,6 +295,7 @@
 func (n *Node) leave() error {
 	n.log.Info("planned stop begins")
 	ctx, cancel := context.WithTimeout(context.Background(), n.config.StopTime-stopMargin)
+	n.core.Stop(time.Now().Add(n.config.StopTime - stopMargin - lastAnswers))
 	defer cancel()
 	resigning, done := context.WithTimeout(ctx, resignTime)
 	defer done()
