--- a/loading/models.go
+++ b/loading/models.go
@@ -229,7 +229,7 @@
 	rankScale = 4.0
 	// worthSuccessor is the worth of a copy of a model to which demand is expected to
 	// move.
-	worthSuccessor = 3.0
+	worthSuccessor = 8.0
 	// worthFirst and worthRequest are the worth of a copy that requests wait for: in
 	// itself, and for each of them.
 	worthFirst   = 3.0
