A busy model has two copies at least

Ruled out: the ceiling of loads, missing orders. Change: the spare copies that the next model has are for busy ones too; the test of adapters ahead now has the second copy that it implies, and asserts as much.

--- a/loading/loading.go
+++ b/loading/loading.go
@@ -247,9 +247,9 @@
 const (
 	// busyRate is the arrivals a second from which a model counts as busy.
 	busyRate = 1.0
-	// successorCopies is how many copies stand ready of the model that comes after
-	// busy ones in the catalogue.
-	successorCopies = 2
+	// spareCopies is the least number of copies of a busy model, and of the one that
+	// comes after it in the catalogue: the loss of one replica must not take it away.
+	spareCopies = 2
 )
 
 // markSuccessors marks the model after each busy one in the catalogue: demand moves
@@ -280,8 +280,8 @@
 	if n.waiting > 0 || (!n.lastUsed.IsZero() && now.Sub(n.lastUsed) < keepUsed) {
 		copies = max(copies, 1)
 	}
-	if n.successor {
-		copies = max(copies, successorCopies)
+	if n.successor || n.perSecond >= busyRate {
+		copies = max(copies, spareCopies)
 	}
 	return min(copies, replicas)
 }
@@ -317,8 +317,8 @@
 	if n.waiting > 0 {
 		return float64(n.waiting)
 	}
-	if n.perSecond < busyRate {
-		return aheadUrgency
+	if short := n.perSecond - ratePerCopy*float64(n.copies); short <= 0 {
+		return aheadUrgency * (1 + n.perSecond)
 	}
 	return (n.perSecond - ratePerCopy*float64(n.copies)) * urgencyHorizon
 }
--- a/loading/loading_test.go
+++ b/loading/loading_test.go
@@ -155,8 +155,10 @@
 	holder := replica("r1", "m0")
 	holder.Holdings["m0"] = []string{"a1"}
 	asked := map[demand.Key]Demand{key("m0", ""): {PerSecond: 1.5, LastUsed: start}}
+	full := replica("r4", "m0")
+	full.Holdings["m0"] = []string{"a3", "a4"}
 	// The model that comes next stands elsewhere.
-	others := []*Replica{holder, replica("r2", "m1"), replica("r3", "m1")}
+	others := []*Replica{holder, replica("r2", "m1"), replica("r3", "m1"), full}
 	orders := Decide(snapshot(asked, others...))
 	require.Len(t, orders, 1)
 	require.Equal(t, fleet.Target{Model: "m0", Adapter: "a2"}, orders[0].Target)
@@ -182,6 +184,15 @@
 	require.Empty(t, Decide(snapshot(asked, full...)))
 }
 
+// Seen on a day of high load: the only replica with a busy model was taken away, and
+// its requests were late for the 5 s that a load took.
+func TestABusyModelHasASpareCopy(t *testing.T) {
+	asked := map[demand.Key]Demand{key("m4", ""): {PerSecond: 1.5, Running: 1, LastUsed: start}}
+	orders := Decide(snapshot(asked, replica("r1", "m4"), replica("r2", "m5"), replica("r3", "m5")))
+	require.Len(t, orders, 1)
+	require.Equal(t, "m4", orders[0].Target.Model)
+}
+
 func TestALeavingReplicaCountsForNothing(t *testing.T) {
 	leaving := replica("r1", "m5")
 	leaving.Draining = true
--- a/loading/models.go
+++ b/loading/models.go
@@ -266,8 +266,8 @@
 	if need.copies == 0 {
 		return worthUnknown + need.perSecond*need.model.StoreLoad.Seconds()
 	}
-	if need.successor && need.copies < successorCopies {
-		return worthSuccessor / 2
+	if (need.successor || need.perSecond >= busyRate) && need.copies < spareCopies {
+		return worthSuccessor/2 + need.perSecond
 	}
 	return need.perSecond / float64(need.copies)
 }
