--- /dev/null
+++ b/election/election_test.go
@@ -0,0 +1,261 @@
+package election
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/finchspoke/finchspoke/kv"
+)
+
+const (
+	testKey = "term"
+	testTTL = 2 * time.Second
+)
+
+// oneRecord is a store with one record under a lease, which tells all elections of
+// its changes as the mirror of records does.
+type oneRecord struct {
+	kv.LeaseStore
+	mutex    sync.Mutex
+	pair     kv.Pair
+	held     bool
+	revision int64
+	lease    kv.LeaseID // that the record is bound to
+	leases   kv.LeaseID // granted so far
+	expiry   *time.Timer
+	silent   map[string]bool // daemons that get no answer
+	loseNext bool            // the next write is done and not answered
+	told     []*Election
+}
+
+// view is the store as one daemon reaches it.
+type view struct {
+	*oneRecord
+	daemon string
+}
+
+func (v view) answers() error {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if v.silent[v.daemon] {
+		return kv.ErrUncertain
+	}
+	return nil
+}
+
+func (v view) GrantLease(context.Context, time.Duration) (kv.LeaseID, error) {
+	if err := v.answers(); err != nil {
+		return 0, err
+	}
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.leases++
+	return v.leases, nil
+}
+
+func (v view) KeepLease(_ context.Context, lease kv.LeaseID) error {
+	if err := v.answers(); err != nil {
+		return err
+	}
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if !v.held || lease != v.lease {
+		return kv.ErrNoLease
+	}
+	v.expiry.Reset(testTTL)
+	return nil
+}
+
+func (v view) EndLease(_ context.Context, lease kv.LeaseID) error {
+	v.mutex.Lock()
+	bound := v.held && lease == v.lease
+	v.mutex.Unlock()
+	if bound {
+		v.remove()
+	}
+	return nil
+}
+
+func (v view) Get(context.Context, string) (kv.Pair, bool, error) {
+	if err := v.answers(); err != nil {
+		return kv.Pair{}, false, err
+	}
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.pair, v.held, nil
+}
+
+func (v view) Commit(_ context.Context, txn kv.Txn) (kv.TxnResult, error) {
+	if err := v.answers(); err != nil {
+		return kv.TxnResult{}, err
+	}
+	v.mutex.Lock()
+	if v.held {
+		defer v.mutex.Unlock()
+		return kv.TxnResult{Current: []kv.Pair{v.pair}}, nil
+	}
+	v.revision++
+	v.pair, v.held = kv.Pair{Key: testKey, Value: txn.Puts[0].Value, ModRevision: v.revision}, true
+	v.lease = txn.Puts[0].Lease
+	v.expiry = time.AfterFunc(testTTL, v.remove)
+	pair, lost := v.pair, v.loseNext
+	v.loseNext = false
+	v.mutex.Unlock()
+	v.tell(kv.Event{Pair: pair})
+	if lost {
+		return kv.TxnResult{}, kv.ErrUncertain
+	}
+	return kv.TxnResult{Succeeded: true, Revision: pair.ModRevision}, nil
+}
+
+func (r *oneRecord) remove() {
+	r.mutex.Lock()
+	if !r.held {
+		r.mutex.Unlock()
+		return
+	}
+	r.held = false
+	r.expiry.Stop()
+	r.revision++
+	event := kv.Event{Pair: kv.Pair{Key: testKey, ModRevision: r.revision}, Deleted: true}
+	r.mutex.Unlock()
+	r.tell(event)
+}
+
+func (r *oneRecord) tell(event kv.Event) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, one := range r.told {
+		if !r.silent[one.Daemon] {
+			go one.Observe(event)
+		}
+	}
+}
+
+func elections(t *testing.T, informed map[string]bool, daemons ...string) (*oneRecord, map[string]*Election) {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	store := &oneRecord{silent: map[string]bool{}}
+	made := map[string]*Election{}
+	for _, daemon := range daemons {
+		one := New(Config{Key: testKey, Daemon: daemon, Address: daemon + ":1", TTL: testTTL, Informed: func() bool { return informed[daemon] }}, view{store, daemon}, log)
+		made[daemon] = one
+		store.told = append(store.told, one)
+	}
+	for _, one := range made {
+		one.Vacate()
+		go func() { _ = one.Serve(t.Context()) }()
+	}
+	return store, made
+}
+
+func holders(made map[string]*Election) []string {
+	var names []string
+	for name, one := range made {
+		if _, standing := one.Term(); standing != None {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func TestOneDaemonHoldsTheTermAndTheInformedCampaignFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, made := elections(t, map[string]bool{"c": true}, "a", "b", "c")
+		time.Sleep(5 * testTTL)
+		require.Equal(t, []string{"c"}, holders(made))
+		_, standing := made["c"].Term()
+		require.Equal(t, Sure, standing, "the lease is renewed")
+	})
+}
+
+func TestATermThatEndsIsTakenByAnotherWithAHigherFence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, made := elections(t, map[string]bool{"c": true}, "a", "b", "c")
+		time.Sleep(time.Second)
+		before, _ := made["c"].Term()
+		made["c"].Resign(t.Context())
+		time.Sleep(2 * time.Second)
+		next := holders(made)
+		require.Len(t, next, 1)
+		require.NotEqual(t, "c", next[0])
+		after, _ := made[next[0]].Term()
+		require.Greater(t, after, before)
+	})
+}
+
+func TestAHolderWithoutTheStoreKnowsWhetherItAskedLately(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, made := elections(t, nil, "a")
+		time.Sleep(time.Second)
+		store.mutex.Lock()
+		store.silent["a"] = true
+		store.expiry.Stop() // a store that is down for all lets leases wait
+		store.mutex.Unlock()
+		time.Sleep(2 * testTTL)
+		_, standing := made["a"].Term()
+		require.Equal(t, Blind, standing)
+		// As after a freeze: nothing was asked for a while.
+		made["a"].now = func() time.Time { return time.Now().Add(testTTL) }
+		_, standing = made["a"].Term()
+		require.Equal(t, Unsure, standing)
+	})
+}
+
+func TestAHolderThatWasCutOffLosesItsTermWhenItHears(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, made := elections(t, map[string]bool{"a": true}, "a", "b")
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"a"}, holders(made))
+		store.mutex.Lock()
+		store.silent["a"] = true
+		store.mutex.Unlock()
+		time.Sleep(2 * testTTL)
+		require.ElementsMatch(t, []string{"a", "b"}, holders(made), "it cannot know yet; its fence is the lower one")
+		old, _ := made["a"].Term()
+		newer, _ := made["b"].Term()
+		require.Greater(t, newer, old)
+		store.mutex.Lock()
+		store.silent["a"] = false
+		pair := store.pair
+		store.mutex.Unlock()
+		made["a"].Observe(kv.Event{Pair: pair})
+		require.Equal(t, []string{"b"}, holders(made))
+	})
+}
+
+func TestALostAnswerToACampaignIsSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, made := elections(t, nil, "a")
+		store.mutex.Lock()
+		store.loseNext = true
+		store.mutex.Unlock()
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"a"}, holders(made))
+		fence, _ := made["a"].Term()
+		require.Equal(t, store.pair.ModRevision, fence)
+		var holder Holder
+		require.NoError(t, json.Unmarshal(store.pair.Value, &holder))
+		require.Equal(t, "a", holder.Daemon)
+	})
+}
+
+func TestAnOldRecordDoesNotReplaceANewerOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, made := elections(t, nil, "a")
+		time.Sleep(time.Second)
+		fence, _ := made["a"].Term()
+		made["a"].Observe(kv.Event{Pair: kv.Pair{Key: testKey, ModRevision: fence - 1}, Deleted: true})
+		require.Equal(t, []string{"a"}, holders(made))
+		require.True(t, store.held)
+	})
+}
