--- a/command/node.go
+++ b/command/node.go
@@ -14,7 +14,8 @@
 
 // nodeCommand runs a daemon on the users' platform.
 type nodeCommand struct {
-	LogLevel string `long:"log-level" default:"info" description:"least level of log lines: debug, info, warn or error"`
+	MetricsPort int    `long:"metrics-port" description:"port for metrics on the address of the settings file; the settings' own address for metrics goes before it"`
+	LogLevel    string `long:"log-level" default:"info" description:"least level of log lines: debug, info, warn or error"`
 }
 
 // logDrain is how long the last log lines may take to be written.
@@ -26,6 +27,7 @@
 	if err != nil {
 		return err
 	}
+	config.MetricsOn(c.MetricsPort)
 	lines := logging.NewBounded(os.Stdout)
 	writing, stopWriting := context.WithCancel(context.Background())
 	go func() { _ = lines.Serve(writing) }()
@@ -38,6 +40,7 @@
 	if err != nil {
 		return err
 	}
+	started.CountDropped(lines.Dropped)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	reloads := make(chan os.Signal, 1)
--- a/node/node.go
+++ b/node/node.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -53,6 +54,17 @@
 	RecordsRoot string // prefix of the records that are followed
 }
 
+// MetricsOn gives metrics a port on the peer address's IP, unless the settings name an
+// address of their own; port 0 changes nothing.
+func (c *Config) MetricsOn(port int) {
+	if c.MetricsAddr != "" || port == 0 {
+		return
+	}
+	if ip, _, err := net.SplitHostPort(c.PeerAddress); err == nil {
+		c.MetricsAddr = net.JoinHostPort(ip, strconv.Itoa(port))
+	}
+}
+
 // Adapters are the platform's interfaces.
 type Adapters struct {
 	Store kv.ChangeStore
@@ -169,6 +181,7 @@
 		n.holder.Wake()
 	})
 	n.follow(adapters)
+	n.registerGauges()
 	n.frontend = newFrontend(n.listeners.callers, adapters.Callers(n.routes, requests), n.routes, n.log)
 	server := transport.NewServer(n.listeners.peers)
 	n.register(server)
@@ -249,6 +262,38 @@
 	n.holder.Wake()
 }
 
+// registerGauges registers what is read at the moment metrics are asked for.
+func (n *Node) registerGauges() {
+	for _, gauge := range []struct {
+		name, help string
+		value      func() float64
+	}{
+		{"finchspoke_config_version", "Version of the routing table in force; 0 before the first.", func() float64 { return float64(n.routes.Version()) }},
+		{"finchspoke_replicas_known", "Replicas in the registry.", func() float64 { return float64(n.fleet.Len()) }},
+		{"finchspoke_store_reached", "1 if the key-value service answered last.", func() float64 { return truth(n.mirror.Reached()) }},
+		{"finchspoke_term_fence", "Fence of this daemon's term; 0 if it has none.", func() float64 {
+			fence, _ := n.election.Term()
+			return float64(fence)
+		}},
+	} {
+		n.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: gauge.name, Help: gauge.help}, gauge.value))
+	}
+}
+
+func truth(value bool) float64 {
+	if value {
+		return 1
+	}
+	return 0
+}
+
+// CountDropped registers the counter of log lines that were dropped.
+func (n *Node) CountDropped(dropped func() uint64) {
+	n.metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "finchspoke_log_lines_dropped_total", Help: "Log lines dropped because the writer was too slow.",
+	}, func() float64 { return float64(dropped()) }))
+}
+
 // Reload takes in settings that changed: the seeds. Others need a restart.
 func (n *Node) Reload(changed Config) {
 	n.seeds.Store(&changed.Seeds)
