--- a/loading/models.go
+++ b/loading/models.go
@@ -32,7 +32,7 @@
 const (
 	// costEviction is the time that an unload before the load takes.
 	costEviction = 0.3
-	// costRunning is the cost of each model in use on the same replica, which share
+	// costShared is the cost of each model in use on the same replica, which share
 	// its batch.
 	costShared = 0.15
 	// costRunsEnd is how long an unload waits for what runs on the model.
@@ -40,6 +40,8 @@
 	// costAdapters is the cost of a load where the only copy of a model with adapters
 	// is in use: no adapter can be loaded there meanwhile. Several copies share it.
 	costAdapters = 3.0
+	// freshFor is how long a model that was just loaded is not evicted.
+	freshFor = 4 * time.Second
 	// costNoStore keeps loads from the store back while the store allows none.
 	costNoStore = 1e6
 )
@@ -273,5 +275,3 @@
 }
 
 func sortedKeys[V any](values map[string]V) []string { return slices.Sorted(maps.Keys(values)) }
-
-func compareFloats(a, b float64) int { return cmp.Compare(a, b) }
--- /dev/null
+++ b/loading/needs.go
@@ -0,0 +1,183 @@
+package loading
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/finchspoke/finchspoke/fleet"
+	"github.com/finchspoke/finchspoke/routing"
+)
+
+// modelNeed is the demand for a model and its adapters together.
+type modelNeed struct {
+	model     *routing.Model
+	perSecond float64
+	waiting   int // for the model
+	running   int
+	lastUsed  time.Time
+	waitedFor time.Duration
+	copies    int // loaded or being loaded where requests may go
+	loaded    int
+	desired   int
+	// adapterWaiting is how many wait for an adapter, or for the model of one.
+	adapterWaiting int
+	successor      bool // demand is expected to move here
+}
+
+const (
+	// ratePerCopy is the arrivals a second that one copy of a model is meant for.
+	ratePerCopy = 5.0
+	// runningPerCopy is the requests at once that one copy is meant for.
+	runningPerCopy = 16.0
+	// keepUsed is how long a model that was used keeps at least one copy.
+	keepUsed = 15 * time.Second
+)
+
+// modelNeeds works out the needs of a service's models, the most urgent first.
+func (p *planner) modelNeeds() []*modelNeed {
+	byName := make(map[string]*modelNeed, len(p.engine.Models))
+	for name, model := range p.engine.Models {
+		byName[name] = &modelNeed{model: model}
+	}
+	p.addDemand(byName)
+	replicas := p.countCopies(byName)
+	markSuccessors(byName)
+	needs := make([]*modelNeed, 0, len(byName))
+	for _, name := range sortedKeys(byName) {
+		need := byName[name]
+		if need.copies == 0 {
+			need.waiting += need.adapterWaiting
+		}
+		need.desired = need.wanted(p.Now, replicas)
+		needs = append(needs, need)
+	}
+	slices.SortStableFunc(needs, func(a, b *modelNeed) int { return cmp.Compare(b.urgency(), a.urgency()) })
+	return needs
+}
+
+// addDemand adds the demand for each model and its adapters.
+func (p *planner) addDemand(byName map[string]*modelNeed) {
+	for key, asked := range p.Demand {
+		need := byName[key.Target.Model]
+		if key.Service != p.service || need == nil {
+			continue
+		}
+		need.perSecond += asked.PerSecond
+		need.running += asked.Running
+		if key.Target.Adapter == "" {
+			need.waiting += asked.Waiting
+			need.waitedFor = max(need.waitedFor, asked.WaitingFor)
+		} else {
+			need.adapterWaiting += asked.Waiting
+		}
+		if asked.LastUsed.After(need.lastUsed) {
+			need.lastUsed = asked.LastUsed
+		}
+	}
+}
+
+// countCopies counts the copies of each model and returns how many replicas the
+// service has; those that leave count for nothing.
+func (p *planner) countCopies(byName map[string]*modelNeed) (replicas int) {
+	for _, replica := range p.Replicas {
+		if replica.Service != p.service || replica.Draining {
+			continue
+		}
+		replicas++
+		for model := range replica.Holdings {
+			if need := byName[model]; need != nil && !unloading(replica, model) {
+				need.copies++
+				need.loaded++
+			}
+		}
+		for _, order := range replica.UnderWay {
+			need := byName[order.Target.Model]
+			_, held := replica.Holdings[order.Target.Model]
+			if need != nil && order.Verb == Load && order.Target.Adapter == "" && !held {
+				need.copies++
+			}
+		}
+	}
+	return replicas
+}
+
+const (
+	// busyRate is the arrivals a second from which a model counts as busy.
+	busyRate = 1.0
+	// spareCopies is the least number of copies of a busy model, and of the one that
+	// comes after it in the catalogue: the loss of one replica must not take it away.
+	spareCopies = 2
+)
+
+// markSuccessors marks the model after each busy one in the catalogue: demand moves
+// along it, and a load that begins with the demand comes seconds late.
+func markSuccessors(needs map[string]*modelNeed) {
+	byRank := make(map[int]*modelNeed, len(needs))
+	for _, need := range needs {
+		byRank[need.model.Rank] = need
+	}
+	for _, need := range needs {
+		if next := byRank[need.model.Rank+1]; need.perSecond >= busyRate && next != nil {
+			next.successor = true
+		}
+	}
+}
+
+func unloading(replica *Replica, model string) bool {
+	order := replica.underWay(fleet.Target{Model: model})
+	return order != nil && order.Verb == Unload
+}
+
+// wanted returns how many copies a model should have.
+func (n *modelNeed) wanted(now time.Time, replicas int) int {
+	copies := int(math.Ceil(max(n.perSecond/ratePerCopy-headroom, float64(n.running)/runningPerCopy)))
+	if n.waiting > 0 && n.waitedFor > unreachableAfter && n.loaded == 1 && n.copies == 1 {
+		copies = max(copies, n.copies+1) // those that are loaded do not serve
+	}
+	if n.waiting > 0 || (!n.lastUsed.IsZero() && now.Sub(n.lastUsed) < keepUsed) {
+		copies = max(copies, 1)
+	}
+	if n.successor || n.perSecond >= busyRate {
+		copies = max(copies, spareCopies)
+	}
+	return min(copies, replicas)
+}
+
+// unreachableAfter is how long requests wait for a model that is loaded before it
+// gets another copy: its replicas cannot be reached, or reject them.
+const unreachableAfter = 1500 * time.Millisecond
+
+// headroom keeps a rate just above a whole number of copies from asking for one
+// more.
+const headroom = 0.15
+
+// urgencyHorizon is over how many seconds the requests are counted that a load
+// started now would help.
+const urgencyHorizon = 4.0
+
+// ageUrgency is how much more urgent a model becomes with each second that requests
+// wait for it, so that none is passed over for ever.
+const ageUrgency = 0.7
+
+// aheadUrgency is the urgency of a copy that is loaded ahead of demand.
+const aheadUrgency = 0.1
+
+// urgency returns about how many requests a load would help: those that wait for a
+// model without a copy, or those that come to copies which have more than enough.
+func (n *modelNeed) urgency() float64 {
+	if n.copies == 0 && n.waiting > 0 {
+		return float64(n.waiting) + n.perSecond*urgencyHorizon + ageUrgency*n.waitedFor.Seconds()
+	}
+	if n.copies >= n.desired {
+		return 0
+	}
+	if n.waiting > 0 {
+		return float64(n.waiting)
+	}
+	if short := n.perSecond - ratePerCopy*float64(n.copies); short <= 0 {
+		return aheadUrgency * (1 + n.perSecond)
+	}
+	return (n.perSecond - ratePerCopy*float64(n.copies)) * urgencyHorizon
+}
--- /dev/null
+++ b/node/gauges.go
@@ -0,0 +1,35 @@
+package node
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// registerGauges registers what is read at the moment metrics are asked for.
+func (n *Node) registerGauges() {
+	for _, gauge := range []struct {
+		name, help string
+		value      func() float64
+	}{
+		{"finchspoke_config_version", "Version of the routing table in force; 0 before the first.", func() float64 { return float64(n.routes.Version()) }},
+		{"finchspoke_replicas_known", "Replicas in the registry.", func() float64 { return float64(n.fleet.Len()) }},
+		{"finchspoke_store_reached", "1 if the key-value service answered last.", func() float64 { return truth(n.mirror.Reached()) }},
+		{"finchspoke_term_fence", "Fence of this daemon's term; 0 if it has none.", func() float64 {
+			fence, _ := n.election.Term()
+			return float64(fence)
+		}},
+	} {
+		n.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: gauge.name, Help: gauge.help}, gauge.value))
+	}
+}
+
+func truth(value bool) float64 {
+	if value {
+		return 1
+	}
+	return 0
+}
+
+// CountDropped registers the counter of log lines that were dropped.
+func (n *Node) CountDropped(dropped func() uint64) {
+	n.metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "finchspoke_log_lines_dropped_total", Help: "Log lines dropped because the writer was too slow.",
+	}, func() float64 { return float64(dropped()) }))
+}
