--- a/election/election_test.go
+++ b/election/election_test.go
@@ -98,7 +98,7 @@
 		return kv.TxnResult{}, err
 	}
 	v.mutex.Lock()
-	if v.held {
+	if v.held && len(txn.Conditions) > 0 {
 		defer v.mutex.Unlock()
 		return kv.TxnResult{Current: []kv.Pair{v.pair}}, nil
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -107,6 +107,22 @@
 	require.Equal(t, 2, arrivals)
 }
 
+// A replica closes connections that rest; a request must not be lost to one.
+func TestAnIdleConnectionThatWasClosedIsNotUsed(t *testing.T) {
+	address := server(t, func(connection, count int, read *http.Request) string { return answer(read.Header.Get("Id"), "x") })
+	pool := NewPool(nil)
+	_, err := body(t, pool, request(t, address, http.MethodGet, "1", ""))
+	require.NoError(t, err)
+	// As when the replica's close has arrived: the connection can be read to its end.
+	require.Len(t, pool.idle[address], 1)
+	resting := pool.idle[address][0]
+	require.NoError(t, resting.Conn.(*net.TCPConn).CloseRead())
+	text, err := body(t, pool, request(t, address, http.MethodGet, "2", ""))
+	require.NoError(t, err)
+	require.Equal(t, "x", text)
+	require.NotSame(t, resting, pool.idle[address][0])
+}
+
 func TestADeadAddressIsKnownAsNotSent(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
