--- a/election/election_test.go
+++ b/election/election_test.go
@@ -32,8 +32,10 @@
 	leases   kv.LeaseID // granted so far
 	expiry   *time.Timer
 	silent   map[string]bool // daemons that get no answer
-	loseNext bool            // the next write is done and not answered
-	told     []*Election
+	// overwritten tells that a record was replaced while it stood.
+	overwritten bool
+	loseNext    bool // the next write is done and not answered
+	told        []*Election
 }
 
 // view is the store as one daemon reaches it.
@@ -102,6 +104,7 @@
 		defer v.mutex.Unlock()
 		return kv.TxnResult{Current: []kv.Pair{v.pair}}, nil
 	}
+	v.overwritten = v.overwritten || v.held
 	v.revision++
 	v.pair, v.held = kv.Pair{Key: testKey, Value: txn.Puts[0].Value, ModRevision: v.revision}, true
 	v.lease = txn.Puts[0].Lease
@@ -178,6 +181,19 @@
 	})
 }
 
+// A daemon whose mirror of the records lags campaigns though another holds the term.
+func TestACampaignAgainstARecordThatStandsIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, made := elections(t, map[string]bool{"a": true}, "a", "b")
+		store.mutex.Lock()
+		store.told = store.told[:1] // b hears of nothing
+		store.mutex.Unlock()
+		time.Sleep(3 * testTTL)
+		require.Equal(t, []string{"a"}, holders(made))
+		require.False(t, store.overwritten)
+	})
+}
+
 func TestATermThatEndsIsTakenByAnotherWithAHigherFence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, made := elections(t, map[string]bool{"c": true}, "a", "b", "c")
