--- a/core/core.go
+++ b/core/core.go
@@ -181,6 +181,7 @@
 	began     bool     // the head of an answer went to the caller
 	lastEvent string   // id of the last event that went to the caller
 	waited    time.Duration
+	estimate  time.Duration // of the first wait; zero if the call did not wait
 	firstByte time.Duration // from the arrival; zero before it
 	lastWrite time.Time
 	longest   time.Duration // pause between two parts of the answer
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	dto "github.com/prometheus/client_model/go"
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
@@ -220,6 +221,10 @@
 		failed, _ := s.serve(t)
 		require.Nil(t, failed)
 		require.Equal(t, 2*time.Second, time.Since(began))
+		overrun := &dto.Metric{}
+		require.NoError(t, s.core.Metrics.overrun.Write(overrun))
+		require.EqualValues(t, 1, overrun.GetHistogram().GetSampleCount(), "the estimate is compared with what happened")
+		require.Zero(t, overrun.GetHistogram().GetSampleSum())
 	})
 }
 
--- a/core/log.go
+++ b/core/log.go
@@ -64,7 +64,7 @@
 func (c *Core) logEnd(running *run, failed *failure.Error) {
 	outcome, execution := outcomeAnswered, failure.Completed
 	entry := c.entry(running).WithFields(logrus.Fields{
-		logging.Replica: running.lastID, logging.WaitedMs: running.waited.Milliseconds(),
+		logging.Replica: running.lastID, logging.WaitedMs: running.waited.Milliseconds(), logging.EstimateMs: running.estimate.Milliseconds(),
 		logging.FirstByteMs: running.firstByte.Milliseconds(), logging.LongestPauseMs: running.longest.Milliseconds(),
 		logging.DurationMs: time.Since(running.Arrived).Milliseconds(), logging.ConfigVersion: running.Version,
 	})
--- a/core/metrics.go
+++ b/core/metrics.go
@@ -12,6 +12,7 @@
 	first      *prometheus.HistogramVec
 	waited     *prometheus.HistogramVec
 	dispatches *prometheus.CounterVec
+	overrun    prometheus.Histogram
 }
 
 // NewMetrics registers the core's metrics.
@@ -31,7 +32,11 @@
 			Name: "finchspoke_core_dispatches_total", Help: "Dispatches to replicas, by result.",
 		}, []string{"result"}),
 	}
-	registerer.MustRegister(created.ended, created.first, created.waited, created.dispatches)
+	created.overrun = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "finchspoke_core_wait_overrun_seconds", Help: "How much longer than estimated requests waited for a replica; negative: shorter.",
+		Buckets: []float64{-5, -2.5, -1, -.5, -.1, .1, .5, 1, 2.5, 5},
+	})
+	registerer.MustRegister(created.overrun, created.ended, created.first, created.waited, created.dispatches)
 	return created
 }
 
@@ -41,5 +46,8 @@
 	if running.firstByte > 0 {
 		m.first.WithLabelValues(kind).Observe(running.firstByte.Seconds())
 	}
+	if running.estimate > 0 {
+		m.overrun.Observe((running.waited - running.estimate).Seconds())
+	}
 	m.waited.WithLabelValues(kind).Observe(running.waited.Seconds())
 }
--- a/core/wait.go
+++ b/core/wait.go
@@ -129,6 +129,9 @@
 		}
 		if stopWaiting == nil {
 			stopWaiting = c.Demand.Wait(running.key(), now)
+			if decision.wait && running.estimate == 0 {
+				running.estimate = decision.readyIn
+			}
 			c.logWait(running, miss, decision)
 		}
 		if !decision.wait {
--- a/logging/fields.go
+++ b/logging/fields.go
@@ -20,6 +20,7 @@
 	Status         = "status"
 	LastEvent      = "last_event"
 	Inflight       = "inflight"
+	EstimateMs     = "estimate_ms"
 	WaitedMs       = "waited_ms"
 	DurationMs     = "duration_ms"
 	FirstByteMs    = "first_byte_ms"
