Write once what the change wrote twice, and drop what nothing uses

The gateway and the node served callers by the same loop: transport.ServeCallers now. Messages that logstory matches stood as text in two places each: names in package logging now. A copy of slices.Contains, an alias of a status, a term worked out twice, and fields that nothing reads (a replica's slots and zone in load decisions, a connection's reuse, a pick's zone) are gone. Behaviour is unchanged; no test was touched.

--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -19,9 +19,8 @@
 	chunkBytes  = 16 << 10
 	// leastTry is the least time that a replica of a repeatable request has before
 	// another is tried.
-	leastTry          = 250 * time.Millisecond
-	objectivesPerTry  = 2
-	statusServerError = http.StatusInternalServerError
+	leastTry         = 250 * time.Millisecond
+	objectivesPerTry = 2
 )
 
 // heldReply is a replica's own failure, read whole and not yet passed on.
@@ -116,7 +115,7 @@
 	if len(body) > wholeAnswer {
 		return c.relayLong(running, reply, body)
 	}
-	if reply.Status >= statusServerError {
+	if reply.Status >= http.StatusInternalServerError {
 		return dispatchOutcome{result: Failed, cause: errors.Errorf("the replica answered status %d", reply.Status), health: fleet.Failed,
 			held: &heldReply{reply.Status, reply.Header, body}}
 	}
--- a/core/events.go
+++ b/core/events.go
@@ -29,7 +29,7 @@
 }
 
 // next returns the whole events in the bytes so far, and the id of the last event
-// among them that has one. The result is valid until the next call of add.
+// among them that has one. The result is valid until it is taken.
 func (s *eventSplitter) next() (events []byte, lastID string) {
 	end := 0
 	for {
@@ -43,8 +43,7 @@
 		}
 		end, s.scanned = stop, stop
 	}
-	events = s.pending[:end]
-	return events, lastID
+	return s.pending[:end], lastID
 }
 
 // take forgets events that next returned.
--- a/core/log.go
+++ b/core/log.go
@@ -10,9 +10,6 @@
 	"github.com/finchspoke/finchspoke/logging"
 )
 
-// outcomeAnswered is the outcome of a call whose whole answer was passed on.
-const outcomeAnswered = "answered"
-
 func (c *Core) entry(running *run) logrus.FieldLogger {
 	return c.Log.WithFields(logrus.Fields{
 		logging.RequestID: running.ID, logging.Route: running.Route.Name, logging.Service: running.Service.Name,
@@ -54,15 +51,12 @@
 	c.Log.WithFields(logrus.Fields{
 		logging.RequestID: requestID, logging.Outcome: string(failed.Kind), logging.Execution: failed.Execution, logging.Cause: failed.Error(),
 		logging.ConfigVersion: configVersion,
-	}).Warn(messageEnded)
+	}).Warn(logging.MessageRequestEnded)
 }
 
-// messageEnded is the message of the line with which every request ends.
-const messageEnded = "request ended"
-
 // logEnd records the end of a call.
 func (c *Core) logEnd(running *run, failed *failure.Error) {
-	outcome, execution := outcomeAnswered, failure.Completed
+	outcome, execution := logging.OutcomeAnswered, failure.Completed
 	entry := c.entry(running).WithFields(logrus.Fields{
 		logging.Replica: running.lastID, logging.WaitedMs: running.waited.Milliseconds(), logging.EstimateMs: running.estimate.Milliseconds(),
 		logging.FirstByteMs: running.firstByte.Milliseconds(), logging.LongestPauseMs: running.longest.Milliseconds(),
@@ -75,8 +69,8 @@
 	c.Metrics.end(running, outcome, execution)
 	entry = entry.WithFields(logrus.Fields{logging.Outcome: outcome, logging.Execution: execution})
 	if failed != nil {
-		entry.Warn(messageEnded)
+		entry.Warn(logging.MessageRequestEnded)
 		return
 	}
-	entry.Info(messageEnded)
+	entry.Info(logging.MessageRequestEnded)
 }
--- a/election/election.go
+++ b/election/election.go
@@ -133,7 +133,7 @@
 		e.loseTerm("another record stands")
 	}
 	e.mutex.Unlock()
-	e.log.WithFields(logrus.Fields{logging.Holder: holder.Daemon, logging.Fence: holder.Fence}).Info("order holder changed")
+	e.log.WithFields(logrus.Fields{logging.Holder: holder.Daemon, logging.Fence: holder.Fence}).Info(logging.MessageHolderChanged)
 	e.signal()
 	for _, listener := range e.onHolder {
 		listener(holder)
@@ -159,7 +159,7 @@
 
 // loseTerm ends this daemon's term; the mutex is held.
 func (e *Election) loseTerm(reason string) {
-	e.log.WithFields(logrus.Fields{logging.Fence: e.term.Fence, logging.Reason: reason}).Warn("term lost")
+	e.log.WithFields(logrus.Fields{logging.Fence: e.term.Fence, logging.Reason: reason}).Warn(logging.MessageTermLost)
 	e.term, e.lease = Holder{}, 0
 }
 
@@ -284,7 +284,7 @@
 	e.mutex.Lock()
 	e.term, e.lease, e.renewed, e.attempted, e.vacant, e.current = term, lease, sent, time.Time{}, false, term
 	e.mutex.Unlock()
-	e.log.WithFields(logrus.Fields{logging.Holder: e.Daemon, logging.Fence: term.Fence}).Info("term begins")
+	e.log.WithFields(logrus.Fields{logging.Holder: e.Daemon, logging.Fence: term.Fence}).Info(logging.MessageTermBegins)
 	for _, listener := range e.onHolder {
 		listener(term)
 	}
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/finchspoke/finchspoke/rendezvous"
@@ -38,7 +39,6 @@
 type Pick struct {
 	ID       string
 	Address  string
-	Zone     string
 	Inflight int // of this daemon there, this one excluded
 	replica  *Replica
 	fleet    *Directory
@@ -70,7 +70,7 @@
 			best, lowest = candidate, cost
 		}
 	}
-	pick := &Pick{ID: best.ID, Address: best.Address, Zone: best.Zone, Inflight: best.inflight, replica: best, fleet: d}
+	pick := &Pick{ID: best.ID, Address: best.Address, Inflight: best.inflight, replica: best, fleet: d}
 	best.inflight++
 	return pick, Found
 }
@@ -88,7 +88,7 @@
 			miss = worse(miss, NotLoaded)
 		case !member.holds(ask.Target, now):
 			miss = worse(miss, AdapterAbsent)
-		case contains(ask.Tried, member.ID):
+		case slices.Contains(ask.Tried, member.ID):
 			miss = worse(miss, AllTried)
 		default:
 			usable = append(usable, member)
@@ -107,15 +107,6 @@
 	return a
 }
 
-func contains(ids []string, id string) bool {
-	for _, one := range ids {
-		if one == id {
-			return true
-		}
-	}
-	return false
-}
-
 // prefixOwner returns the candidate that should have a prefix in its cache.
 func prefixOwner(prefix string, candidates []*Replica) *Replica {
 	if prefix == "" {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -36,7 +36,6 @@
 	Service  string
 	Address  string // host:port
 	Zone     string
-	Slots    int
 	Draining bool
 	Holdings Holdings
 	// InMemory and OnDisk name the models of which the replica keeps copies that
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -25,6 +25,7 @@
 	"github.com/finchspoke/finchspoke/group"
 	"github.com/finchspoke/finchspoke/home"
 	"github.com/finchspoke/finchspoke/settings"
+	"github.com/finchspoke/finchspoke/transport"
 )
 
 const (
@@ -86,20 +87,7 @@
 // Serve implements suture.Service. It leaves requests running when ctx ends;
 // Drain is what waits for them.
 func (s *Server) Serve(ctx context.Context) error {
-	failed := make(chan error, 1)
-	go func() { failed <- s.http.Serve(s.listener) }()
-	select {
-	case <-ctx.Done():
-		_ = s.http.Close()
-		<-failed
-		return ctx.Err()
-	case err := <-failed:
-		if errors.Is(err, http.ErrServerClosed) {
-			<-ctx.Done() // drained
-			return ctx.Err()
-		}
-		return errors.Wrap(err, "serve callers")
-	}
+	return transport.ServeCallers(ctx, s.http, s.listener)
 }
 
 // Drain takes no new connections and waits for the requests that run.
--- a/loader/follower.go
+++ b/loader/follower.go
@@ -77,7 +77,7 @@
 		err := f.attach(ctx, holder, changed)
 		if ctx.Err() == nil {
 			f.Log.WithFields(logrus.Fields{logging.Dependency: "order holder", logging.Holder: holder.Daemon, logging.Fence: holder.Fence,
-				logging.Cause: err.Error()}).Info("dependency lost")
+				logging.Cause: err.Error()}).Info(logging.MessageDependencyLost)
 			sleep.For(ctx, attachPause)
 		}
 	}
@@ -103,7 +103,7 @@
 	if err := stream.Send(f.message(sent, time.Now())); err != nil {
 		return err
 	}
-	f.Log.WithFields(logrus.Fields{logging.Dependency: "order holder", logging.Holder: holder.Daemon, logging.Fence: holder.Fence}).Info("dependency regained")
+	f.Log.WithFields(logrus.Fields{logging.Dependency: "order holder", logging.Holder: holder.Daemon, logging.Fence: holder.Fence}).Info(logging.MessageDependencyRegained)
 	failed := make(chan error, 1)
 	go func() { failed <- f.listen(stream) }()
 	ticker := time.NewTicker(reportPause)
--- a/loader/holder.go
+++ b/loader/holder.go
@@ -283,7 +283,7 @@
 		seen[entry.ID] = true
 		state := h.states[entry.ID]
 		if state == nil {
-			state = &loading.Replica{ID: entry.ID, Service: entry.Service, Zone: entry.Zone, Holdings: entry.Holdings}
+			state = &loading.Replica{ID: entry.ID, Service: entry.Service, Holdings: entry.Holdings}
 			h.states[entry.ID] = state
 		}
 		state.Draining = entry.Draining
--- a/loader/orders.go
+++ b/loader/orders.go
@@ -82,7 +82,7 @@
 		entry = entry.WithField(logging.Cause, err.Error())
 	}
 	h.Metrics.orders.WithLabelValues(order.Verb.String(), outcome).Inc()
-	entry.WithField(logging.Outcome, outcome).Info("load order")
+	entry.WithField(logging.Outcome, outcome).Info(logging.MessageLoadOrder)
 }
 
 // checkReplicas asks for the reports of replicas of which more must be known; the
@@ -152,7 +152,7 @@
 	if state.Hear(report, now) {
 		h.touch(id)
 		h.Log.WithFields(logrus.Fields{logging.Replica: id, logging.Sequence: report.Sequence, logging.Model: slices.Sorted(maps.Keys(report.Holdings)),
-			logging.Busy: report.Busy, logging.Fence: fence}).Info("replica state heard")
+			logging.Busy: report.Busy, logging.Fence: fence}).Info(logging.MessageReplicaHeard)
 	}
 	h.Wake()
 }
--- a/loading/loading.go
+++ b/loading/loading.go
@@ -70,7 +70,6 @@
 type Replica struct {
 	ID       string
 	Service  string
-	Zone     string
 	Draining bool
 	// Known tells whether the replica's own word was heard in this term.
 	Known    bool
--- a/loading/needs.go
+++ b/loading/needs.go
@@ -176,8 +176,9 @@
 	if n.waiting > 0 {
 		return float64(n.waiting)
 	}
-	if short := n.perSecond - ratePerCopy*float64(n.copies); short <= 0 {
+	short := n.perSecond - ratePerCopy*float64(n.copies)
+	if short <= 0 {
 		return aheadUrgency * (1 + n.perSecond)
 	}
-	return (n.perSecond - ratePerCopy*float64(n.copies)) * urgencyHorizon
+	return short * urgencyHorizon
 }
--- /dev/null
+++ b/logging/messages.go
@@ -0,0 +1,20 @@
+package logging
+
+// Messages of log lines that package logstory reads: the end of a request, and the
+// changes of what a daemon believes.
+const (
+	MessageRequestEnded       = "request ended"
+	MessageTableRead          = "routing table read"
+	MessageHolderChanged      = "order holder changed"
+	MessageTermBegins         = "term begins"
+	MessageTermLost           = "term lost"
+	MessageReplicaListed      = "replica in the registry"
+	MessageReplicaGone        = "replica gone from the registry"
+	MessageLoadOrder          = "load order"
+	MessageReplicaHeard       = "replica state heard"
+	MessageDependencyLost     = "dependency lost"
+	MessageDependencyRegained = "dependency regained"
+)
+
+// OutcomeAnswered is the outcome of a request whose whole answer was passed on.
+const OutcomeAnswered = "answered"
--- a/logstory/logstory.go
+++ b/logstory/logstory.go
@@ -21,16 +21,11 @@
 // maxLine bounds a log line; longer ones are skipped.
 const maxLine = 1 << 20
 
-// Messages of lines that end a request, and of those that change what a daemon
-// believes.
-const (
-	messageEnded    = "request ended"
-	outcomeAnswered = "answered"
-)
-
+// beliefMessages are those of lines that change what a daemon believes.
 var beliefMessages = []string{
-	"routing table read", "order holder changed", "term begins", "term lost", "replica in the registry", "replica gone from the registry",
-	"load order", "replica state heard", "dependency lost", "dependency regained",
+	logging.MessageTableRead, logging.MessageHolderChanged, logging.MessageTermBegins, logging.MessageTermLost,
+	logging.MessageReplicaListed, logging.MessageReplicaGone, logging.MessageLoadOrder, logging.MessageReplicaHeard,
+	logging.MessageDependencyLost, logging.MessageDependencyRegained,
 }
 
 // Line is one log line.
@@ -112,7 +107,7 @@
 		}
 		subject := line.text(logging.Replica)
 		about := subject == "" || touched[subject] || touched[line.text(logging.Model)]
-		byOthers := line.Daemon != last.Daemon && line.Message != "load order"
+		byOthers := line.Daemon != last.Daemon && line.Message != logging.MessageLoadOrder
 		if !about || byOthers {
 			continue
 		}
@@ -162,12 +157,12 @@
 func Count(lines []Line) Coverage {
 	counted := Coverage{ByOutcome: map[string]int{}}
 	for _, line := range lines {
-		if line.Message != messageEnded {
+		if line.Message != logging.MessageRequestEnded {
 			continue
 		}
 		counted.Ended++
 		outcome := line.text(logging.Outcome)
-		if outcome == outcomeAnswered {
+		if outcome == logging.OutcomeAnswered {
 			continue
 		}
 		counted.Failed++
--- a/node/follow.go
+++ b/node/follow.go
@@ -35,7 +35,7 @@
 		if table, err = routing.NewTable(revision); err == nil {
 			taken := n.routes.Put(table)
 			n.log.WithFields(logrus.Fields{logging.ConfigVersion: table.Version, logging.Revision: pair.ModRevision, logging.Outcome: taken}).
-				Info("routing table read")
+				Info(logging.MessageTableRead)
 			n.holder.Wake()
 			return
 		}
@@ -48,7 +48,7 @@
 	if event.Deleted {
 		id := event.Pair.Key[len(adapters.ReplicaPrefix):]
 		n.fleet.Remove(id)
-		n.log.WithFields(logrus.Fields{logging.Replica: id, logging.Revision: event.Pair.ModRevision}).Info("replica gone from the registry")
+		n.log.WithFields(logrus.Fields{logging.Replica: id, logging.Revision: event.Pair.ModRevision}).Info(logging.MessageReplicaGone)
 		n.holder.Wake()
 		return
 	}
@@ -59,6 +59,6 @@
 	}
 	n.fleet.Put(entry, time.Now())
 	n.log.WithFields(logrus.Fields{logging.Replica: entry.ID, logging.Service: entry.Service, logging.Address: entry.Address,
-		logging.Draining: entry.Draining, logging.Revision: event.Pair.ModRevision}).Info("replica in the registry")
+		logging.Draining: entry.Draining, logging.Revision: event.Pair.ModRevision}).Info(logging.MessageReplicaListed)
 	n.holder.Wake()
 }
--- a/node/frontend.go
+++ b/node/frontend.go
@@ -8,11 +8,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
-
 	"github.com/finchspoke/finchspoke/routing"
 	"github.com/finchspoke/finchspoke/sleep"
+	"github.com/finchspoke/finchspoke/transport"
 )
 
 const (
@@ -33,14 +31,13 @@
 	listener net.Listener
 	server   *http.Server
 	routes   *routing.Store
-	log      logrus.FieldLogger
 	leaving  atomic.Bool
 	mutex    sync.Mutex
 	idle     map[net.Conn]time.Time // since when
 }
 
-func newFrontend(listener net.Listener, handler http.Handler, routes *routing.Store, log logrus.FieldLogger) *frontend {
-	created := &frontend{listener: listener, routes: routes, log: log, idle: map[net.Conn]time.Time{}}
+func newFrontend(listener net.Listener, handler http.Handler, routes *routing.Store) *frontend {
+	created := &frontend{listener: listener, routes: routes, idle: map[net.Conn]time.Time{}}
 	created.server = &http.Server{
 		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, ConnState: created.track,
 		DisableGeneralOptionsHandler: true,
@@ -81,25 +78,14 @@
 
 // Serve implements suture.Service.
 func (f *frontend) Serve(ctx context.Context) error {
-	failed := make(chan error, 1)
-	go func() { failed <- f.server.Serve(f.listener) }()
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			_ = f.server.Close()
-			<-failed
-			return ctx.Err()
-		case err := <-failed:
-			if errors.Is(err, http.ErrServerClosed) {
-				<-ctx.Done() // drained
-				return ctx.Err()
-			}
-			return errors.Wrap(err, "serve callers")
-		case now := <-ticker.C:
-			f.sweep(now)
-		}
+	go f.sweepUntil(ctx)
+	return transport.ServeCallers(ctx, f.server, f.listener)
+}
+
+// sweepUntil sweeps now and then until ctx ends.
+func (f *frontend) sweepUntil(ctx context.Context) {
+	for sleep.For(ctx, sweepInterval) {
+		f.sweep(time.Now())
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -182,7 +182,7 @@
 	})
 	n.follow(adapters)
 	n.registerGauges()
-	n.frontend = newFrontend(n.listeners.callers, adapters.Callers(n.routes, requests), n.routes, n.log)
+	n.frontend = newFrontend(n.listeners.callers, adapters.Callers(n.routes, requests), n.routes)
 	server := transport.NewServer(n.listeners.peers)
 	n.register(server)
 	n.supervisor = suture.New("finchspoke", suture.Spec{EventHook: func(event suture.Event) {
--- a/records/records.go
+++ b/records/records.go
@@ -121,10 +121,10 @@
 	m.reached = answers
 	entry := m.log.WithFields(logrus.Fields{logging.Dependency: "key-value service", logging.Revision: m.revision})
 	if answers {
-		entry.Info("dependency regained")
+		entry.Info(logging.MessageDependencyRegained)
 		return
 	}
-	entry.WithField(logging.Cause, cause.Error()).Warn("dependency lost")
+	entry.WithField(logging.Cause, cause.Error()).Warn(logging.MessageDependencyLost)
 }
 
 // replace takes in a whole list: records that are not in it are gone.
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -1,4 +1,5 @@
-// Package transport carries drpc between daemons over TCP.
+// Package transport carries drpc between daemons over TCP, and serves callers over
+// HTTP.
 package transport
 
 import (
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -84,7 +84,6 @@
 type connection struct {
 	net.Conn
 	reader  *bufio.Reader
-	reused  bool
 	expires time.Time // when idle
 }
 
@@ -137,7 +136,6 @@
 			break
 		}
 		if p.now().Before(conn.expires) && quiet(conn.Conn) {
-			conn.reused = true
 			return conn, nil
 		}
 		_ = conn.Close()
@@ -275,7 +273,7 @@
 		}
 		if request.Mine == nil || request.Mine(response.Header) {
 			return &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
-				Reused: e.conn.reused, response: response, exchange: e}, nil
+				response: response, exchange: e}, nil
 		}
 		if response.Close || response.ContentLength < 0 && !chunked(response) {
 			return nil, errors.New("an answer to another request, with no end of its own")
@@ -333,7 +331,6 @@
 	Status   int
 	Header   http.Header
 	Length   int64 // of the body; -1 if the answer does not say
-	Reused   bool  // it came on a connection that had served before
 	response *http.Response
 	exchange *exchange
 }
