Records of the store are passed on by the order holder; others ask it only when nobody vouches

Ruled out: heartbeats (they do not move an entry's revision); leases (a tenth of the price, one daemon). Change: records.Feed and records.Subscriber. The daemon that holds load orders follows the store; the others follow it by a drpc stream and trust it for 1.4 s after the store last answered it. A daemon for which nobody vouches asks the store from the revision it knows. The call Peers.Knowledge and the asking of peers at start are replaced by the same stream from a seed.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -44,6 +44,12 @@
 	OnDisk   []string
 }
 
+// SameButLoaded tells whether two entries differ at most in what is loaded, or kept
+// for loading.
+func (e Entry) SameButLoaded(other Entry) bool {
+	return e.ID == other.ID && e.Service == other.Service && e.Address == other.Address && e.Zone == other.Zone && e.Draining == other.Draining
+}
+
 // Confirmation is what the holder of load orders knows of a replica.
 type Confirmation struct {
 	Fence    int64    // of the holder's term
--- a/loader/holder.go
+++ b/loader/holder.go
@@ -283,13 +283,11 @@
 		seen[entry.ID] = true
 		state := h.states[entry.ID]
 		if state == nil {
-			state = &loading.Replica{ID: entry.ID, Service: entry.Service, Holdings: entry.Holdings}
+			// From now on the replica's own reports tell what it holds and keeps.
+			state = &loading.Replica{ID: entry.ID, Service: entry.Service, Holdings: entry.Holdings, InMemory: entry.InMemory, OnDisk: entry.OnDisk}
 			h.states[entry.ID] = state
 		}
 		state.Draining = entry.Draining
-		if len(entry.InMemory)+len(entry.OnDisk) > 0 {
-			state.InMemory, state.OnDisk = entry.InMemory, entry.OnDisk
-		}
 	}
 	for id := range h.states {
 		if !seen[id] {
--- a/node/follow.go
+++ b/node/follow.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -19,6 +20,7 @@
 	})
 	n.mirror.Handle(adapters.ReplicaPrefix, func(event kv.Event) { n.takeReplica(adapters, event) })
 	n.mirror.Handle(n.config.TermKey, n.election.Observe)
+	n.mirror.Notable(func(before, after kv.Pair) bool { return notable(adapters, before, after) })
 	n.mirror.Loaded(func() {
 		if _, held := n.mirror.Get(n.config.TermKey); !held {
 			n.election.Vacate()
@@ -62,3 +64,32 @@
 		logging.Draining: entry.Draining, logging.Revision: event.Pair.ModRevision}).Info(logging.MessageReplicaListed)
 	n.holder.Wake()
 }
+
+// notable tells whether peers need a change of a record. What is loaded on a replica
+// the holder of load orders tells them by itself, and sooner.
+func notable(adapters Adapters, before, after kv.Pair) bool {
+	if !strings.HasPrefix(after.Key, adapters.ReplicaPrefix) {
+		return true
+	}
+	earlier, earlierErr := adapters.ReadReplica(before)
+	later, laterErr := adapters.ReadReplica(after)
+	return earlierErr != nil || laterErr != nil || !earlier.SameButLoaded(later)
+}
+
+// recordSource returns the daemon that passes the platform's records on to all: the
+// holder of load orders.
+func (n *Node) recordSource() (address string, other bool) {
+	address = n.election.HolderAddress()
+	return address, address != n.config.PeerAddress
+}
+
+// otherSeeds lists the seeds that are other daemons.
+func (n *Node) otherSeeds() []string {
+	var peers []string
+	for _, seed := range *n.seeds.Load() {
+		if seed != n.config.PeerAddress {
+			peers = append(peers, seed)
+		}
+	}
+	return peers
+}
--- a/node/node.go
+++ b/node/node.go
@@ -181,6 +181,7 @@
 		n.holder.Wake()
 	})
 	n.follow(adapters)
+	subscriber := &records.Subscriber{Daemon: n.config.ID, Mirror: n.mirror, Source: n.recordSource, Seeds: n.otherSeeds, Log: n.log}
 	n.registerGauges()
 	n.frontend = newFrontend(n.listeners.callers, adapters.Callers(n.routes, requests), n.routes)
 	server := transport.NewServer(n.listeners.peers)
@@ -189,7 +190,7 @@
 		n.log.WithField(logging.Cause, event.String()).Warn("supervisor")
 	}})
 	for _, service := range []suture.Service{
-		n.mirror, n.election, n.holder, follower, server, n.frontend, &introduction{node: n}, &sweeper{node: n},
+		n.mirror, n.election, n.holder, follower, server, n.frontend, subscriber, &sweeper{node: n},
 		&readiness{node: n, path: adapters.ReadyPath, listener: n.listeners.ready},
 	} {
 		n.supervisor.Add(service)
@@ -201,7 +202,7 @@
 
 func (n *Node) register(server *transport.Server) {
 	for _, err := range []error{
-		rpc.DRPCRegisterLoads(server.Mux(), n.holder), rpc.DRPCRegisterPeers(server.Mux(), &knowledge{n.mirror}),
+		rpc.DRPCRegisterLoads(server.Mux(), n.holder), rpc.DRPCRegisterRecords(server.Mux(), &records.Feed{Mirror: n.mirror}),
 	} {
 		if err != nil {
 			panic(err) // a service registered twice: a mistake in this function
--- a/records/records.go
+++ b/records/records.go
@@ -1,5 +1,10 @@
 // Package records mirrors what the platform's key-value service holds, for all
-// parts of a daemon that follow it: one list, then its changes.
+// parts of a daemon that follow it.
+//
+// Each call to the service is paid for, so one daemon (the holder of load orders)
+// follows the service and passes the records on to its peers, who trust it for as
+// long as it has heard from the service lately. A daemon for which nobody vouches
+// follows the service itself: one list, then its changes.
 package records
 
 import (
@@ -25,6 +30,10 @@
 	gatherTime   = 400 * time.Millisecond
 	pauseFirst   = 100 * time.Millisecond
 	pauseLongest = 600 * time.Millisecond
+	// vouchTime is how long what the service said to a peer counts. It is longer than
+	// the service holds a call without news, and short enough for a change to be
+	// heard in time where the peer falls silent.
+	vouchTime = 1400 * time.Millisecond
 )
 
 // Mirror follows the records under a prefix. It is a suture service.
@@ -34,12 +43,18 @@
 	log    logrus.FieldLogger
 
 	loaded   func()
+	notable  func(before, after kv.Pair) bool
 	turn     sync.Mutex // held while a change is taken in and handled
 	mutex    sync.Mutex
 	handlers []subscription
 	pairs    map[string]kv.Pair
-	revision int64 // at which the pairs held; zero before the first list
-	reached  bool  // the service answered last
+	revision int64     // up to which changes are known; zero before the first list
+	contact  time.Time // when the service vouched for the revision, here or to a peer
+	// vouched is when the service vouched to a peer; zero once that is too long ago.
+	vouched time.Time
+	reached bool // the service answered last
+	recent  changeLog
+	changed chan struct{} // closed at the next answer of the service, or change
 }
 
 type subscription struct {
@@ -49,7 +64,7 @@
 
 // NewMirror returns a mirror of the records under a prefix.
 func NewMirror(store kv.ChangeStore, prefix string, log logrus.FieldLogger) *Mirror {
-	return &Mirror{store: store, prefix: prefix, log: log, pairs: map[string]kv.Pair{}}
+	return &Mirror{store: store, prefix: prefix, log: log, pairs: map[string]kv.Pair{}, changed: make(chan struct{})}
 }
 
 // Handle calls handle for each change under a prefix. All calls come one after the
@@ -62,6 +77,11 @@
 // Serve.
 func (m *Mirror) Loaded(loaded func()) { m.loaded = loaded }
 
+// Notable tells which changes of a record are passed on to peers; without it, all
+// are. New records and those that are gone always are. It must be called before
+// Serve.
+func (m *Mirror) Notable(notable func(before, after kv.Pair) bool) { m.notable = notable }
+
 // String names the service in the supervisor's events.
 func (m *Mirror) String() string { return "records" }
 
@@ -70,6 +90,10 @@
 	pause := pauseFirst
 	whole := false // the list is known, and only changes are asked for
 	for ctx.Err() == nil {
+		if m.restWhileVouched(ctx) {
+			whole, pause = true, pauseFirst
+			continue
+		}
 		err := m.follow(ctx, &whole)
 		switch {
 		case ctx.Err() != nil:
@@ -79,7 +103,7 @@
 			m.log.WithField(logging.Revision, m.Revision()).Warn("the key-value service lacks changes; its records are listed again")
 			whole = false
 		default:
-			m.reach(false, err)
+			m.lose(err)
 			sleep.For(ctx, pause)
 			pause = min(2*pause, pauseLongest)
 		}
@@ -87,15 +111,34 @@
 	return ctx.Err()
 }
 
+// restWhileVouched waits until no peer vouches any more; it returns false at once
+// where none does.
+func (m *Mirror) restWhileVouched(ctx context.Context) bool {
+	m.mutex.Lock()
+	left := time.Until(m.vouched.Add(vouchTime))
+	if left <= 0 {
+		if !m.vouched.IsZero() {
+			m.vouched = time.Time{}
+			m.log.WithFields(logrus.Fields{logging.Dependency: "records of a peer", logging.Revision: m.revision}).Info(logging.MessageDependencyLost)
+		}
+		m.mutex.Unlock()
+		return false
+	}
+	m.mutex.Unlock()
+	sleep.For(ctx, left)
+	return true
+}
+
 // follow lists the records, unless they are known, or asks once for their changes.
 func (m *Mirror) follow(ctx context.Context, whole *bool) error {
 	if !*whole {
+		sent := time.Now()
 		pairs, revision, err := m.store.List(ctx, m.prefix)
 		if err != nil {
 			return err
 		}
-		m.reach(true, nil)
 		m.replace(pairs, revision)
+		m.touch(sent)
 		*whole = true
 		return nil
 	}
@@ -103,28 +146,45 @@
 	if err != nil {
 		return err
 	}
-	m.reach(true, nil)
 	m.apply(events, revision)
+	m.touch(time.Now())
 	if len(events) > 0 {
 		sleep.For(ctx, gatherTime)
 	}
 	return nil
 }
 
-// reach notes whether the service answers and logs the change.
-func (m *Mirror) reach(answers bool, cause error) {
+// touch notes that the service vouched for what is known at a moment.
+func (m *Mirror) touch(at time.Time) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if m.reached == answers {
-		return
+	m.contactAt(at)
+}
+
+// contactAt moves the last contact on and wakes the streams to peers; the mutex is
+// held.
+func (m *Mirror) contactAt(at time.Time) {
+	if at.After(m.contact) {
+		m.contact = at
 	}
-	m.reached = answers
-	entry := m.log.WithFields(logrus.Fields{logging.Dependency: "key-value service", logging.Revision: m.revision})
-	if answers {
-		entry.Info(logging.MessageDependencyRegained)
+	close(m.changed)
+	m.changed = make(chan struct{})
+	if !m.reached {
+		m.reached = true
+		m.log.WithFields(logrus.Fields{logging.Dependency: "key-value service", logging.Revision: m.revision}).Info(logging.MessageDependencyRegained)
+	}
+}
+
+// lose notes that the service does not answer here.
+func (m *Mirror) lose(cause error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if !m.reached || !m.vouched.IsZero() {
 		return
 	}
-	entry.WithField(logging.Cause, cause.Error()).Warn(logging.MessageDependencyLost)
+	m.reached = false
+	m.log.WithFields(logrus.Fields{logging.Dependency: "key-value service", logging.Revision: m.revision, logging.Cause: cause.Error()}).
+		Warn(logging.MessageDependencyLost)
 }
 
 // replace takes in a whole list: records that are not in it are gone.
@@ -135,6 +195,7 @@
 	known := m.pairs
 	m.pairs = make(map[string]kv.Pair, len(pairs))
 	m.revision = revision
+	m.recent.restart(revision)
 	var events []kv.Event
 	for _, pair := range pairs {
 		m.pairs[pair.Key] = pair
@@ -158,19 +219,24 @@
 func (m *Mirror) apply(events []kv.Event, revision int64) {
 	m.turn.Lock()
 	defer m.turn.Unlock()
-	var news []kv.Event
+	var news, passedOn []kv.Event
 	m.mutex.Lock()
 	for _, event := range events {
-		if m.pairs[event.Pair.Key].ModRevision >= event.Pair.ModRevision {
-			continue // known from a list already
+		before := m.pairs[event.Pair.Key]
+		if before.ModRevision >= event.Pair.ModRevision || event.Pair.ModRevision <= m.revision {
+			continue // known already
 		}
 		news = append(news, event)
+		if m.notable == nil || event.Deleted || before.ModRevision == 0 || m.notable(before, event.Pair) {
+			passedOn = append(passedOn, event)
+		}
 		if event.Deleted {
 			delete(m.pairs, event.Pair.Key)
 		} else {
 			m.pairs[event.Pair.Key] = event.Pair
 		}
 	}
+	m.recent.add(passedOn)
 	m.revision = max(m.revision, revision)
 	m.mutex.Unlock()
 	m.dispatch(news)
@@ -187,16 +253,36 @@
 	}
 }
 
-// Offer takes in the records that a peer knows, if the service does not answer
-// here and the peer's are newer.
-func (m *Mirror) Offer(pairs []kv.Pair, revision int64) bool {
+// Update is what a peer passes on.
+type Update struct {
+	Revision int64 // of the service, up to which the peer knows the changes
+	// Whole tells that the events are all records there are.
+	Whole  bool
+	Events []kv.Event
+	// Contact is when the service vouched for the revision; zero if it never did.
+	Contact time.Time
+}
+
+// Take takes in what a peer passes on. What is older than what is known here is
+// left out.
+func (m *Mirror) Take(update Update) {
+	newer := update.Revision > m.Revision()
+	switch {
+	case newer && update.Whole:
+		pairs := make([]kv.Pair, 0, len(update.Events))
+		for _, event := range update.Events {
+			pairs = append(pairs, event.Pair)
+		}
+		m.replace(pairs, update.Revision)
+	case !update.Whole:
+		m.apply(update.Events, update.Revision)
+	}
 	m.mutex.Lock()
-	useful := !m.reached && revision > m.revision
-	m.mutex.Unlock()
-	if useful {
-		m.replace(pairs, revision)
+	defer m.mutex.Unlock()
+	if m.revision > 0 && update.Contact.After(m.vouched) {
+		m.vouched = update.Contact
+		m.contactAt(update.Contact)
 	}
-	return useful
 }
 
 // Revision returns the service's revision up to which records are known.
@@ -206,16 +292,22 @@
 	return m.revision
 }
 
-// Known returns all records and the revision at which they held; zero before any
-// are known.
-func (m *Mirror) Known() ([]kv.Pair, int64) {
+// since returns what a peer that knows a revision lacks, and a channel that is
+// closed when there is more. A peer that knows more than this daemon lacks nothing.
+func (m *Mirror) since(revision int64) (Update, <-chan struct{}) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	pairs := make([]kv.Pair, 0, len(m.pairs))
+	update := Update{Revision: m.revision, Contact: m.contact}
+	events, known := m.recent.since(revision)
+	if known {
+		update.Events = events
+		return update, m.changed
+	}
+	update.Whole = true
 	for _, pair := range m.pairs {
-		pairs = append(pairs, pair)
+		update.Events = append(update.Events, kv.Event{Pair: pair})
 	}
-	return pairs, m.revision
+	return update, m.changed
 }
 
 // Get returns one record.
@@ -226,9 +318,16 @@
 	return pair, found
 }
 
-// Reached tells whether the service answered last.
+// Reached tells whether the service answered last, here or to a peer that vouches.
 func (m *Mirror) Reached() bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	return m.reached
 }
+
+// InContact tells whether the service vouched lately for what is known.
+func (m *Mirror) InContact() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return time.Since(m.contact) < vouchTime
+}
