Contact is never passed on second hand; strong machines campaign first; one retry reserve for all daemons

A hop adds its own transit time, so the contact never aged: a ring of daemons vouched for one another for thirty seconds and heard of no change. Found from one daemon's lines: no 'records of a peer' lost between 4.5 and 35 s, and no holder. Ruled out: the freeze of the holder at 14.3 s (silence began before), changes lost in the log of changes (seven daemons heard version 11 in time). Change: only the service's own answer is passed on as contact. In the same reading: records written while a list is read page by page are passed on. Both tests fail on the code before (run in a worktree).

--- a/core/budget.go
+++ b/core/budget.go
@@ -23,6 +23,14 @@
 	b.tokens = min(b.tokens+b.Share, b.Reserve)
 }
 
+// Limit changes the reserve; what was saved beyond it is lost.
+func (b *RetryBudget) Limit(reserve float64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.Reserve = reserve
+	b.tokens = min(b.tokens, reserve)
+}
+
 // Spend takes one retry from the budget, if there is one.
 func (b *RetryBudget) Spend() bool {
 	b.mutex.Lock()
--- a/core/core.go
+++ b/core/core.go
@@ -108,7 +108,16 @@
 // RetryPolicy bounds the retries of each service.
 type RetryPolicy struct {
 	Share   float64 // of the requests
-	Reserve float64
+	Reserve float64 // of all daemons together
+}
+
+// daemonsGuess is how many daemons are thought to share the reserve before any word
+// of it.
+const daemonsGuess = 10
+
+// reserveOf returns one daemon's part of the reserve.
+func (p RetryPolicy) reserveOf(daemons int) float64 {
+	return max(1, p.Reserve/float64(max(1, daemons)))
 }
 
 // Core leads calls to their ends.
@@ -121,6 +130,7 @@
 	Log     logrus.FieldLogger
 
 	mutex   sync.Mutex
+	daemons int                     // that share the reserve of retries; zero if not known
 	budgets map[string]*RetryBudget // by service
 
 	stopOnce sync.Once
@@ -166,12 +176,29 @@
 	}
 	budget := c.budgets[service]
 	if budget == nil {
-		budget = &RetryBudget{Share: c.Retries.Share, Reserve: c.Retries.Reserve}
+		daemons := c.daemons
+		if daemons == 0 {
+			daemons = daemonsGuess
+		}
+		budget = &RetryBudget{Share: c.Retries.Share, Reserve: c.Retries.reserveOf(daemons)}
 		c.budgets[service] = budget
 	}
 	return budget
 }
 
+// ShareRetries takes in how many daemons share the reserve of retries.
+func (c *Core) ShareRetries(daemons int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if daemons == c.daemons || daemons == 0 {
+		return
+	}
+	c.daemons = daemons
+	for _, budget := range c.budgets {
+		budget.Limit(c.Retries.reserveOf(daemons))
+	}
+}
+
 // run is the progress of one call.
 type run struct {
 	*Call
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -102,7 +102,7 @@
 		directory.Put(fleet.Entry{ID: id, Service: "press", Address: id + ":1", Zone: "a", Holdings: fleet.Holdings{"m": nil}}, time.Now())
 	}
 	driver := &scriptDriver{script: script}
-	made := &Core{Fleet: directory, Demand: demand.NewTracker(), Driver: driver, Retries: RetryPolicy{Share: 0.1, Reserve: 5},
+	made := &Core{Fleet: directory, Demand: demand.NewTracker(), Driver: driver, Retries: RetryPolicy{Share: 0.1, Reserve: 5}, daemons: 1,
 		Metrics: NewMetrics(prometheus.NewRegistry()), Log: log}
 	made.Prepare()
 	service := &routing.Service{Name: "press", Engine: &routing.Engine{Models: map[string]*routing.Model{
@@ -300,3 +300,22 @@
 		}
 	}
 }
+
+func TestTheReserveOfRetriesIsSharedByAllDaemons(t *testing.T) {
+	made := &Core{Retries: RetryPolicy{Share: 0.1, Reserve: 100}}
+	spend := func() (spent int) {
+		for made.budget("press").Spend() {
+			spent++
+		}
+		return spent
+	}
+	made.ShareRetries(20)
+	require.Equal(t, 5, spend())
+	for range 1000 {
+		made.budget("press").Earn()
+	}
+	made.ShareRetries(50)
+	require.Equal(t, 2, spend(), "what was saved beyond the new part is lost")
+	made.ShareRetries(0)
+	require.InDelta(t, 2, made.budget("press").Reserve, 0.001, "no daemon attached is no word")
+}
--- a/election/election.go
+++ b/election/election.go
@@ -69,6 +69,9 @@
 	// Informed tells whether this daemon knows when a holder was last at work; nil
 	// if it makes no difference.
 	Informed func() bool
+	// Delay is how much later than others this daemon campaigns: one on a weak machine
+	// leaves the term to those on strong ones.
+	Delay time.Duration
 }
 
 // Election campaigns for the term and keeps it. It is a suture service.
@@ -252,7 +255,7 @@
 
 // campaign tries to take the term.
 func (e *Election) campaign(ctx context.Context) {
-	if !sleep.For(ctx, e.stagger()+e.handicap()) || !e.stillVacant() {
+	if !sleep.For(ctx, e.Delay+e.stagger()+e.handicap()) || !e.stillVacant() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, e.TTL)
--- a/loader/attach.go
+++ b/loader/attach.go
@@ -120,7 +120,7 @@
 
 // view makes the message of what changed after a version; the mutex is held.
 func (h *Holder) view(after uint64, now time.Time) *rpc.LoadsView {
-	view := &rpc.LoadsView{Fence: h.fence}
+	view := &rpc.LoadsView{Fence: h.fence, Daemons: uint32(h.attached)}
 	for _, id := range sortedIDs(h.states) {
 		state := h.states[id]
 		if h.versions[id] > after && state.Known {
--- a/loader/follower.go
+++ b/loader/follower.go
@@ -27,10 +27,12 @@
 
 // Follower keeps one stream to the holder of load orders. It is a suture service.
 type Follower struct {
-	Daemon  string
-	Demand  *demand.Tracker
-	Fleet   *fleet.Directory
-	Holder  *Holder // of this daemon, told of orders that others gave
+	Daemon string
+	Demand *demand.Tracker
+	Fleet  *fleet.Directory
+	Holder *Holder // of this daemon, told of orders that others gave
+	// Daemons is told how many daemons are attached to the holder.
+	Daemons func(int)
 	Log     logrus.FieldLogger
 	mutex   sync.Mutex
 	current election.Holder
@@ -160,6 +162,7 @@
 		}
 		now := time.Now()
 		f.Holder.OrderSeen(now)
+		f.Daemons(int(view.GetDaemons()))
 		for _, told := range view.GetReplicas() {
 			f.confirm(view.GetFence(), told, now)
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -47,8 +47,10 @@
 	// StopTime is how long a planned stop may take.
 	StopTime time.Duration
 	// TermKey is the record of who holds the load orders; LeaseTime is its lease.
-	TermKey     string
-	LeaseTime   time.Duration
+	TermKey   string
+	LeaseTime time.Duration
+	// TermDelay is how much later than others this daemon campaigns for the term.
+	TermDelay   time.Duration
 	Retries     core.RetryPolicy
 	LoadLimits  loader.Limits
 	RecordsRoot string // prefix of the records that are followed
@@ -167,14 +169,14 @@
 	n.mirror = records.NewMirror(adapters.Store, n.config.RecordsRoot, n.log)
 	n.election = election.New(election.Config{
 		Key: n.config.TermKey, Daemon: n.config.ID, Address: n.config.PeerAddress, TTL: n.config.LeaseTime,
-		Informed: func() bool { return n.holder.Informed() },
+		Informed: func() bool { return n.holder.Informed() }, Delay: n.config.TermDelay,
 	}, adapters.Store, n.log)
 	n.holder = &loader.Holder{
 		Daemon: n.config.ID, Fleet: n.fleet, Table: n.routes, Replicas: adapters.Replicas(n.pool), Election: n.election,
 		Limits: n.config.LoadLimits, Metrics: loader.NewMetrics(n.metrics), Log: n.log, FirstStart: n.config.FirstStart,
 	}
 	n.holder.Prepare()
-	follower := &loader.Follower{Daemon: n.config.ID, Demand: tracker, Fleet: n.fleet, Holder: n.holder, Log: n.log}
+	follower := &loader.Follower{Daemon: n.config.ID, Demand: tracker, Fleet: n.fleet, Holder: n.holder, Log: n.log, Daemons: requests.ShareRetries}
 	follower.Prepare()
 	n.election.Listen(func(holder election.Holder) {
 		follower.HolderChanged(holder)
--- a/records/records.go
+++ b/records/records.go
@@ -8,7 +8,9 @@
 package records
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -138,7 +140,7 @@
 			return err
 		}
 		m.replace(pairs, revision)
-		m.touch(sent)
+		m.answered(sent)
 		*whole = true
 		return nil
 	}
@@ -147,28 +149,30 @@
 		return err
 	}
 	m.apply(events, revision)
-	m.touch(time.Now())
+	m.answered(time.Now())
 	if len(events) > 0 {
 		sleep.For(ctx, gatherTime)
 	}
 	return nil
 }
 
-// touch notes that the service vouched for what is known at a moment.
-func (m *Mirror) touch(at time.Time) {
+// answered notes that the service answered here, and tells the peers.
+func (m *Mirror) answered(at time.Time) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.contactAt(at)
+	m.contact = at
+	m.regain()
+	m.notify()
 }
 
-// contactAt moves the last contact on and wakes the streams to peers; the mutex is
-// held.
-func (m *Mirror) contactAt(at time.Time) {
-	if at.After(m.contact) {
-		m.contact = at
-	}
+// notify wakes the streams to peers; the mutex is held.
+func (m *Mirror) notify() {
 	close(m.changed)
 	m.changed = make(chan struct{})
+}
+
+// regain notes that the service is heard again; the mutex is held.
+func (m *Mirror) regain() {
 	if !m.reached {
 		m.reached = true
 		m.log.WithFields(logrus.Fields{logging.Dependency: "key-value service", logging.Revision: m.revision}).Info(logging.MessageDependencyRegained)
@@ -196,9 +200,12 @@
 	m.pairs = make(map[string]kv.Pair, len(pairs))
 	m.revision = revision
 	m.recent.restart(revision)
-	var events []kv.Event
+	var events, later []kv.Event
 	for _, pair := range pairs {
 		m.pairs[pair.Key] = pair
+		if pair.ModRevision > revision {
+			later = append(later, kv.Event{Pair: pair}) // written while the list was read
+		}
 		if before, had := known[pair.Key]; !had || before.ModRevision != pair.ModRevision {
 			events = append(events, kv.Event{Pair: pair})
 		}
@@ -208,6 +215,9 @@
 			events = append(events, kv.Event{Pair: kv.Pair{Key: key, ModRevision: revision}, Deleted: true})
 		}
 	}
+	slices.SortFunc(later, func(a, b kv.Event) int { return cmp.Compare(a.Pair.ModRevision, b.Pair.ModRevision) })
+	m.recent.add(later)
+	m.notify()
 	m.mutex.Unlock()
 	m.dispatch(events)
 	if m.loaded != nil {
@@ -238,6 +248,9 @@
 	}
 	m.recent.add(passedOn)
 	m.revision = max(m.revision, revision)
+	if len(passedOn) > 0 {
+		m.notify()
+	}
 	m.mutex.Unlock()
 	m.dispatch(news)
 }
@@ -259,7 +272,7 @@
 	// Whole tells that the events are all records there are.
 	Whole  bool
 	Events []kv.Event
-	// Contact is when the service vouched for the revision; zero if it never did.
+	// Contact is when the service last answered the peer itself; zero: never.
 	Contact time.Time
 }
 
@@ -281,7 +294,7 @@
 	defer m.mutex.Unlock()
 	if m.revision > 0 && update.Contact.After(m.vouched) {
 		m.vouched = update.Contact
-		m.contactAt(update.Contact)
+		m.regain()
 	}
 }
 
@@ -325,9 +338,9 @@
 	return m.reached
 }
 
-// InContact tells whether the service vouched lately for what is known.
+// InContact tells whether the service answered lately, here or to the peer that vouches.
 func (m *Mirror) InContact() bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return time.Since(m.contact) < vouchTime
+	return time.Since(m.contact) < vouchTime || time.Since(m.vouched) < vouchTime
 }
--- a/records/records_test.go
+++ b/records/records_test.go
@@ -271,7 +271,7 @@
 	require.Empty(t, update.Events)
 
 	mirror.apply([]kv.Event{put("servers/a", "ready, more loaded", 11), put("servers/b", "ready", 12)}, 12)
-	mirror.touch(time.Now())
+	mirror.answered(time.Now())
 	<-changed
 	update, _ = mirror.since(10)
 	require.Equal(t, []kv.Event{put("servers/b", "ready", 12)}, update.Events)
@@ -314,3 +314,39 @@
 	require.NoError(t, err)
 	require.True(t, never.Contact.IsZero())
 }
+
+// Seen on a grown site: daemons that had listened to seeds in an outage went on to
+// vouch for each other after it, and heard of nothing for thirty seconds.
+func TestOnlyTheServicesOwnAnswerIsPassedOnAsContact(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.set(true)
+		mirror, stop := followed(t, store)
+		defer stop()
+		mirror.Take(Update{Revision: 1, Whole: true, Events: []kv.Event{put("config", "1", 1)}, Contact: time.Now()})
+		require.True(t, mirror.InContact())
+		update, changed := mirror.since(0)
+		require.Len(t, update.Events, 1)
+		require.True(t, update.Contact.IsZero())
+		mirror.Take(Update{Revision: 1, Contact: time.Now()})
+		select {
+		case <-changed:
+			t.Fatal("a peer's contact is no news for others")
+		default:
+		}
+		time.Sleep(vouchTime)
+		require.False(t, mirror.InContact())
+	})
+}
+
+// A list is read page by page, so it may hold what was written after its revision;
+// the change that tells of it is then known already.
+func TestWhatWasWrittenWhileAListWasReadIsPassedOn(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(t.Output())
+	mirror := NewMirror(newFakeStore(), "", log)
+	mirror.replace([]kv.Pair{{Key: "servers/a", Value: []byte("1"), ModRevision: 3}, {Key: "config", Value: []byte("2"), ModRevision: 12}}, 10)
+	mirror.apply([]kv.Event{put("config", "2", 12)}, 12)
+	update, _ := mirror.since(10)
+	require.Equal(t, []kv.Event{put("config", "2", 12)}, update.Events)
+}
