Refuse what would only queue past its caller's patience; campaigns that do not wait for lost answers

A campaign's first call was lost (30% of writes) and cost 1.5 s of a term; meanwhile 80 daemons asked the store each for itself. Half of the orders were left unanswered and each kept its replica for 0.7 s.

--- a/core/core.go
+++ b/core/core.go
@@ -274,7 +274,11 @@
 	if outcome.result == NotWritten {
 		return func() bool { return true }
 	}
-	return c.budget(running.Service.Name).Spend
+	return func() bool {
+		allowed := c.budget(running.Service.Name).Spend()
+		c.Metrics.retries.WithLabelValues(running.Service.Name, map[bool]string{true: "allowed", false: "refused"}[allowed]).Inc()
+		return allowed
+	}
 }
 
 // passOn answers with a replica's own failure.
--- a/core/metrics.go
+++ b/core/metrics.go
@@ -12,6 +12,7 @@
 	first      *prometheus.HistogramVec
 	waited     *prometheus.HistogramVec
 	dispatches *prometheus.CounterVec
+	retries    *prometheus.CounterVec
 	overrun    prometheus.Histogram
 }
 
@@ -32,11 +33,14 @@
 			Name: "finchspoke_core_dispatches_total", Help: "Dispatches to replicas, by result.",
 		}, []string{"result"}),
 	}
+	created.retries = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "finchspoke_core_retries_total", Help: "Retries asked of the budget, by service and whether it had one left.",
+	}, []string{"service", "outcome"})
 	created.overrun = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "finchspoke_core_wait_overrun_seconds", Help: "How much longer than estimated requests waited for a replica; negative: shorter.",
 		Buckets: []float64{-5, -2.5, -1, -.5, -.1, .1, .5, 1, 2.5, 5},
 	})
-	registerer.MustRegister(created.overrun, created.ended, created.first, created.waited, created.dispatches)
+	registerer.MustRegister(created.overrun, created.ended, created.first, created.waited, created.dispatches, created.retries)
 	return created
 }
 
--- a/core/wait.go
+++ b/core/wait.go
@@ -29,6 +29,9 @@
 	// that nobody is known to have begun.
 	unknownShare = 0.4
 	recheck      = 200 * time.Millisecond
+	// crowdedPause is the advice to callers when all replicas that could serve are
+	// crowded.
+	crowdedPause = time.Second
 )
 
 // patience returns until when a caller waits for the first byte: streams are given
@@ -68,6 +71,15 @@
 	case fleet.AllTried:
 		// Better the same replicas again, after a pause, than none.
 		return waitDecision{wait: now.Add(recheck + looseEnd).Before(until), readyIn: retrySoon, source: miss.String()}
+	case fleet.Crowded:
+		// What waits at replicas past its caller's patience only keeps others from being
+		// served. Another copy may be on its way.
+		decision := waitDecision{readyIn: crowdedPause, source: miss.String()}
+		if known {
+			decision.readyIn, decision.source = max(retrySoon, expected.Sub(now)), "order_holder"
+			decision.wait = expected.Add(looseEnd).Before(until)
+		}
+		return decision
 	case fleet.NotLoaded, fleet.AdapterAbsent:
 	}
 	decision := waitDecision{readyIn: loadGuess(call, miss), source: "catalogue"}
@@ -116,6 +128,7 @@
 	for {
 		changed := c.Fleet.Changed()
 		now := time.Now()
+		ask.Patience = patience(running.Call).Sub(now)
 		pick, miss := c.Fleet.Choose(ask, now)
 		if pick != nil {
 			running.waited += now.Sub(began)
--- a/election/election.go
+++ b/election/election.go
@@ -95,6 +95,7 @@
 	attempted time.Time // when the last renewal that failed was given up
 	resigned  bool
 	wake      chan struct{}
+	failures  int // campaigns without an answer since the last with one; of Serve only
 	onHolder  []func(Holder)
 }
 
@@ -269,9 +270,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, e.TTL)
 	defer cancel()
+	store := kv.Hurried{LeaseStore: e.store, Timeout: e.patience()}
 	sent := e.now()
-	lease, err := e.store.GrantLease(ctx, e.TTL)
+	lease, err := store.GrantLease(ctx, e.TTL)
 	if err != nil {
+		e.failures++
 		return
 	}
 	term := Holder{Daemon: e.Daemon, Address: e.Address, Nonce: uuid.NewString()}
@@ -279,7 +282,7 @@
 	if err != nil {
 		return
 	}
-	result, err := kv.CommitResolved(ctx, e.store, kv.Txn{
+	result, err := kv.CommitResolved(ctx, store, kv.Txn{
 		Conditions: []kv.Condition{{Key: e.Key, ModRevision: orphan.Fence}}, Puts: []kv.Put{{Key: e.Key, Value: value, Lease: lease}},
 	})
 	if err == nil && !result.Succeeded {
@@ -287,15 +290,31 @@
 		e.vacant, e.orphan = false, Holder{} // until the mirror says otherwise
 		e.mutex.Unlock()
 	}
+	if err != nil {
+		e.failures++
+	}
 	if err != nil || !result.Succeeded {
 		// The record, if it came after all, is bound to the lease.
 		_ = e.store.EndLease(context.WithoutCancel(ctx), lease)
 		return
 	}
-	term.Fence = result.Revision
+	term.Fence, e.failures = result.Revision, 0
 	e.begin(term, lease, sent, orphan.Fence > 0)
 }
 
+const (
+	// patienceFirst is how long a call of a campaign waits for its answer: a lost one
+	// must not cost the time of a term. It doubles with each campaign that fails, for
+	// a service that is slow.
+	patienceFirst = 400 * time.Millisecond
+	patienceMost  = 1600 * time.Millisecond
+)
+
+// patience returns how long a call of the next campaign waits for its answer.
+func (e *Election) patience() time.Duration {
+	return min(patienceMost, patienceFirst<<min(e.failures, 4))
+}
+
 // begin notes a term that was taken and tells the listeners.
 func (e *Election) begin(term Holder, lease kv.LeaseID, sent time.Time, reclaimed bool) {
 	e.mutex.Lock()
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -35,6 +35,7 @@
 	// overwritten tells that a record was replaced while it stood.
 	overwritten bool
 	loseNext    bool // the next write is done and not answered
+	loseGrants  int  // so many leases are granted and not answered
 	told        []*Election
 }
 
@@ -53,14 +54,22 @@
 	return nil
 }
 
-func (v view) GrantLease(context.Context, time.Duration) (kv.LeaseID, error) {
+func (v view) GrantLease(ctx context.Context, _ time.Duration) (kv.LeaseID, error) {
 	if err := v.answers(); err != nil {
 		return 0, err
 	}
 	v.mutex.Lock()
-	defer v.mutex.Unlock()
 	v.leases++
-	return v.leases, nil
+	lease, lost := v.leases, v.loseGrants > 0
+	if lost {
+		v.loseGrants--
+	}
+	v.mutex.Unlock()
+	if lost {
+		<-ctx.Done()
+		return 0, kv.ErrUncertain
+	}
+	return lease, nil
 }
 
 func (v view) KeepLease(_ context.Context, lease kv.LeaseID) error {
@@ -150,10 +159,15 @@
 	}
 }
 
-func elections(t *testing.T, informed map[string]bool, daemons ...string) (*oneRecord, map[string]*Election) {
-	t.Helper()
+func quietLog() logrus.FieldLogger {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	return log
+}
+
+func elections(t *testing.T, informed map[string]bool, daemons ...string) (*oneRecord, map[string]*Election) {
+	t.Helper()
+	log := quietLog()
 	store := &oneRecord{silent: map[string]bool{}}
 	made := map[string]*Election{}
 	for _, daemon := range daemons {
@@ -287,8 +301,7 @@
 // though its machine was back after half of one.
 func TestAProcessThatStartsAgainTakesUpItsDaemonsTermAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := logrus.New()
-		log.SetOutput(io.Discard)
+		log := quietLog()
 		store := &oneRecord{silent: map[string]bool{}}
 		start := func(daemon string) (*Election, context.CancelFunc) {
 			one := New(Config{Key: testKey, Daemon: daemon, Address: daemon + ":1", TTL: testTTL}, view{store, daemon}, log)
@@ -331,3 +344,19 @@
 		require.Equal(t, None, standing, "another daemon's record is not taken up")
 	})
 }
+
+// Seen on a grown site: the answer to a campaign's first call was lost, and the term
+// stood open for a second and a half more.
+func TestALostAnswerDelaysACampaignOnlyBriefly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, _ := elections(t, nil)
+		store.loseGrants = 1
+		one := New(Config{Key: testKey, Daemon: "a", Address: "a:1", TTL: testTTL}, view{store, "a"}, quietLog())
+		store.told = append(store.told, one)
+		one.Vacate()
+		go func() { _ = one.Serve(t.Context()) }()
+		time.Sleep(patienceFirst + 2*campaignPause + staggerSteps*2*staggerStep)
+		_, standing := one.Term()
+		require.Equal(t, Sure, standing)
+	})
+}
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -17,6 +17,8 @@
 	Prefix string
 	// Tried are the ids of replicas not to be used again.
 	Tried []string
+	// Patience is how long the request may wait at a replica; zero: without end.
+	Patience time.Duration
 }
 
 // Miss says why no replica can take a request now.
@@ -29,11 +31,12 @@
 	AllTried           // all that could were tried
 	NotLoaded          // none holds the model
 	AdapterAbsent      // some hold the model, none with the adapter
+	Crowded            // requests wait too long wherever the target is loaded
 )
 
 // String returns the reason's name in logs.
 func (m Miss) String() string {
-	return [...]string{"found", "no_replica", "all_tried", "model_not_loaded", "adapter_not_loaded"}[m]
+	return [...]string{"found", "no_replica", "all_tried", "model_not_loaded", "adapter_not_loaded", "crowded"}[m]
 }
 
 // Pick is a replica chosen for one dispatch. It must be released.
@@ -41,6 +44,7 @@
 	ID       string
 	Address  string
 	Inflight int // of this daemon there, this one excluded
+	began    time.Time
 	replica  *Replica
 	fleet    *Directory
 }
@@ -71,7 +75,7 @@
 			best, lowest = candidate, cost
 		}
 	}
-	pick := &Pick{ID: best.ID, Address: best.Address, Inflight: best.inflight, replica: best, fleet: d}
+	pick := &Pick{ID: best.ID, Address: best.Address, Inflight: best.inflight, began: now, replica: best, fleet: d}
 	best.inflight++
 	return pick, Found
 }
@@ -91,6 +95,8 @@
 			miss = worse(miss, AdapterAbsent)
 		case slices.Contains(ask.Tried, member.ID):
 			miss = worse(miss, AllTried)
+		case ask.Patience > 0 && d.queueTime(member, now) > ask.Patience:
+			miss = worse(miss, Crowded)
 		default:
 			usable = append(usable, member)
 		}
@@ -98,6 +104,28 @@
 	return usable, miss
 }
 
+// queueTime estimates how long a new request waits at a replica for one of its
+// places; the mutex is held.
+func (d *Directory) queueTime(replica *Replica, now time.Time) time.Duration {
+	ahead := d.load(replica, now) - replica.Slots + 1
+	if replica.Slots <= 0 || ahead <= 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / float64(replica.Slots) * float64(d.runTime[replica.Service]))
+}
+
+// runTimeWeight is the weight of the newest answer in the mean time of a run.
+const runTimeWeight = 0.05
+
+// ran takes in how long a whole answer took; the mutex is held.
+func (d *Directory) ran(service string, took time.Duration) {
+	mean, known := d.runTime[service]
+	if !known {
+		mean = took
+	}
+	d.runTime[service] = mean + time.Duration(runTimeWeight*float64(took-mean))
+}
+
 // sampled is how many candidates are compared. Daemons that all took the best by the
 // same numbers, which are some hundred ms old, would overrun it; the better of two
 // drawn at random spreads nearly as well as fresh numbers would.
@@ -122,7 +150,7 @@
 }
 
 // missRank orders the reasons by how close the request came to a replica.
-var missRank = [...]int{Found: 0, NoReplica: 1, NotLoaded: 2, AdapterAbsent: 3, AllTried: 4}
+var missRank = [...]int{Found: 0, NoReplica: 1, NotLoaded: 2, AdapterAbsent: 3, Crowded: 4, AllTried: 5}
 
 func worse(a, b Miss) Miss {
 	if missRank[b] > missRank[a] {
@@ -186,6 +214,7 @@
 	switch result {
 	case Answered:
 		p.replica.health.answered(false)
+		p.fleet.ran(p.replica.Service, now.Sub(p.began))
 	case Failed:
 		p.replica.health.answered(true)
 	case Refused:
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -108,12 +108,14 @@
 	othersAt time.Time
 	changed  chan struct{}
 	random   func() float64 // in [0, 1)
+	// runTime is the mean time of whole answers of each service.
+	runTime map[string]time.Duration
 }
 
 // NewDirectory returns an empty directory of a daemon in a zone. random breaks
 // ties between equal replicas.
 func NewDirectory(zone string, random func() float64) *Directory {
-	return &Directory{zone: zone, members: map[string]*Replica{}, changed: make(chan struct{}), random: random}
+	return &Directory{zone: zone, members: map[string]*Replica{}, changed: make(chan struct{}), random: random, runTime: map[string]time.Duration{}}
 }
 
 // Changed returns a channel that is closed at the next change of what can serve.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -130,3 +130,58 @@
 		t.Fatal("no wake-up")
 	}
 }
+
+func TestOtherDaemonsRequestsCountUntilTheyAreTooOld(t *testing.T) {
+	directory := directoryOf(press("r1", "a", nil), press("r2", "a", nil))
+	directory.Others("r1", 5, start)
+	directory.Others("r2", 1, start)
+	pick, _ := directory.Choose(Ask{Service: "press"}, start)
+	require.Equal(t, "r2", pick.ID)
+	require.Equal(t, map[string]uint32{"r2": 1}, directory.Running())
+	pick, _ = directory.Choose(Ask{Service: "press"}, start.Add(othersTime+time.Millisecond))
+	require.Equal(t, "r1", pick.ID, "by its own requests only")
+	directory.Others("gone", 3, start) // not in the registry any more
+}
+
+func TestOfManyReplicasTheBetterOfTwoThatAreAwakeIsChosen(t *testing.T) {
+	directory := directoryOf(press("r1", "a", nil), press("r2", "a", nil), press("r3", "a", nil), press("r4", "a", nil))
+	draws := []float64{0, 0}
+	directory.random = func() float64 {
+		drawn := 0.0
+		if len(draws) > 0 {
+			drawn, draws = draws[0], draws[1:]
+		}
+		return drawn
+	}
+	for id, requests := range map[string]int{"r1": 9, "r2": 8, "r3": 7, "r4": 0} {
+		directory.Others(id, requests, start)
+	}
+	pick, _ := directory.Choose(Ask{Service: "press"}, start)
+	require.Equal(t, "r2", pick.ID, "the emptiest was not drawn")
+	pick.Release(Unreachable, Target{}, start)
+	draws = []float64{0, 0}
+	pick, _ = directory.Choose(Ask{Service: "press"}, start)
+	require.Equal(t, "r3", pick.ID, "one that rests is not drawn")
+}
+
+func TestAReplicaWhereARequestWouldWaitTooLongIsNotChosen(t *testing.T) {
+	narrow := press("r1", "a", nil)
+	narrow.Slots = 4
+	directory := directoryOf(narrow)
+	pick, _ := directory.Choose(Ask{Service: "press", Patience: time.Second}, start)
+	pick.Release(Answered, Target{}, start.Add(2*time.Second)) // a run takes two seconds
+	for _, test := range []struct {
+		requests int
+		patience time.Duration
+		want     Miss
+	}{
+		{3, time.Second, Found}, {5, time.Second, Found}, {6, time.Second, Crowded}, {6, 2 * time.Second, Found}, {60, 0, Found},
+	} {
+		directory.Others("r1", test.requests, start)
+		pick, miss := directory.Choose(Ask{Service: "press", Patience: test.patience}, start)
+		require.Equal(t, test.want, miss, "%d requests", test.requests)
+		if pick != nil {
+			pick.Release(Refused, Target{}, start)
+		}
+	}
+}
--- /dev/null
+++ b/kv/metered.go
@@ -0,0 +1,85 @@
+package kv
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Metered counts the calls to a store by what came of them.
+type Metered struct {
+	ChangeStore
+	// Count is called after each call with its name and outcome.
+	Count func(call, outcome string)
+}
+
+func (m *Metered) count(call string, err error) { m.Count(call, outcomeOf(err)) }
+
+// outcomeOf returns the outcome's name in metrics.
+func outcomeOf(err error) string {
+	switch {
+	case err == nil:
+		return "done"
+	case errors.Is(err, ErrUncertain):
+		return "uncertain"
+	case errors.Is(err, ErrCompacted):
+		return "history_dropped"
+	case errors.Is(err, ErrNoLease):
+		return "no_lease"
+	}
+	return "not_done"
+}
+
+// Get implements Store.
+func (m *Metered) Get(ctx context.Context, key string) (Pair, bool, error) {
+	pair, found, err := m.ChangeStore.Get(ctx, key)
+	m.count("get", err)
+	return pair, found, err
+}
+
+// List implements Store.
+func (m *Metered) List(ctx context.Context, prefix string) ([]Pair, int64, error) {
+	pairs, revision, err := m.ChangeStore.List(ctx, prefix)
+	m.count("list", err)
+	return pairs, revision, err
+}
+
+// Changes implements ChangeStore.
+func (m *Metered) Changes(ctx context.Context, prefix string, after int64) ([]Event, int64, error) {
+	events, revision, err := m.ChangeStore.Changes(ctx, prefix, after)
+	m.count("changes", err)
+	return events, revision, err
+}
+
+// Commit implements Store.
+func (m *Metered) Commit(ctx context.Context, txn Txn) (TxnResult, error) {
+	result, err := m.ChangeStore.Commit(ctx, txn)
+	if err == nil && !result.Succeeded {
+		m.Count("commit", "condition_failed")
+		return result, nil
+	}
+	m.count("commit", err)
+	return result, err
+}
+
+// GrantLease implements Store.
+func (m *Metered) GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	lease, err := m.ChangeStore.GrantLease(ctx, ttl)
+	m.count("grant_lease", err)
+	return lease, err
+}
+
+// KeepLease implements LeaseStore.
+func (m *Metered) KeepLease(ctx context.Context, lease LeaseID) error {
+	err := m.ChangeStore.KeepLease(ctx, lease)
+	m.count("keep_lease", err)
+	return err
+}
+
+// EndLease implements LeaseStore.
+func (m *Metered) EndLease(ctx context.Context, lease LeaseID) error {
+	err := m.ChangeStore.EndLease(ctx, lease)
+	m.count("end_lease", err)
+	return err
+}
--- a/loader/metrics.go
+++ b/loader/metrics.go
@@ -1,10 +1,15 @@
 package loader
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/finchspoke/finchspoke/loading"
+)
 
 // Metrics are the counters of load orders.
 type Metrics struct {
 	orders *prometheus.CounterVec
+	loads  *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics.
@@ -12,6 +17,21 @@
 	created := &Metrics{orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "finchspoke_load_orders_total", Help: "Orders given to replicas, by verb and outcome.",
 	}, []string{"verb", "outcome"})}
-	registerer.MustRegister(created.orders)
+	created.loads = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "finchspoke_loads_begun_total", Help: "Loads of models and adapters that replicas have begun, by what is loaded and from where.",
+	}, []string{"what", "source"})
+	registerer.MustRegister(created.orders, created.loads)
 	return created
 }
+
+// begun counts a load that a replica has begun.
+func (m *Metrics) begun(order loading.Order) {
+	if order.Verb != loading.Load {
+		return
+	}
+	what := "model"
+	if order.Target.Adapter != "" {
+		what = "adapter"
+	}
+	m.loads.WithLabelValues(what, order.Origin.String()).Inc()
+}
--- a/loader/orders.go
+++ b/loader/orders.go
@@ -58,6 +58,7 @@
 	case answer == Gone:
 		state.Lost(now)
 	case answer == Accepted:
+		h.Metrics.begun(order)
 		state.Took(order, now)
 	case answer == Done:
 		state.Did(order)
--- a/loading/loading_test.go
+++ b/loading/loading_test.go
@@ -236,3 +236,41 @@
 	require.Zero(t, window.Allowed(start.Add(5*second)))
 	require.Equal(t, 1, window.Allowed(start.Add(5*second+1)))
 }
+
+// Seen on a grown site: a copy was meant for sixteen requests at once on replicas that
+// run twelve, and streams queued there.
+func TestCopiesFollowThePlacesOfAReplica(t *testing.T) {
+	asked := map[demand.Key]Demand{key("m1", ""): {PerSecond: 0.9, Running: 10, LastUsed: start}}
+	wide, narrow := replica("r1", "m1"), replica("r1", "m1")
+	wide.Slots, narrow.Slots = 64, 12
+	require.Empty(t, Decide(snapshot(asked, wide, replica("r2"))))
+	orders := Decide(snapshot(asked, narrow, replica("r2")))
+	require.Len(t, orders, 1)
+	require.Equal(t, "r2", orders[0].ReplicaID)
+}
+
+func TestAModelWhoseReplicasAreCrowdedByOthersGetsAnotherCopy(t *testing.T) {
+	asked := map[demand.Key]Demand{key("m1", ""): {PerSecond: 0.9, Running: 2, LastUsed: start}, key("m2", ""): {PerSecond: 0.9, Running: 9, LastUsed: start}}
+	shared, crowded, free := replica("r1", "m1"), replica("r2", "m4"), replica("r3", "m5")
+	for _, one := range []*Replica{shared, crowded, free} {
+		one.Slots = 16
+	}
+	shared.Running, crowded.Running = 11, 12
+	second := replica("r4", "m2")
+	require.Empty(t, Decide(snapshot(asked, shared, crowded, free, second)))
+	shared.Running = 12
+	orders := Decide(snapshot(asked, shared, crowded, free, second))
+	require.Len(t, orders, 1)
+	require.Equal(t, "m1", orders[0].Target.Model)
+	require.NotEqual(t, "r2", orders[0].ReplicaID, "a crowded replica is no help")
+}
+
+func TestAReplicaGetsOneOrderADecision(t *testing.T) {
+	asked := map[demand.Key]Demand{}
+	for number := range 4 {
+		asked[key(fmt.Sprintf("m%d", number+1), "")] = Demand{Waiting: 1, LastUsed: start}
+	}
+	orders := Decide(snapshot(asked, replica("r1"), replica("r2")))
+	require.Len(t, orders, 2)
+	require.NotEqual(t, orders[0].ReplicaID, orders[1].ReplicaID)
+}
--- a/logging/bounded.go
+++ b/logging/bounded.go
@@ -33,6 +33,9 @@
 
 // Write takes a line; it never blocks and never fails.
 func (b *Bounded) Write(line []byte) (int, error) {
+	if len(line) == 0 {
+		return 0, nil // left out
+	}
 	if len(b.lines) >= queueLines-reservedLines && !urgentLine(line) {
 		b.dropped.Add(1)
 		return len(line), nil
--- a/logging/fields.go
+++ b/logging/fields.go
@@ -40,4 +40,5 @@
 	Dependency     = "dependency"
 	Revision       = "revision"
 	Dropped        = "dropped"
+	LeftOut        = "left_out"
 )
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -16,10 +16,10 @@
 func New(writer io.Writer, level string) *logrus.Logger {
 	logger := logrus.New()
 	logger.SetOutput(writer)
-	logger.SetFormatter(&logrus.JSONFormatter{
+	logger.SetFormatter(NewSampling(&logrus.JSONFormatter{
 		TimestampFormat: time.RFC3339Nano,
 		FieldMap:        logrus.FieldMap{logrus.FieldKeyTime: "time", logrus.FieldKeyMsg: "message"},
-	})
+	}))
 	parsed, err := logrus.ParseLevel(level)
 	if err != nil {
 		parsed = logrus.InfoLevel
--- a/node/follow.go
+++ b/node/follow.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -83,6 +84,16 @@
 	return address, address != n.config.PeerAddress
 }
 
+// deputySource returns the daemon that passes records on while nobody holds the load
+// orders: the first seed, for daemons that are no seeds.
+func (n *Node) deputySource() string {
+	seeds := *n.seeds.Load()
+	if len(seeds) == 0 || slices.Contains(seeds, n.config.PeerAddress) {
+		return ""
+	}
+	return seeds[0]
+}
+
 // otherSeeds lists the seeds that are other daemons.
 func (n *Node) otherSeeds() []string {
 	var peers []string
--- a/node/gauges.go
+++ b/node/gauges.go
@@ -1,6 +1,10 @@
 package node
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/finchspoke/finchspoke/kv"
+)
 
 // registerGauges registers what is read at the moment metrics are asked for.
 func (n *Node) registerGauges() {
@@ -27,6 +31,15 @@
 	return 0
 }
 
+// meter counts the calls to the key-value service.
+func (n *Node) meter(store kv.ChangeStore) kv.ChangeStore {
+	calls := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "finchspoke_store_calls_total", Help: "Calls to the key-value service, by call and outcome.",
+	}, []string{"call", "outcome"})
+	n.metrics.MustRegister(calls)
+	return &kv.Metered{ChangeStore: store, Count: func(call, outcome string) { calls.WithLabelValues(call, outcome).Inc() }}
+}
+
 // CountDropped registers the counter of log lines that were dropped.
 func (n *Node) CountDropped(dropped func() uint64) {
 	n.metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
--- a/node/node.go
+++ b/node/node.go
@@ -154,6 +154,7 @@
 }
 
 func (n *Node) assemble(adapters Adapters) {
+	adapters.Store = n.meter(adapters.Store)
 	opened := prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "finchspoke_replica_connections_opened_total", Help: "Connections opened to replicas.",
 	})
@@ -180,10 +181,11 @@
 	follower.Prepare()
 	n.election.Listen(func(holder election.Holder) {
 		follower.HolderChanged(holder)
+		n.mirror.Lead(holder.Daemon == n.config.ID)
 		n.holder.Wake()
 	})
 	n.follow(adapters)
-	subscriber := &records.Subscriber{Daemon: n.config.ID, Mirror: n.mirror, Source: n.recordSource, Seeds: n.otherSeeds, Log: n.log}
+	subscriber := &records.Subscriber{Daemon: n.config.ID, Mirror: n.mirror, Source: n.recordSource, Deputy: n.deputySource, Seeds: n.otherSeeds, Log: n.log}
 	n.registerGauges()
 	n.frontend = newFrontend(n.listeners.callers, adapters.Callers(n.routes, requests), n.routes)
 	server := transport.NewServer(n.listeners.peers)
--- a/records/records.go
+++ b/records/records.go
@@ -54,7 +54,9 @@
 	contact  time.Time // when the service vouched for the revision, here or to a peer
 	// vouched is when the service vouched to a peer; zero once that is too long ago.
 	vouched time.Time
-	reached bool // the service answered last
+	reached bool          // the service answered last
+	leading bool          // this daemon follows the service for all
+	lead    chan struct{} // holds an element once it begins to
 	recent  changeLog
 	changed chan struct{} // closed at the next answer of the service, or change
 }
@@ -66,7 +68,7 @@
 
 // NewMirror returns a mirror of the records under a prefix.
 func NewMirror(store kv.ChangeStore, prefix string, log logrus.FieldLogger) *Mirror {
-	return &Mirror{store: store, prefix: prefix, log: log, pairs: map[string]kv.Pair{}, changed: make(chan struct{})}
+	return &Mirror{store: store, prefix: prefix, log: log, pairs: map[string]kv.Pair{}, changed: make(chan struct{}), lead: make(chan struct{}, 1)}
 }
 
 // Handle calls handle for each change under a prefix. All calls come one after the
@@ -118,7 +120,7 @@
 func (m *Mirror) restWhileVouched(ctx context.Context) bool {
 	m.mutex.Lock()
 	left := time.Until(m.vouched.Add(vouchTime))
-	if left <= 0 {
+	if left <= 0 || m.leading {
 		if !m.vouched.IsZero() {
 			m.vouched = time.Time{}
 			m.log.WithFields(logrus.Fields{logging.Dependency: "records of a peer", logging.Revision: m.revision}).Info(logging.MessageDependencyLost)
@@ -127,10 +129,30 @@
 		return false
 	}
 	m.mutex.Unlock()
-	sleep.For(ctx, left)
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-m.lead:
+	}
 	return true
 }
 
+// Lead tells whether this daemon follows the service for all: then it does so itself,
+// whoever vouches.
+func (m *Mirror) Lead(leading bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if leading && !m.leading {
+		select {
+		case m.lead <- struct{}{}:
+		default:
+		}
+	}
+	m.leading = leading
+}
+
 // follow lists the records, unless they are known, or asks once for their changes.
 func (m *Mirror) follow(ctx context.Context, whole *bool) error {
 	if !*whole {
--- a/records/records_test.go
+++ b/records/records_test.go
@@ -350,3 +350,25 @@
 	update, _ := mirror.since(10)
 	require.Equal(t, []kv.Event{put("config", "2", 12)}, update.Events)
 }
+
+// A daemon that listened to a peer and then takes the term must not wait for the
+// peer's word to age.
+func TestWhoFollowsTheServiceForAllBeginsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("config", "1")
+		mirror, stop := followed(t, store)
+		defer stop()
+		synctest.Wait()
+		for range 10 { // the call that waits at first ends
+			mirror.Take(Update{Revision: 1, Contact: time.Now()})
+			time.Sleep(500 * time.Millisecond)
+		}
+		store.put("config", "2")
+		synctest.Wait()
+		require.Equal(t, "1", value(mirror, "config"), "the peer vouches")
+		mirror.Lead(true)
+		synctest.Wait()
+		require.Equal(t, "2", value(mirror, "config"))
+	})
+}
--- a/records/subscriber.go
+++ b/records/subscriber.go
@@ -29,6 +29,9 @@
 	// Source returns the address of the daemon that follows the service for all, empty
 	// while none is known, and whether that is another one.
 	Source func() (address string, other bool)
+	// Deputy returns the address of the daemon to listen to while no source is known,
+	// so that not all of them ask the service; empty for the deputies themselves.
+	Deputy func() string
 	// Seeds returns addresses of peers to ask in turn while nobody vouches for the
 	// records.
 	Seeds func() []string
@@ -55,7 +58,10 @@
 func (s *Subscriber) next() string {
 	source, other := s.Source()
 	if s.Mirror.InContact() {
-		if !other {
+		switch {
+		case source == "":
+			return s.Deputy()
+		case !other:
 			return "" // this daemon follows the service for all
 		}
 		return source
