--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -195,7 +195,7 @@
 }
 
 // othersTime is how long what was last told of other daemons' requests counts.
-const othersTime = 2 * time.Second
+const othersTime = 4 * time.Second
 
 // load returns how many requests a replica has, as far as is known; the mutex is
 // held.
--- a/loader/attach.go
+++ b/loader/attach.go
@@ -11,12 +11,16 @@
 	"github.com/finchspoke/finchspoke/rpc"
 )
 
-// viewPause gathers changes that come together into one view.
-const viewPause = 5 * time.Millisecond
+const (
+	// viewPauseLeast gathers changes that come together into one view; the more daemons
+	// hear it, the longer.
+	viewPauseLeast     = 5 * time.Millisecond
+	viewPausePerDaemon = 100 * time.Microsecond
+)
 
-// runningPause is the time between two words of how many requests run on each
-// replica.
-const runningPause = 400 * time.Millisecond
+func viewPause(daemons int) time.Duration {
+	return viewPauseLeast + time.Duration(daemons)*viewPausePerDaemon
+}
 
 // Attach serves one daemon's stream. It implements rpc.DRPCLoadsServer.
 func (h *Holder) Attach(stream rpc.DRPCLoads_AttachStream) error {
@@ -102,21 +106,13 @@
 	}
 }
 
-// tell sends what is loaded, first all and then each change, and now and then how
-// many requests run on each replica.
+// tell sends what is loaded and how many requests run on each replica, first all and
+// then each change.
 func (h *Holder) tell(stream rpc.DRPCLoads_AttachStream, failed <-chan error) error {
 	sent, term := uint64(0), int64(0)
-	running := map[string]uint32{} // as told
-	ticker := time.NewTicker(runningPause)
-	defer ticker.Stop()
-	tellRunning := false
 	for {
 		h.mutex.Lock()
-		view, version, changed := h.view(sent, time.Now()), h.version, h.changed
-		if tellRunning {
-			view.Running = changedRunning(running, h.runningOn())
-			tellRunning = false
-		}
+		view, version, changed, pause := h.view(sent, time.Now()), h.version, h.changed, viewPause(h.attached)
 		h.mutex.Unlock()
 		if term != 0 && view.GetFence() != term {
 			return errTermOver
@@ -134,52 +130,24 @@
 		case <-stream.Context().Done():
 			return stream.Context().Err()
 		case <-changed:
-			time.Sleep(viewPause)
-		case <-ticker.C:
-			tellRunning = true
-		}
-	}
-}
-
-// runningOn sums the requests of all daemons by replica; the mutex is held.
-func (h *Holder) runningOn() map[string]uint32 {
-	total := make(map[string]uint32, len(h.states))
-	for _, reported := range h.daemons {
-		for id, requests := range reported.running {
-			total[id] += requests
-		}
-	}
-	return total
-}
-
-// changedRunning returns the numbers that differ from those told, and notes them as
-// told.
-func changedRunning(told, now map[string]uint32) []*rpc.ReplicaRunning {
-	var changed []*rpc.ReplicaRunning
-	for id := range told {
-		if _, runs := now[id]; !runs {
-			delete(told, id)
-			changed = append(changed, &rpc.ReplicaRunning{ReplicaId: id})
-		}
-	}
-	for id, requests := range now {
-		if told[id] != requests {
-			told[id] = requests
-			changed = append(changed, &rpc.ReplicaRunning{ReplicaId: id, Requests: requests})
+			time.Sleep(pause)
 		}
 	}
-	return changed
 }
 
-// view makes the message of what changed after a version; the mutex is held.
+// view makes the message of what changed after a version; the mutex is held. Daemons
+// that heard the same share it.
 func (h *Holder) view(after uint64, now time.Time) *rpc.LoadsView {
-	view := &rpc.LoadsView{Fence: h.fence, Daemons: uint32(h.attached)}
-	for _, id := range sortedIDs(h.states) {
-		state := h.states[id]
-		if h.versions[id] > after && state.Known {
+	if known := h.views[after]; known != nil {
+		return known
+	}
+	view := &rpc.LoadsView{Fence: h.fence, Daemons: uint32(h.attached), Running: h.runningView(after)}
+	for _, id := range h.loads.after(after) {
+		if state := h.states[id]; state != nil && state.Known {
 			view.Replicas = append(view.Replicas, replicaView(state, now))
 		}
 	}
+	h.views[after] = view
 	return view
 }
 
@@ -209,3 +177,22 @@
 	}
 	return told
 }
+
+// changedRunning returns the numbers that differ from those told, and notes them as
+// told.
+func changedRunning(told, now map[string]uint32) []*rpc.ReplicaRunning {
+	var changed []*rpc.ReplicaRunning
+	for id := range told {
+		if _, runs := now[id]; !runs {
+			delete(told, id)
+			changed = append(changed, &rpc.ReplicaRunning{ReplicaId: id})
+		}
+	}
+	for id, requests := range now {
+		if told[id] != requests {
+			told[id] = requests
+			changed = append(changed, &rpc.ReplicaRunning{ReplicaId: id, Requests: requests})
+		}
+	}
+	return changed
+}
--- a/loader/holder.go
+++ b/loader/holder.go
@@ -17,6 +17,7 @@
 	"github.com/finchspoke/finchspoke/fleet"
 	"github.com/finchspoke/finchspoke/loading"
 	"github.com/finchspoke/finchspoke/routing"
+	"github.com/finchspoke/finchspoke/rpc"
 )
 
 // Answer is what a replica says to an order.
@@ -109,7 +110,9 @@
 	attached    int
 	attachedMax int
 	version     uint64
-	versions    map[string]uint64 // of each replica's state
+	loads       *touches // of each replica's state
+	running     *requestCounts
+	views       map[uint64]*rpc.LoadsView // of the present version, by the version that a daemon heard
 	changed     chan struct{}
 	wake        chan struct{}
 	next        time.Time // when to look again; zero: at the next tick
@@ -159,7 +162,7 @@
 	h.states = map[string]*loading.Replica{}
 	h.calling = map[string]*loading.Order{}
 	h.polled = map[string]time.Time{}
-	h.versions = map[string]uint64{}
+	h.loads, h.running = newTouches(), newRequestCounts()
 	h.window = loading.StoreWindow{Length: h.Limits.Window}
 	h.attachedMax = h.attached
 	h.notify()
@@ -168,6 +171,7 @@
 // notify wakes the streams that tell daemons what is loaded; the mutex is held.
 func (h *Holder) notify() {
 	h.version++
+	h.views = map[uint64]*rpc.LoadsView{}
 	close(h.changed)
 	h.changed = make(chan struct{})
 }
@@ -221,6 +225,7 @@
 		return
 	}
 	h.refreshStates()
+	h.refreshRunning(now)
 	if !h.mayOrder(standing, now) {
 		return
 	}
@@ -311,10 +316,9 @@
 	})
 	h.window.Most = int(storeShare * (perSecond*h.Limits.Window.Seconds()*h.Limits.Slack + float64(h.Limits.Extra)))
 	snapshot.StoreLoads = h.window.Allowed(now)
-	running := h.runningOn()
 	for _, id := range sortedIDs(h.states) {
 		state := h.states[id]
-		state.Running = int(running[id])
+		state.Running = int(h.running.total[id])
 		if order, calling := h.calling[id]; calling {
 			state = state.WithCall(order, now, now.Add(tick))
 		}
--- a/loader/orders.go
+++ b/loader/orders.go
@@ -68,7 +68,7 @@
 // touch marks a replica's state as changed; the mutex is held.
 func (h *Holder) touch(id string) {
 	h.notify()
-	h.versions[id] = h.version
+	h.loads.mark(id, h.version)
 }
 
 func (h *Holder) logOrder(order loading.Order, fence int64, answer Answer, err error) {
