A daemon that attaches again has only the requests that it names

Cause, by reading the code as a newcomer: what a daemon had running and waiting stayed counted when its process was killed and a new one attached, for keys and replicas that the new one did not name; such requests crowd a replica for ever and make refusals. Test: TestTheFirstMessageOfAStreamReplacesWhatWasSaidBefore fails without the change.

--- a/loader/attach.go
+++ b/loader/attach.go
@@ -31,6 +31,7 @@
 	daemonID := first.GetDaemonId()
 	leave := h.join(daemonID)
 	defer leave()
+	h.begin(daemonID)
 	h.report(first)
 	failed := make(chan error, 1)
 	go func() {
@@ -64,6 +65,22 @@
 	}
 }
 
+// begin forgets what a daemon said on an earlier stream, perhaps as an earlier process:
+// the first message of a stream names all that there is. Counts of arrivals stay, so
+// that only newer ones are added to the rates.
+func (h *Holder) begin(daemonID string) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	known := h.daemons[daemonID]
+	if known == nil {
+		return
+	}
+	clear(known.running)
+	for key, count := range known.counts {
+		known.counts[key] = demand.Count{Arrivals: count.Arrivals}
+	}
+}
+
 // report takes in a daemon's demand.
 func (h *Holder) report(message *rpc.LoadsDemand) {
 	now := time.Now()
--- a/loader/attach_test.go
+++ b/loader/attach_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/finchspoke/finchspoke/demand"
+	"github.com/finchspoke/finchspoke/fleet"
 	"github.com/finchspoke/finchspoke/loading"
 	"github.com/finchspoke/finchspoke/rpc"
 )
@@ -65,3 +67,24 @@
 	require.Empty(t, made.after(last))
 	require.LessOrEqual(t, len(made.log), 2*3+spareTouches+1)
 }
+
+// A daemon that was killed has no requests left, whatever its earlier process said.
+func TestTheFirstMessageOfAStreamReplacesWhatWasSaidBefore(t *testing.T) {
+	holder := &Holder{}
+	holder.Prepare()
+	asked := &rpc.LoadsDemand{DaemonId: "a", Running: []*rpc.ReplicaRunning{{ReplicaId: "r1", Requests: 9}},
+		Keys: []*rpc.TargetLoadDemand{{Service: "press", Model: "m1", Arrivals: 20, Waiting: 3, Running: 9}}}
+	holder.report(asked)
+	holder.begin("a")
+	holder.report(&rpc.LoadsDemand{DaemonId: "a"})
+	holder.refreshRunning(time.Now())
+	require.Empty(t, holder.running.total)
+	for key, sum := range holder.demandOf(time.Now()) {
+		require.Zero(t, sum.Waiting+sum.Running, "%v", key)
+	}
+	before := holder.rates[demand.Key{Service: "press", Target: fleet.Target{Model: "m1"}}].perSecond
+	asked.Keys[0].Arrivals = 21
+	holder.report(asked)
+	after := holder.rates[demand.Key{Service: "press", Target: fleet.Target{Model: "m1"}}].perSecond
+	require.InDelta(t, 1/rateWindow.Seconds(), after-before, 0.01, "what arrived before is not counted again")
+}
