A stop never closes a connection whose request was read

Ruled out: deadline, route's time, end of the process. Change: a handler claims its connection; one closed before gets nothing passed on, one claimed is closed after its answer only, and the stop waits for it.

--- a/node/frontend.go
+++ b/node/frontend.go
@@ -25,6 +25,8 @@
 	// turnAway is how long a stopping daemon goes on to take new connections, for
 	// the entry to notice that it is not ready.
 	turnAway = 3 * time.Second
+	// drainCheck is the time between looks at whether requests still run.
+	drainCheck = 20 * time.Millisecond
 )
 
 // frontend serves callers. It is a suture service.
@@ -33,14 +35,15 @@
 	server   *http.Server
 	routes   *routing.Store
 	leaving  atomic.Bool
+	running  atomic.Int64 // requests in the handler
 	mutex    sync.Mutex
 	idle     map[net.Conn]time.Time // since when
 }
 
 func newFrontend(listener net.Listener, handler http.Handler, routes *routing.Store) *frontend {
-	created := &frontend{listener: listener, routes: routes, idle: map[net.Conn]time.Time{}}
+	created := &frontend{listener: callerListener{listener}, routes: routes, idle: map[net.Conn]time.Time{}}
 	created.server = &http.Server{
-		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, ConnState: created.track,
+		Handler: created.claiming(handler), ConnContext: withConn, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, ConnState: created.track,
 		DisableGeneralOptionsHandler: true,
 	}
 	return created
@@ -99,5 +102,12 @@
 	// Answers carry Connection: close from now on, so callers move by themselves.
 	f.server.SetKeepAlivesEnabled(false)
 	sleep.For(ctx, turnAway)
-	return f.server.Shutdown(ctx)
+	if err := f.server.Shutdown(ctx); err != nil {
+		return err
+	}
+	// Requests whose connections net/http took for idle are not waited for by it.
+	for f.running.Load() > 0 && sleep.For(ctx, drainCheck) {
+	}
+	sleep.For(ctx, drainCheck) // for their answers to leave
+	return ctx.Err()
 }
