--- a/core/core.go
+++ b/core/core.go
@@ -186,6 +186,14 @@
 	return budget
 }
 
+// Daemons returns how many daemons were last said to share the reserve of retries; zero
+// before any word.
+func (c *Core) Daemons() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.daemons
+}
+
 // ShareRetries takes in how many daemons share the reserve of retries.
 func (c *Core) ShareRetries(daemons int) {
 	c.mutex.Lock()
--- a/core/metrics.go
+++ b/core/metrics.go
@@ -1,6 +1,9 @@
 package core
 
 import (
+	"strconv"
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/finchspoke/finchspoke/failure"
@@ -11,6 +14,7 @@
 	ended      *prometheus.CounterVec
 	first      *prometheus.HistogramVec
 	waited     *prometheus.HistogramVec
+	whole      *prometheus.HistogramVec
 	dispatches *prometheus.CounterVec
 	retries    *prometheus.CounterVec
 	overrun    prometheus.Histogram
@@ -33,6 +37,9 @@
 			Name: "finchspoke_core_dispatches_total", Help: "Dispatches to replicas, by result.",
 		}, []string{"result"}),
 	}
+	created.whole = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "finchspoke_core_answer_seconds", Help: "Time from the arrival of a request to the end of its whole answer.", Buckets: buckets,
+	}, []string{"kind", "priority"})
 	created.retries = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "finchspoke_core_retries_total", Help: "Retries asked of the budget, by service and whether it had one left.",
 	}, []string{"service", "outcome"})
@@ -40,13 +47,16 @@
 		Name: "finchspoke_core_wait_overrun_seconds", Help: "How much longer than estimated requests waited for a replica; negative: shorter.",
 		Buckets: []float64{-5, -2.5, -1, -.5, -.1, .1, .5, 1, 2.5, 5},
 	})
-	registerer.MustRegister(created.overrun, created.ended, created.first, created.waited, created.dispatches, created.retries)
+	registerer.MustRegister(created.overrun, created.ended, created.first, created.waited, created.dispatches, created.retries, created.whole)
 	return created
 }
 
 func (m *Metrics) end(running *run, outcome string, execution failure.Execution) {
 	kind := running.Route.Kind.String()
 	m.ended.WithLabelValues(kind, outcome, string(execution)).Inc()
+	if execution == failure.Completed {
+		m.whole.WithLabelValues(kind, strconv.Itoa(running.Route.Priority)).Observe(time.Since(running.Arrived).Seconds())
+	}
 	if running.firstByte > 0 {
 		m.first.WithLabelValues(kind).Observe(running.firstByte.Seconds())
 	}
--- a/node/follow.go
+++ b/node/follow.go
@@ -37,6 +37,10 @@
 		var table *routing.Table
 		if table, err = routing.NewTable(revision); err == nil {
 			taken := n.routes.Put(table)
+			if taken {
+				now := time.Now()
+				n.tableAt.Store(&now)
+			}
 			n.log.WithFields(logrus.Fields{logging.ConfigVersion: table.Version, logging.Revision: pair.ModRevision, logging.Outcome: taken}).
 				Info(logging.MessageTableRead)
 			n.holder.Wake()
--- a/node/gauges.go
+++ b/node/gauges.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/finchspoke/finchspoke/kv"
@@ -14,6 +16,8 @@
 	}{
 		{"finchspoke_config_version", "Version of the routing table in force; 0 before the first.", func() float64 { return float64(n.routes.Version()) }},
 		{"finchspoke_replicas_known", "Replicas in the registry.", func() float64 { return float64(n.fleet.Len()) }},
+		{"finchspoke_config_age_seconds", "Time since the configuration in force was taken; 0 without one.", n.tableAge},
+		{"finchspoke_daemons_attached", "Daemons attached to the holder of load orders, as it last told.", func() float64 { return float64(n.core.Daemons()) }},
 		{"finchspoke_store_reached", "1 if the key-value service answered last.", func() float64 { return truth(n.mirror.Reached()) }},
 		{"finchspoke_term_fence", "Fence of this daemon's term; 0 if it has none.", func() float64 {
 			fence, _ := n.election.Term()
@@ -24,6 +28,15 @@
 	}
 }
 
+// tableAge returns for how many seconds the table in force has been.
+func (n *Node) tableAge() float64 {
+	at := n.tableAt.Load()
+	if at == nil {
+		return 0
+	}
+	return time.Since(*at).Seconds()
+}
+
 func truth(value bool) float64 {
 	if value {
 		return 1
--- a/node/node.go
+++ b/node/node.go
@@ -100,6 +100,7 @@
 	listeners  listeners
 	supervisor *suture.Supervisor
 	seeds      atomic.Pointer[[]string]
+	tableAt    atomic.Pointer[time.Time] // when the table in force was taken; nil: none
 }
 
 type listeners struct {
