A sampled line that tells what was left out keeps its level and message

Found in reading the change once more: logrus's WithField makes an entry for a line yet to be written, so the line after a gap came out with level panic and no message. The test asks for both now and failed before.

--- a/logging/sampling.go
+++ b/logging/sampling.go
@@ -53,11 +53,19 @@
 		return nil, nil
 	}
 	if left > 0 {
-		entry = entry.WithField(LeftOut, left)
+		entry = withField(entry, LeftOut, left)
 	}
 	return s.Formatter.Format(entry)
 }
 
+// withField returns a line with one more field. logrus makes an entry for a line yet to
+// be written, which has neither level nor message.
+func withField(entry *logrus.Entry, field string, value any) *logrus.Entry {
+	marked := entry.WithField(field, value)
+	marked.Level, marked.Message, marked.Caller = entry.Level, entry.Message, entry.Caller
+	return marked
+}
+
 func causeOf(entry *logrus.Entry) cause {
 	text := func(field string) string {
 		value, _ := entry.Data[field].(string)
--- a/logging/sampling_test.go
+++ b/logging/sampling_test.go
@@ -35,6 +35,8 @@
 	now = now.Add(sampledWindow)
 	logger.WithField(Cause, "refused").Warn(MessageDependencyLost)
 	require.Contains(t, out.String(), `"left_out":7`)
+	require.Contains(t, out.String(), `"level":"warning"`)
+	require.Contains(t, out.String(), MessageDependencyLost)
 	out.Reset()
 	logger.WithField(Cause, "refused").Warn(MessageDependencyLost)
 	require.NotContains(t, out.String(), "left_out")
