--- a/election/election.go
+++ b/election/election.go
@@ -138,7 +138,7 @@
 	}
 	e.vacant = event.Deleted
 	e.current, e.orphan = holder, Holder{}
-	if holder.Daemon == e.Daemon && holder.Nonce != e.term.Nonce && e.term.Nonce == "" {
+	if holder.Daemon == e.Daemon && e.term.Nonce == "" {
 		e.orphan = holder
 	}
 	if e.term.Nonce != "" && e.term.Nonce != holder.Nonce {
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -54,7 +54,6 @@
 	costOtherZone    = 0.7
 	costNotOwner     = 0.5 // another replica has the prompt's prefix
 	costFailureShare = 12.0
-	costResting      = 1000.0
 	costTie          = 0.5
 )
 
@@ -114,10 +113,10 @@
 	return time.Duration(float64(ahead) / float64(replica.Slots) * float64(d.runTime[replica.Service]))
 }
 
-// runTimeWeight is the weight of the newest answer in the mean time of a run.
+// runTimeWeight is the weight of the newest run in the mean time.
 const runTimeWeight = 0.05
 
-// ran takes in how long a whole answer took; the mutex is held.
+// ran takes in how long a run took; the mutex is held.
 func (d *Directory) ran(service string, took time.Duration) {
 	mean, known := d.runTime[service]
 	if !known {
@@ -184,9 +183,6 @@
 	if owner != nil && candidate != owner {
 		cost += costNotOwner
 	}
-	if candidate.health.resting(now) {
-		cost += costResting
-	}
 	return cost
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -108,7 +108,8 @@
 	othersAt time.Time
 	changed  chan struct{}
 	random   func() float64 // in [0, 1)
-	// runTime is the mean time of whole answers of each service.
+	// runTime is the mean time of the runs of each service that ended whole, or with the
+	// caller's leaving.
 	runTime map[string]time.Duration
 }
 
--- a/loader/attach.go
+++ b/loader/attach.go
@@ -194,22 +194,3 @@
 	}
 	return told
 }
-
-// changedRunning returns the numbers that differ from those told, and notes them as
-// told.
-func changedRunning(told, now map[string]uint32) []*rpc.ReplicaRunning {
-	var changed []*rpc.ReplicaRunning
-	for id := range told {
-		if _, runs := now[id]; !runs {
-			delete(told, id)
-			changed = append(changed, &rpc.ReplicaRunning{ReplicaId: id})
-		}
-	}
-	for id, requests := range now {
-		if told[id] != requests {
-			told[id] = requests
-			changed = append(changed, &rpc.ReplicaRunning{ReplicaId: id, Requests: requests})
-		}
-	}
-	return changed
-}
--- a/loader/running.go
+++ b/loader/running.go
@@ -45,24 +45,42 @@
 			r.total[replica] += requests
 		}
 	}
+	return newsOf(r.told, r.total, func(replica string) int { return max(leastStep, slots(replica)/runningSteps) })
+}
+
+// newsOf returns the replicas whose number differs from the one told by a step at
+// least, or that have none any more, and notes their numbers as told.
+func newsOf(told, now map[string]uint32, step func(replica string) int) []string {
 	var news []string
-	for replica, told := range r.told {
-		if _, runs := r.total[replica]; !runs && told > 0 {
-			delete(r.told, replica)
+	for replica := range told {
+		if _, runs := now[replica]; !runs {
+			delete(told, replica)
 			news = append(news, replica)
 		}
 	}
-	for replica, requests := range r.total {
-		if step := max(leastStep, slots(replica)/runningSteps); difference(requests, r.told[replica]) >= step {
-			r.told[replica] = requests
+	for replica, requests := range now {
+		before := told[replica]
+		if int(max(requests, before)-min(requests, before)) >= step(replica) {
+			told[replica] = requests
 			news = append(news, replica)
 		}
 	}
 	return news
 }
 
-func difference(a, b uint32) int {
-	return int(max(a, b) - min(a, b))
+// changedRunning makes the messages of all numbers that differ from those told, and
+// notes them as told.
+func changedRunning(told, now map[string]uint32) []*rpc.ReplicaRunning {
+	return runningMessages(newsOf(told, now, func(string) int { return 1 }), told)
+}
+
+// runningMessages makes the messages of some replicas' numbers.
+func runningMessages(replicas []string, told map[string]uint32) []*rpc.ReplicaRunning {
+	messages := make([]*rpc.ReplicaRunning, 0, len(replicas))
+	for _, replica := range replicas {
+		messages = append(messages, &rpc.ReplicaRunning{ReplicaId: replica, Requests: told[replica]})
+	}
+	return messages
 }
 
 // refreshRunning sums the requests on replicas when it is time to; the mutex is held.
@@ -87,9 +105,5 @@
 
 // runningView lists what changed after a version; the mutex is held.
 func (h *Holder) runningView(after uint64) []*rpc.ReplicaRunning {
-	var changed []*rpc.ReplicaRunning
-	for _, replica := range h.running.changed.after(after) {
-		changed = append(changed, &rpc.ReplicaRunning{ReplicaId: replica, Requests: h.running.told[replica]})
-	}
-	return changed
+	return runningMessages(h.running.changed.after(after), h.running.told)
 }
--- a/loading/loading.go
+++ b/loading/loading.go
@@ -147,7 +147,7 @@
 	planner := &planner{Snapshot: snapshot}
 	for _, service := range sortedKeys(snapshot.Services) {
 		planner.service, planner.engine = service, snapshot.Services[service]
-		planner.copy = meantFor(service, snapshot.Replicas)
+		planner.meant = meantFor(service, snapshot.Replicas)
 		planner.models = planner.modelNeeds()
 		planner.byName = make(map[string]*modelNeed, len(planner.models))
 		for _, need := range planner.models {
@@ -166,7 +166,7 @@
 	Snapshot
 	service  string
 	engine   *routing.Engine
-	copy     copyLoad // what one copy of a model is meant for
+	meant    copyLoad // what one copy of a model is meant for
 	models   []*modelNeed
 	byName   map[string]*modelNeed
 	places   []*place             // of the service, that have no order in this decision
--- a/loading/needs.go
+++ b/loading/needs.go
@@ -80,10 +80,10 @@
 		if need.copies == 0 {
 			need.waiting += need.adapterWaiting
 		}
-		need.desired = need.wanted(p.Now, replicas, p.copy)
+		need.desired = need.wanted(p.Now, replicas, p.meant)
 		needs = append(needs, need)
 	}
-	slices.SortStableFunc(needs, func(a, b *modelNeed) int { return cmp.Compare(b.urgency(p.copy), a.urgency(p.copy)) })
+	slices.SortStableFunc(needs, func(a, b *modelNeed) int { return cmp.Compare(b.urgency(p.meant), a.urgency(p.meant)) })
 	return needs
 }
 
--- a/node/follow.go
+++ b/node/follow.go
@@ -100,11 +100,5 @@
 
 // otherSeeds lists the seeds that are other daemons.
 func (n *Node) otherSeeds() []string {
-	var peers []string
-	for _, seed := range *n.seeds.Load() {
-		if seed != n.config.PeerAddress {
-			peers = append(peers, seed)
-		}
-	}
-	return peers
+	return slices.DeleteFunc(slices.Clone(*n.seeds.Load()), func(seed string) bool { return seed == n.config.PeerAddress })
 }
--- a/records/records.go
+++ b/records/records.go
@@ -38,6 +38,12 @@
 	vouchTime = 1400 * time.Millisecond
 )
 
+// Names of dependencies in log lines.
+const (
+	dependencyService = "key-value service"
+	dependencyPeer    = "records of a peer"
+)
+
 // Mirror follows the records under a prefix. It is a suture service.
 type Mirror struct {
 	store  kv.ChangeStore
@@ -51,8 +57,10 @@
 	handlers []subscription
 	pairs    map[string]kv.Pair
 	revision int64     // up to which changes are known; zero before the first list
-	contact  time.Time // when the service vouched for the revision, here or to a peer
-	// vouched is when the service vouched to a peer; zero once that is too long ago.
+	contact  time.Time // when the service last answered here
+	// vouched is when the service last answered the peer that passes its records on;
+	// zero once that is too long ago. It is never passed on itself: two peers that
+	// listen to each other would vouch for each other without end.
 	vouched time.Time
 	reached bool          // the service answered last
 	leading bool          // this daemon follows the service for all
@@ -123,7 +131,7 @@
 	if left <= 0 || m.leading {
 		if !m.vouched.IsZero() {
 			m.vouched = time.Time{}
-			m.log.WithFields(logrus.Fields{logging.Dependency: "records of a peer", logging.Revision: m.revision}).Info(logging.MessageDependencyLost)
+			m.log.WithFields(logrus.Fields{logging.Dependency: dependencyPeer, logging.Revision: m.revision}).Info(logging.MessageDependencyLost)
 		}
 		m.mutex.Unlock()
 		return false
@@ -197,7 +205,7 @@
 func (m *Mirror) regain() {
 	if !m.reached {
 		m.reached = true
-		m.log.WithFields(logrus.Fields{logging.Dependency: "key-value service", logging.Revision: m.revision}).Info(logging.MessageDependencyRegained)
+		m.log.WithFields(logrus.Fields{logging.Dependency: dependencyService, logging.Revision: m.revision}).Info(logging.MessageDependencyRegained)
 	}
 }
 
@@ -209,7 +217,7 @@
 		return
 	}
 	m.reached = false
-	m.log.WithFields(logrus.Fields{logging.Dependency: "key-value service", logging.Revision: m.revision, logging.Cause: cause.Error()}).
+	m.log.WithFields(logrus.Fields{logging.Dependency: dependencyService, logging.Revision: m.revision, logging.Cause: cause.Error()}).
 		Warn(logging.MessageDependencyLost)
 }
 
@@ -364,12 +372,15 @@
 func (m *Mirror) answeredLately() bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return time.Since(m.contact) < vouchTime
+	return lately(m.contact)
 }
 
+// lately tells whether an answer of the service still counts.
+func lately(at time.Time) bool { return time.Since(at) < vouchTime }
+
 // InContact tells whether the service answered lately, here or to the peer that vouches.
 func (m *Mirror) InContact() bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return time.Since(m.contact) < vouchTime || time.Since(m.vouched) < vouchTime
+	return lately(m.contact) || lately(m.vouched)
 }
--- a/records/records_test.go
+++ b/records/records_test.go
@@ -119,11 +119,26 @@
 	}
 }
 
-func followed(t *testing.T, store *fakeStore, handlers ...Handler) (*Mirror, context.CancelFunc) {
+// mirrorOf returns a mirror that does not follow its store yet.
+func mirrorOf(t *testing.T, store *fakeStore) *Mirror {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(t.Output())
-	mirror := NewMirror(store, "", log)
+	return NewMirror(store, "", log)
+}
+
+// vouchFor lets a peer that knows nothing newer vouch for a while.
+func vouchFor(mirror *Mirror, most time.Duration) {
+	const pause = 500 * time.Millisecond
+	for range most / pause {
+		mirror.Take(Update{Revision: 1, Contact: time.Now()})
+		time.Sleep(pause)
+	}
+}
+
+func followed(t *testing.T, store *fakeStore, handlers ...Handler) (*Mirror, context.CancelFunc) {
+	t.Helper()
+	mirror := mirrorOf(t, store)
 	for _, handler := range handlers {
 		mirror.Handle("", handler)
 	}
@@ -225,15 +240,9 @@
 			return store.calls
 		}
 		// The call that waits when the peer begins to vouch ends in its own time.
-		for range 20 {
-			mirror.Take(Update{Revision: 1, Contact: time.Now()})
-			time.Sleep(500 * time.Millisecond)
-		}
+		vouchFor(mirror, 10*time.Second)
 		before := calls()
-		for range 20 {
-			mirror.Take(Update{Revision: 1, Contact: time.Now()})
-			time.Sleep(500 * time.Millisecond)
-		}
+		vouchFor(mirror, 10*time.Second)
 		require.Equal(t, before, calls())
 		// The peer falls silent: a change is heard within the time that it vouched for.
 		store.put("config", "2")
@@ -258,9 +267,7 @@
 }
 
 func TestAPeerGetsWhatItLacksAndOnlyWhatIsNotable(t *testing.T) {
-	log := logrus.New()
-	log.SetOutput(t.Output())
-	mirror := NewMirror(newFakeStore(), "", log)
+	mirror := mirrorOf(t, newFakeStore())
 	mirror.Notable(func(before, after kv.Pair) bool { return before.Value[0] != after.Value[0] })
 	mirror.replace([]kv.Pair{{Key: "servers/a", Value: []byte("ready"), ModRevision: 3}}, 10)
 
@@ -348,9 +355,7 @@
 // A list is read page by page, so it may hold what was written after its revision;
 // the change that tells of it is then known already.
 func TestWhatWasWrittenWhileAListWasReadIsPassedOn(t *testing.T) {
-	log := logrus.New()
-	log.SetOutput(t.Output())
-	mirror := NewMirror(newFakeStore(), "", log)
+	mirror := mirrorOf(t, newFakeStore())
 	mirror.replace([]kv.Pair{{Key: "servers/a", Value: []byte("1"), ModRevision: 3}, {Key: "config", Value: []byte("2"), ModRevision: 12}}, 10)
 	mirror.apply([]kv.Event{put("config", "2", 12)}, 12)
 	update, _ := mirror.since(10)
@@ -366,10 +371,7 @@
 		mirror, stop := followed(t, store)
 		defer stop()
 		synctest.Wait()
-		for range 10 { // the call that waits at first ends
-			mirror.Take(Update{Revision: 1, Contact: time.Now()})
-			time.Sleep(500 * time.Millisecond)
-		}
+		vouchFor(mirror, 5*time.Second) // the call that waits at first ends
 		store.put("config", "2")
 		synctest.Wait()
 		require.Equal(t, "1", value(mirror, "config"), "the peer vouches")
--- a/records/subscriber.go
+++ b/records/subscriber.go
@@ -85,7 +85,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go s.supervise(ctx, address, cancel)
-	fields := logrus.Fields{logging.Dependency: "records of a peer", logging.Address: address}
+	fields := logrus.Fields{logging.Dependency: dependencyPeer, logging.Address: address}
 	err := s.follow(ctx, address, func() { s.Log.WithFields(fields).Info(logging.MessageDependencyRegained) })
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
--- a/records/subscriber_test.go
+++ b/records/subscriber_test.go
@@ -4,14 +4,11 @@
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 )
 
 func TestWhichPeerASubscriberListensTo(t *testing.T) {
-	log := logrus.New()
-	log.SetOutput(t.Output())
-	mirror := NewMirror(newFakeStore(), "", log)
+	mirror := mirrorOf(t, newFakeStore())
 	source, other, deputy := "", true, "seed:1"
 	subscriber := &Subscriber{
 		Mirror: mirror, Source: func() (string, bool) { return source, other }, Deputy: func() string { return deputy },
--- a/rpc/packing.go
+++ b/rpc/packing.go
@@ -37,11 +37,10 @@
 
 // Pack returns the message with its records compressed, if they are long.
 func (u *RecordsUpdate) Pack() *RecordsUpdate {
-	records := &RecordsUpdate{Records: u.GetRecords(), Gone: u.GetGone()}
-	if proto.Size(records) < packFrom {
+	if proto.Size(u) < packFrom {
 		return u
 	}
-	data, err := proto.Marshal(records)
+	data, err := proto.Marshal(&RecordsUpdate{Records: u.GetRecords(), Gone: u.GetGone()})
 	if err != nil {
 		return u // it fails again where it is sent
 	}
