Loads wait for the replicas that keep the weights

Ruled out: the store's rate (14 loads in 5 s allowed, never reached) and weights kept nowhere (one model).

--- a/loader/holder.go
+++ b/loader/holder.go
@@ -105,6 +105,7 @@
 	calling     map[string]*loading.Order
 	polled      map[string]time.Time // when each was last asked for its report
 	window      loading.StoreWindow
+	fetches     loading.Fetches
 	daemons     map[string]*daemonDemand
 	rates       map[demand.Key]*rate
 	attached    int
@@ -164,6 +165,7 @@
 	h.polled = map[string]time.Time{}
 	h.loads, h.running = newTouches(), newRequestCounts()
 	h.window = loading.StoreWindow{Length: h.Limits.Window}
+	h.fetches = loading.Fetches{}
 	h.attachedMax = h.attached
 	h.notify()
 }
@@ -300,6 +302,7 @@
 	for id := range h.states {
 		if !seen[id] {
 			delete(h.states, id)
+			h.fetches.Forget(id)
 		}
 	}
 }
@@ -316,6 +319,7 @@
 	})
 	h.window.Most = int(storeShare * (perSecond*h.Limits.Window.Seconds()*h.Limits.Slack + float64(h.Limits.Extra)))
 	snapshot.StoreLoads = h.window.Allowed(now)
+	snapshot.StoreAtOnce = h.fetches.Pace.AtOnce()
 	for _, id := range sortedIDs(h.states) {
 		state := h.states[id]
 		state.Running = int(h.running.total[id])
--- a/loader/orders.go
+++ b/loader/orders.go
@@ -60,6 +60,7 @@
 	case answer == Accepted:
 		h.Metrics.begun(order)
 		state.Took(order, now)
+		h.fetches.Began(order, now)
 	case answer == Done:
 		state.Did(order)
 	}
@@ -150,7 +151,9 @@
 		}
 		return
 	}
-	if state.Hear(report, now) {
+	changed := state.Hear(report, now)
+	h.fetches.Heard(state, now)
+	if changed {
 		h.touch(id)
 		h.Log.WithFields(logrus.Fields{logging.Replica: id, logging.Sequence: report.Sequence, logging.Model: slices.Sorted(maps.Keys(report.Holdings)),
 			logging.Busy: report.Busy, logging.Fence: fence}).Info(logging.MessageReplicaHeard)
--- a/loading/adapters.go
+++ b/loading/adapters.go
@@ -90,7 +90,7 @@
 	for _, candidate := range p.places {
 		replica := candidate.replica
 		_, held := replica.Holdings[target.Model]
-		if !held || candidate.busy || unloading(replica, target.Model) || replica.Holdings.Has(target) || adaptersComing(replica) >= mostAdaptersComing {
+		if !held || candidate.freeIn > 0 || unloading(replica, target.Model) || replica.Holdings.Has(target) || adaptersComing(replica) >= mostAdaptersComing {
 			continue
 		}
 		// Full replicas are equal; among the others the emptiest is best, so that
--- /dev/null
+++ b/loading/fetch.go
@@ -0,0 +1,107 @@
+package loading
+
+import (
+	"cmp"
+	"slices"
+)
+
+const (
+	// fetchShare is the share of a service's replicas that may load weights ahead of
+	// demand: one that does takes no other order meanwhile.
+	fetchShare = 0.5
+	// furtherShare is the share of the loads at once from the weight store up to which
+	// further copies of a model may be loaded from there.
+	furtherShare = 0.5
+	// worthFetched is what may be unloaded to load weights that no replica keeps.
+	worthFetched = 1.0
+)
+
+// reasonKeptNowhere is the reason of loads ahead of demand.
+const reasonKeptNowhere = "kept nowhere"
+
+// storeLoadsUnderWay counts the loads from the weight store under way.
+func storeLoadsUnderWay(replicas []*Replica) int {
+	count := 0
+	for _, replica := range replicas {
+		for _, order := range replica.UnderWay {
+			if order.fromStore() {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// fromStore tells whether the order loads a model from the weight store.
+func (o Order) fromStore() bool {
+	return o.Verb == Load && o.Origin == FromStore && o.Target.Adapter == ""
+}
+
+// storeRoom tells whether a model may be loaded from the weight store now. Copies
+// beyond the first leave it to first copies.
+func (p *planner) storeRoom(need *modelNeed) bool {
+	if p.StoreLoads <= 0 {
+		return false
+	}
+	if need.copies == 0 {
+		return p.fetching < p.StoreAtOnce
+	}
+	return float64(p.fetching) < furtherShare*float64(p.StoreAtOnce)
+}
+
+// fetchAhead loads models that no replica keeps, while the weight store has room: a
+// request for one would wait many times longer than for one that is kept.
+func (p *planner) fetchAhead() {
+	if !p.allKnown() {
+		return // one that was not heard yet may keep them
+	}
+	for _, need := range p.absentModels() {
+		if !p.storeRoom(need) || p.fetchers() >= fetchShare*float64(len(p.places)) {
+			return
+		}
+		best, found := p.bestFreeSpot(need)
+		if !found {
+			return
+		}
+		p.use(best, need, reasonKeptNowhere)
+	}
+}
+
+// allKnown tells whether all replicas of the service were heard, as far as they answer.
+func (p *planner) allKnown() bool {
+	return !slices.ContainsFunc(p.places, func(one *place) bool { return !one.replica.Known })
+}
+
+// absentModels lists the models that no replica keeps, those asked for most first, then
+// in the catalogue's order.
+func (p *planner) absentModels() []*modelNeed {
+	var absent []*modelNeed
+	for _, need := range p.models {
+		if !need.cached && need.copies == 0 && !p.roomIsComing(need) {
+			absent = append(absent, need)
+		}
+	}
+	slices.SortStableFunc(absent, func(a, b *modelNeed) int {
+		return cmp.Or(cmp.Compare(b.waiting, a.waiting), cmp.Compare(b.perSecond, a.perSecond), cmp.Compare(a.model.Rank, b.model.Rank))
+	})
+	return absent
+}
+
+// fetchers counts the replicas that load from the weight store, or make room for it.
+func (p *planner) fetchers() float64 {
+	count := 0
+	for _, one := range p.places {
+		if one.ordered || slices.ContainsFunc(one.replica.UnderWay, func(order UnderWay) bool { return order.fromStore() }) {
+			count++
+		}
+	}
+	return float64(count)
+}
+
+// bestFreeSpot returns the best replica among those that take an order now.
+func (p *planner) bestFreeSpot(need *modelNeed) (spot, bool) {
+	all := p.places
+	defer func() { p.places = all }()
+	p.places = slices.DeleteFunc(slices.Clone(all), func(one *place) bool { return one.freeIn > 0 })
+	return p.bestSpot(need, worthFetched, true)
+}
--- /dev/null
+++ b/loading/fetch_test.go
@@ -0,0 +1,133 @@
+package loading
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/finchspoke/finchspoke/demand"
+	"github.com/finchspoke/finchspoke/fleet"
+)
+
+// keeping returns a replica that holds models and has others on its disk.
+func keeping(made *Replica, onDisk ...string) *Replica {
+	made.OnDisk = onDisk
+	return made
+}
+
+// Seen on a day of many rare models: a replica that kept the weights took another order
+// for a moment, and they were loaded from the store elsewhere, seven times as long.
+func TestALoadWaitsForTheReplicaThatKeepsTheWeights(t *testing.T) {
+	keeper := keeping(replica("r1", "m0"), "m5")
+	keeper.Took(Order{Verb: Load, Target: fleet.Target{Model: "m1"}, Takes: second, Origin: FromDisk}, start.Add(-second/2))
+	require.Empty(t, decideOnDemand(snapshot(waitingFor("m5", ""), keeper, replica("r2", "m0"))))
+
+	keeper.Hear(Report{Sequence: 1, Holdings: fleet.Holdings{"m0": nil, "m1": nil}, OnDisk: []string{"m1", "m5"}}, start)
+	orders := decideOnDemand(snapshot(waitingFor("m5", ""), keeper, replica("r2", "m0")))
+	require.Len(t, orders, 1)
+	require.Equal(t, "r1", orders[0].ReplicaID)
+	require.Equal(t, Unload, orders[0].Verb)
+}
+
+func TestALoadDoesNotWaitForAReplicaThatIsBusyForLonger(t *testing.T) {
+	keeper := keeping(replica("r1", "m0"), "m5")
+	keeper.Took(Order{Verb: Load, Target: fleet.Target{Model: "m1"}, Takes: 8 * second, Origin: FromStore}, start)
+	orders := decideOnDemand(snapshot(waitingFor("m5", ""), keeper, replica("r2", "m0")))
+	require.Len(t, orders, 1)
+	require.Equal(t, "r2", orders[0].ReplicaID)
+}
+
+// A call to the only replica with the weights is on its way: the load waits for it.
+func TestALoadWaitsForACallOnItsWay(t *testing.T) {
+	keeper := keeping(replica("r1"), "m5")
+	calling := keeper.WithCall(nil, start, start.Add(250*time.Millisecond))
+	require.Empty(t, decideOnDemand(snapshot(waitingFor("m5", ""), calling, replica("r2"))))
+}
+
+// Seen on the same days: room had been made for a model, and its load was then meant for
+// another replica that was busy, until requests were given up.
+func TestRoomThatWasMadeForAModelIsUsedByIt(t *testing.T) {
+	emptied := keeping(replica("r1", "m1"), "m5")
+	emptied.PromisedTo, emptied.PromisedUntil = "m5", start.Add(second)
+	emptied.Slots, emptied.Running = 10, 9
+	quicker := replica("r2", "m2")
+	quicker.InMemory = []string{"m5"}
+	quicker.Took(Order{Verb: Unload, Target: fleet.Target{Model: "m2"}, Takes: unloadTime}, start)
+	orders := decideOnDemand(snapshot(waitingFor("m5", ""), emptied, quicker))
+	require.Len(t, orders, 1)
+	require.Equal(t, "r1", orders[0].ReplicaID)
+	require.Equal(t, Load, orders[0].Verb)
+}
+
+// Seen on the same days: each place stayed taken for 4 s after a load of less than one,
+// and loads waited for places.
+func TestALoadedModelMayGoOnceItStayedAsLongAsItsLoadTakes(t *testing.T) {
+	full := keeping(replica("r1", "m1", "m2"), "m1", "m2", "m5")
+	full.LoadedAt["m1"], full.LoadedAt["m2"] = start.Add(-second), start.Add(-second)
+	require.Empty(t, decideOnDemand(snapshot(waitingFor("m5", ""), full)))
+	full.LoadedAt["m1"] = start.Add(-2 * second) // as long as its load from disk
+	orders := decideOnDemand(snapshot(waitingFor("m5", ""), full))
+	require.Len(t, orders, 1)
+	require.Equal(t, "m1", orders[0].Target.Model)
+}
+
+func TestWeightsThatNoReplicaKeepsAreFetchedAhead(t *testing.T) {
+	first := keeping(replica("r1", "m0"), "m0", "m1", "m2")
+	other := keeping(replica("r2", "m3"), "m3", "m4")
+	orders := Decide(snapshot(nil, first, other))
+	require.Len(t, orders, 1)
+	require.Equal(t, "m5", orders[0].Target.Model)
+	require.Equal(t, FromStore, orders[0].Origin)
+
+	other.OnDisk = append(other.OnDisk, "m5")
+	require.Empty(t, Decide(snapshot(nil, first, other)), "some replica keeps each")
+}
+
+func TestNothingIsFetchedAheadBeforeAllReplicasWereHeard(t *testing.T) {
+	unheard := replica("r2", "m1")
+	unheard.Known = false
+	require.Empty(t, Decide(snapshot(nil, replica("r1", "m0"), unheard)))
+}
+
+func TestFetchesAheadLeaveHalfOfTheReplicasForOthers(t *testing.T) {
+	orders := Decide(snapshot(nil, replica("r1"), replica("r2"), replica("r3"), replica("r4")))
+	require.Len(t, orders, 2)
+}
+
+func TestTheStoreGetsNoMoreLoadsThanItBearsAtFullSpeed(t *testing.T) {
+	asked := map[demand.Key]Demand{}
+	for _, model := range []string{"m1", "m2", "m3"} {
+		asked[key(model, "")] = Demand{Waiting: 1, LastUsed: start}
+	}
+	made := snapshot(asked, replica("r1"), replica("r2"), replica("r3"))
+	made.StoreAtOnce = 2
+	require.Len(t, Decide(made), 2)
+}
+
+func TestTheStorePaceIsLearnedFromHowLongLoadsTake(t *testing.T) {
+	pace := StorePace{}
+	require.Equal(t, firstAtOnce, pace.AtOnce())
+	pace.Ended(6*second, 6*second, firstAtOnce)
+	require.Equal(t, firstAtOnce+1, pace.AtOnce(), "at full speed with as many as allowed: one more")
+	pace.Ended(6*second, 6*second, 1)
+	require.Equal(t, firstAtOnce+1, pace.AtOnce(), "few under way say nothing")
+	pace.Ended(12*second, 6*second, 4)
+	require.Equal(t, 2, pace.AtOnce(), "four took twice as long")
+	pace.Ended(60*second, 6*second, 2)
+	require.Equal(t, 1, pace.AtOnce())
+}
+
+func TestFetchesAreFollowedUntilTheirReplicasSayThatTheyEnded(t *testing.T) {
+	fetches := Fetches{}
+	loaded := replica("r1")
+	order := Order{ReplicaID: "r1", Verb: Load, Target: fleet.Target{Model: "m5"}, Origin: FromStore, Takes: 4 * second}
+	loaded.Took(order, start)
+	fetches.Began(order, start)
+	fetches.Heard(loaded, start.Add(second))
+	require.Len(t, fetches.underWay, 1)
+	loaded.Hear(Report{Sequence: 1, Holdings: fleet.Holdings{"m5": nil}}, start.Add(8*second))
+	fetches.Heard(loaded, start.Add(8*second))
+	require.Empty(t, fetches.underWay)
+	require.Equal(t, 1, fetches.Pace.AtOnce(), "one load took twice as long as the catalogue says")
+}
--- a/loading/loading.go
+++ b/loading/loading.go
@@ -104,6 +104,24 @@
 	return slices.ContainsFunc(r.UnderWay, func(one UnderWay) bool { return one.Target.Adapter == "" })
 }
 
+// leastFreeIn is the least time after which a replica that has an order under way is
+// thought to take the next.
+const leastFreeIn = 50 * time.Millisecond
+
+// freeIn returns when the replica can take an order for a model; zero: at once.
+func (r *Replica) freeIn(now time.Time) time.Duration {
+	wait := time.Duration(0)
+	if !r.open(now) {
+		wait = max(leastFreeIn, r.BlockedUntil.Sub(now))
+	}
+	for _, order := range r.UnderWay {
+		if order.Target.Adapter == "" {
+			wait = max(wait, leastFreeIn, order.ReadyAt().Sub(now))
+		}
+	}
+	return wait
+}
+
 // crowdedShare is the share of a replica's places from which it is no help to a model
 // that needs room.
 const crowdedShare = 0.75
@@ -140,11 +158,14 @@
 	Demand   map[demand.Key]Demand
 	// StoreLoads is how many loads from the weight store may begin now.
 	StoreLoads int
+	// StoreAtOnce is how many loads from the weight store may be under way together.
+	StoreAtOnce int
 }
 
 // Decide returns the orders to give now, at most one for each replica.
 func Decide(snapshot Snapshot) []Order {
 	planner := &planner{Snapshot: snapshot}
+	planner.fetching = storeLoadsUnderWay(snapshot.Replicas)
 	for _, service := range sortedKeys(snapshot.Services) {
 		planner.service, planner.engine = service, snapshot.Services[service]
 		planner.meant = meantFor(service, snapshot.Replicas)
@@ -153,10 +174,12 @@
 		for _, need := range planner.models {
 			planner.byName[need.model.Name] = need
 		}
-		planner.places = planner.openPlaces()
+		planner.places = planner.listPlaces()
 		planner.adapters = planner.countAdapters()
+		planner.markCached()
 		planner.loadAdapters()
 		planner.loadModels()
+		planner.fetchAhead()
 		planner.loadAdaptersAhead()
 	}
 	return planner.orders
@@ -169,7 +192,8 @@
 	meant    copyLoad // what one copy of a model is meant for
 	models   []*modelNeed
 	byName   map[string]*modelNeed
-	places   []*place             // of the service, that have no order in this decision
+	places   []*place             // of the service
+	fetching int                  // loads from the weight store under way
 	adapters map[fleet.Target]int // copies of each adapter, those being loaded included
 	orders   []Order
 }
@@ -178,7 +202,12 @@
 func (p *planner) give(replica *Replica, order Order) {
 	order.ReplicaID, order.Sequence = replica.ID, replica.Sequence
 	p.orders = append(p.orders, order)
-	p.places = slices.DeleteFunc(p.places, func(one *place) bool { return one.replica == replica })
+	for _, one := range p.places {
+		if one.replica == replica {
+			one.ordered = true
+			one.occupy(order.Takes)
+		}
+	}
 	if order.Verb == Load && order.Target.Adapter != "" {
 		p.adapters[order.Target]++
 	}
--- a/loading/needs.go
+++ b/loading/needs.go
@@ -25,6 +25,7 @@
 	// adapterWaiting is how many wait for an adapter, or for the model of one.
 	adapterWaiting int
 	successor      bool // demand is expected to move here
+	cached         bool // a replica holds or keeps the weights, or loads them
 }
 
 const (
--- /dev/null
+++ b/loading/pace.go
@@ -0,0 +1,87 @@
+package loading
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// firstAtOnce is how many loads from the weight store are under way together before
+	// any was seen to end.
+	firstAtOnce = 4
+	// fullSpeed is the time that a load from the weight store takes up to which it ran at
+	// full speed, as a share of the catalogue's time.
+	fullSpeed = 1.15
+)
+
+// StorePace learns how many loads from the weight store run at full speed together from
+// how long they take. Beyond that number all take longer and no more of them end, while
+// each keeps a replica from other orders. The zero value has seen none.
+type StorePace struct {
+	atOnce float64 // zero: firstAtOnce
+}
+
+// AtOnce returns how many loads may be under way together.
+func (p *StorePace) AtOnce() int {
+	if p.atOnce == 0 {
+		return firstAtOnce
+	}
+	return max(1, int(math.Round(p.atOnce)))
+}
+
+// Ended takes in that a load which the catalogue says takes catalogue took a time, with
+// so many under way on the average, itself included.
+func (p *StorePace) Ended(took, catalogue time.Duration, underWay float64) {
+	if catalogue <= 0 {
+		return
+	}
+	stretch := took.Seconds() / catalogue.Seconds()
+	atOnce := float64(p.AtOnce())
+	switch {
+	case stretch > fullSpeed:
+		p.atOnce = max(1, min(atOnce, underWay/stretch))
+	case underWay >= atOnce-0.5:
+		p.atOnce = atOnce + 1
+	}
+}
+
+// Fetch is a load from the weight store under way.
+type Fetch struct {
+	ReplicaID string
+	UnderWay
+	Together int // loads under way when it began, itself included
+}
+
+// Fetches follows the loads from the weight store of all replicas and learns the
+// store's pace from them.
+type Fetches struct {
+	Pace     StorePace
+	underWay map[string]Fetch // by replica
+}
+
+// Began takes in that a replica accepted a load from the store.
+func (f *Fetches) Began(order Order, now time.Time) {
+	if !order.fromStore() {
+		return
+	}
+	if f.underWay == nil {
+		f.underWay = map[string]Fetch{}
+	}
+	f.underWay[order.ReplicaID] = Fetch{ReplicaID: order.ReplicaID, UnderWay: UnderWay{Order: order, Since: now}, Together: len(f.underWay) + 1}
+}
+
+// Heard takes in a replica's state after its report.
+func (f *Fetches) Heard(replica *Replica, now time.Time) {
+	fetch, known := f.underWay[replica.ID]
+	if !known || replica.underWay(fetch.Target) != nil {
+		return
+	}
+	together := float64(fetch.Together+len(f.underWay)) / 2
+	delete(f.underWay, replica.ID)
+	if _, held := replica.Holdings[fetch.Target.Model]; held {
+		f.Pace.Ended(now.Sub(fetch.Since), fetch.Takes, together)
+	}
+}
+
+// Forget drops the load of a replica that is gone.
+func (f *Fetches) Forget(replicaID string) { delete(f.underWay, replicaID) }
--- a/loading/place.go
+++ b/loading/place.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/finchspoke/finchspoke/demand"
 	"github.com/finchspoke/finchspoke/fleet"
@@ -14,8 +15,9 @@
 // places needs to know of it, worked out once a decision.
 type place struct {
 	replica    *Replica
-	busy       bool   // with a model
-	promised   string // the model that its room is kept for
+	ordered    bool          // it was given an order in this decision
+	freeIn     time.Duration // until it can take an order for a model; zero: it can now
+	promised   string        // the model that its room is kept for
 	memoryLeft float64
 	shared     float64  // cost of what is in use there already, in seconds
 	victims    []victim // what may be unloaded, worth least first
@@ -31,11 +33,12 @@
 	running int
 }
 
-// openPlaces lists the replicas of the service that take orders.
-func (p *planner) openPlaces() []*place {
+// listPlaces lists the replicas of the service that take orders, now or after those
+// under way.
+func (p *planner) listPlaces() []*place {
 	var places []*place
 	for _, replica := range p.Replicas {
-		if replica.Service == p.service && replica.open(p.Now) {
+		if replica.Service == p.service && !replica.Draining {
 			places = append(places, p.placeOn(replica))
 		}
 	}
@@ -44,11 +47,14 @@
 
 func (p *planner) placeOn(replica *Replica) *place {
 	return &place{
-		replica: replica, busy: replica.busy(), promised: p.promisedTo(replica), memoryLeft: p.memoryLeft(replica, false),
+		replica: replica, freeIn: replica.freeIn(p.Now), promised: p.promisedTo(replica), memoryLeft: p.memoryLeft(replica, false),
 		shared: p.sharedCost(replica), victims: p.victimsOn(replica), inMemory: setOf(replica.InMemory), onDisk: setOf(replica.OnDisk),
 	}
 }
 
+// occupy takes in that the place will be busy with one more order.
+func (p *place) occupy(takes time.Duration) { p.freeIn += max(leastFreeIn, takes) }
+
 func setOf(names []string) map[string]bool {
 	set := make(map[string]bool, len(names))
 	for _, name := range names {
@@ -77,13 +83,13 @@
 func (p *planner) victimsOn(replica *Replica) []victim {
 	all := make([]victim, 0, len(replica.Holdings))
 	for _, name := range slices.Sorted(maps.Keys(replica.Holdings)) {
-		if unloading(replica, name) || p.Now.Sub(replica.LoadedAt[name]) < freshFor {
+		if unloading(replica, name) || p.Now.Sub(replica.LoadedAt[name]) < p.freshFor(name, replica) {
 			continue
 		}
 		one := victim{name: name, memory: math.Inf(1)} // a model that is not declared goes first
 		if need := p.byName[name]; need != nil {
 			one.memory = need.model.MemoryMB + float64(len(replica.Holdings[name]))*need.model.AdapterMemoryMB
-			one.worth, one.running = p.worthOf(need), need.running
+			one.worth, one.running = p.worthOf(need, replica), need.running
 		}
 		all = append(all, one)
 	}
@@ -91,6 +97,15 @@
 	return all
 }
 
+// freshFor returns how long a model that was just loaded is not evicted: as long as
+// loading it again would take, so that no replica is busy with loads alone.
+func (p *planner) freshFor(name string, replica *Replica) time.Duration {
+	if need := p.byName[name]; need != nil {
+		return reloadTime(need, replica)
+	}
+	return 0
+}
+
 // evict picks the models that are worth least and whose unloading frees enough
 // memory; enough is false if none do.
 func (p *place) evict(missing float64) (victims []victim, enough bool) {
