Replicas are asked by orders whether loads and unloads have ended

Ruled out: polling more often (the lag is the replica's).

Change: when a load should have ended, the same order is given again; the replica answers that it holds the model, or that the load is under way. When an unload should have ended, the load that it made room for is ordered: the replica refuses it while the unload is under way, and then its report is read as before. A report that lacks what the replica has said since is not taken.

--- a/loader/orders.go
+++ b/loader/orders.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/finchspoke/finchspoke/fleet"
 	"github.com/finchspoke/finchspoke/loading"
 	"github.com/finchspoke/finchspoke/logging"
 )
@@ -23,23 +24,30 @@
 	if order.Verb == loading.Load && order.Target.Adapter == "" && order.Origin == loading.FromStore {
 		h.window.Began(now)
 	}
-	fence := h.fence
+	h.send(ctx, entry, order, h.fence, h.apply)
+}
+
+// applyAnswer takes in what a replica said to an order.
+type applyAnswer func(state *loading.Replica, order loading.Order, answer Answer, err error, now time.Time)
+
+// send sends an order; apply gets the answer, under the mutex.
+func (h *Holder) send(ctx context.Context, entry fleet.Entry, order loading.Order, fence int64, apply applyAnswer) {
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		answer, err := h.Replicas.Order(ctx, entry, order, h.Daemon, fence)
-		h.answered(order, fence, answer, err)
+		h.answered(order, fence, answer, err, apply)
 	}()
 }
 
 // answered takes in what a replica said to an order.
-func (h *Holder) answered(order loading.Order, fence int64, answer Answer, err error) {
+func (h *Holder) answered(order loading.Order, fence int64, answer Answer, err error, apply applyAnswer) {
 	now := time.Now()
 	h.mutex.Lock()
 	if fence == h.fence {
 		delete(h.calling, order.ReplicaID)
 		if state := h.states[order.ReplicaID]; state != nil {
-			h.apply(state, order, answer, err, now)
+			apply(state, order, answer, err, now)
 			h.touch(order.ReplicaID)
 		}
 	}
@@ -53,6 +61,8 @@
 
 func (h *Holder) apply(state *loading.Replica, order loading.Order, answer Answer, err error, now time.Time) {
 	switch {
+	case answer == Refused && err == nil && state.Awaits(now):
+		state.NotYet(now)
 	case err != nil, answer == Refused, answer == Fenced:
 		state.Doubt(now)
 	case answer == Gone:
@@ -62,7 +72,8 @@
 		state.Took(order, now)
 		h.fetches.Began(order, now)
 	case answer == Done:
-		state.Did(order)
+		state.Did(order, now)
+		h.fetches.Heard(state, now)
 	}
 }
 
@@ -102,10 +113,41 @@
 			h.due(at)
 			continue
 		}
+		if question, possible := state.Question(now); possible {
+			h.ask(ctx, question, now)
+			continue
+		}
 		h.check(ctx, id, now)
 	}
 }
 
+// ask gives an order again that should have been carried out, to learn whether it was; the
+// mutex is held.
+func (h *Holder) ask(ctx context.Context, order loading.Order, now time.Time) {
+	entry, found := h.Fleet.Entry(order.ReplicaID)
+	if !found {
+		return
+	}
+	h.calling[order.ReplicaID] = nil
+	h.lastOrder = now
+	h.send(ctx, entry, order, h.fence, h.applyAsked)
+}
+
+// applyAsked takes in the answer to an order that was given before; the mutex is held.
+func (h *Holder) applyAsked(state *loading.Replica, order loading.Order, answer Answer, err error, now time.Time) {
+	switch {
+	case err != nil, answer == Fenced:
+		state.Doubt(now)
+	case answer == Gone:
+		state.Lost(now)
+	case answer == Done:
+		state.Ended(order, now)
+		h.fetches.Heard(state, now)
+	default:
+		state.NotYet(now) // accepted says that it is being carried out
+	}
+}
+
 // due notes a moment at which the holder has to look again; the mutex is held.
 func (h *Holder) due(at time.Time) {
 	if h.next.IsZero() || at.Before(h.next) {
--- a/loading/adapters.go
+++ b/loading/adapters.go
@@ -107,7 +107,7 @@
 // hasAdapterRoom tells whether a replica has a place and memory for an adapter.
 func (p *planner) hasAdapterRoom(replica *Replica, target fleet.Target) bool {
 	memory := p.engine.Models[target.Model].AdapterMemoryMB
-	return adaptersOn(replica) < p.engine.AdapterSlots && p.memoryLeft(replica, false) >= memory
+	return adaptersOn(replica) < p.engine.AdapterSlots && p.memoryLeft(replica) >= memory
 }
 
 // adaptersOn counts the adapter places that are taken or may be.
--- a/loading/loading.go
+++ b/loading/loading.go
@@ -61,6 +61,9 @@
 type UnderWay struct {
 	Order
 	Since time.Time
+	// Asked is how often the replica was asked, by an order, whether this one has ended,
+	// and said that it has not.
+	Asked int
 }
 
 // ReadyAt is when the order should be carried out.
@@ -87,6 +90,9 @@
 	PromisedUntil time.Time
 	// LoadedAt is when each model was last seen to come.
 	LoadedAt map[string]time.Time
+	// ReadAgainAt is when the replica's report should be read since it tells what the
+	// answers to orders do not; zero: not needed.
+	ReadAgainAt time.Time
 }
 
 // underWay returns an order that concerns a target.
@@ -115,13 +121,19 @@
 		wait = max(leastFreeIn, r.BlockedUntil.Sub(now))
 	}
 	for _, order := range r.UnderWay {
-		if order.Target.Adapter == "" {
+		if order.Target.Adapter == "" && !order.unloaded(now) {
 			wait = max(wait, leastFreeIn, order.ReadyAt().Sub(now))
 		}
 	}
 	return wait
 }
 
+// unloaded tells whether the order is an unload that should have ended. The next order
+// may then be tried: a replica that still has one under way refuses it.
+func (u UnderWay) unloaded(now time.Time) bool {
+	return u.Verb == Unload && u.Target.Adapter == "" && u.Asked == 0 && !now.Before(u.ReadyAt())
+}
+
 // crowdedShare is the share of a replica's places from which it is no help to a model
 // that needs room.
 const crowdedShare = 0.75
--- a/loading/loading_test.go
+++ b/loading/loading_test.go
@@ -113,11 +113,14 @@
 	charged := replica("r1", "m1")
 	charged.Took(Order{Verb: Load, Target: fleet.Target{Model: "m2"}, Takes: 4 * second}, start)
 	made := &planner{Snapshot: snapshot(nil, charged), engine: engine}
-	require.InDelta(t, 20, made.memoryLeft(charged, false), 0.001)
+	require.InDelta(t, 20, made.memoryLeft(charged), 0.001)
 	unloads := replica("r2", "m1", "m2")
-	unloads.Took(Order{Verb: Unload, Target: fleet.Target{Model: "m1"}}, start)
-	require.InDelta(t, 20, made.memoryLeft(unloads, false), 0.001)
-	require.InDelta(t, 110, made.memoryLeft(unloads, true), 0.001)
+	unloads.Took(Order{Verb: Unload, Target: fleet.Target{Model: "m1"}, Takes: unloadTime}, start)
+	require.InDelta(t, 20, made.memoryLeft(unloads), 0.001)
+	made.Now = start.Add(unloadTime)
+	require.InDelta(t, 110, made.memoryLeft(unloads), 0.001, "it should have ended; the next order tells")
+	unloads.NotYet(made.Now)
+	require.InDelta(t, 20, made.memoryLeft(unloads), 0.001, "the replica said that it has not")
 }
 
 func TestLoadsFromTheStoreStopAtItsCeiling(t *testing.T) {
--- a/loading/models.go
+++ b/loading/models.go
@@ -114,12 +114,9 @@
 
 // roomIsComing tells whether a replica is being emptied for the model.
 func (p *planner) roomIsComing(need *modelNeed) bool {
-	for _, replica := range p.Replicas {
-		if replica.Service == p.service && !replica.Draining && replica.busy() && p.promisedTo(replica) == need.model.Name {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(p.places, func(one *place) bool {
+		return one.replica.busy() && one.freeIn > 0 && one.promised == need.model.Name
+	})
 }
 
 // bestSpot returns the replica where the model is loaded soonest at the least cost
@@ -186,12 +183,12 @@
 	return FromStore, need.model.StoreLoad
 }
 
-// memoryLeft returns the memory in MB that nothing holds or may hold; with future
-// set, what is being unloaded counts as free.
-func (p *planner) memoryLeft(replica *Replica, future bool) float64 {
+// memoryLeft returns the memory in MB that nothing holds or may hold. What should have
+// been unloaded counts as free.
+func (p *planner) memoryLeft(replica *Replica) float64 {
 	left := p.engine.MemoryMB
 	for model, adapters := range replica.Holdings {
-		if future && unloading(replica, model) {
+		if order := replica.underWay(fleet.Target{Model: model}); order != nil && order.unloaded(p.Now) {
 			continue
 		}
 		if known := p.engine.Models[model]; known != nil {
--- a/loading/place.go
+++ b/loading/place.go
@@ -47,7 +47,7 @@
 
 func (p *planner) placeOn(replica *Replica) *place {
 	return &place{
-		replica: replica, freeIn: replica.freeIn(p.Now), promised: p.promisedTo(replica), memoryLeft: p.memoryLeft(replica, false),
+		replica: replica, freeIn: replica.freeIn(p.Now), promised: p.promisedTo(replica), memoryLeft: p.memoryLeft(replica),
 		shared: p.sharedCost(replica), victims: p.victimsOn(replica), inMemory: setOf(replica.InMemory), onDisk: setOf(replica.OnDisk),
 	}
 }
