--- a/loading/fetch.go
+++ b/loading/fetch.go
@@ -46,9 +46,21 @@
 	if need.copies == 0 {
 		return p.fetching < p.StoreAtOnce
 	}
+	if p.keptElsewhere(need) {
+		return false // sooner or later a replica that keeps the weights loads them
+	}
 	return float64(p.fetching) < furtherShare*float64(p.StoreAtOnce)
 }
 
+// keptElsewhere tells whether a replica that does not hold the model keeps its weights.
+func (p *planner) keptElsewhere(need *modelNeed) bool {
+	return slices.ContainsFunc(p.places, func(one *place) bool {
+		origin, _ := one.originOf(need)
+		_, held := one.replica.Holdings[need.model.Name]
+		return origin != FromStore && !held
+	})
+}
+
 // fetchAhead loads models that no replica keeps, while the weight store has room: a
 // request for one would wait many times longer than for one that is kept.
 func (p *planner) fetchAhead() {
@@ -103,5 +115,6 @@
 	all := p.places
 	defer func() { p.places = all }()
 	p.places = slices.DeleteFunc(slices.Clone(all), func(one *place) bool { return one.freeIn > 0 })
-	return p.bestSpot(need, worthFetched, true)
+	best, found := p.bestSpot(need, worthFetched, true)
+	return best, found && !best.waits
 }
--- a/loading/fetch_test.go
+++ b/loading/fetch_test.go
@@ -131,3 +131,60 @@
 	require.Empty(t, fetches.underWay)
 	require.Equal(t, 1, fetches.Pace.AtOnce(), "one load took twice as long as the catalogue says")
 }
+
+// Seen on the same days: the only replica with the weights had just made room for another
+// model, and they were loaded from the store elsewhere.
+func TestALoadWaitsForAReplicaWhoseRoomIsPromisedToAnotherModel(t *testing.T) {
+	keeper := keeping(replica("r1", "m4"), "m3", "m5")
+	keeper.PromisedTo, keeper.PromisedUntil = "m3", start.Add(second)
+	asked := waitingFor("m5", "")
+	made := snapshot(asked, keeper, replica("r2", "m0"))
+	for _, model := range made.Services["press"].Models {
+		model.DiskLoad = second / 2
+	}
+	require.Empty(t, decideOnDemand(made))
+
+	asked[key("m3", "")] = Demand{Waiting: 1, LastUsed: start}
+	orders := decideOnDemand(made)
+	require.Len(t, orders, 1)
+	require.Equal(t, "m3", orders[0].Target.Model, "the room is used by the model that it was made for")
+}
+
+// Seen on the same days: a further copy of a busy model kept a replica for the 6 s of a
+// load from the store.
+func TestFurtherCopiesComeFromTheStoreOnlyIfNoOtherReplicaKeepsTheWeights(t *testing.T) {
+	asked := map[demand.Key]Demand{key("m5", ""): {PerSecond: 9, Running: 4, LastUsed: start}}
+	held := keeping(replica("r1", "m5"), "m5")
+	keeper := keeping(replica("r2", "m1"), "m5")
+	keeper.Took(Order{Verb: Load, Target: fleet.Target{Model: "m2"}, Takes: 20 * second}, start)
+	require.Empty(t, decideOnDemand(snapshot(asked, held, keeper, replica("r3"))))
+	keeper.OnDisk = nil
+	orders := decideOnDemand(snapshot(asked, held, keeper, replica("r3")))
+	require.Len(t, orders, 1)
+	require.Equal(t, "r3", orders[0].ReplicaID)
+}
+
+// What a copy ahead of demand saves is the time of its load: where that is short, it does
+// not push out a model that is asked for now and then.
+func TestACopyAheadOfDemandIsWorthTheTimeOfItsLoad(t *testing.T) {
+	asked := map[demand.Key]Demand{
+		key("m4", ""): {PerSecond: 1.2, Running: 1, LastUsed: start},
+		key("m1", ""): {PerSecond: 0.2, LastUsed: start}, key("m2", ""): {PerSecond: 0.2, LastUsed: start},
+	}
+	others := func() []*Replica {
+		return []*Replica{replica("r1", "m4", "m0"), replica("r2", "m3", "m5"), replica("r3", "m1", "m2")}
+	}
+	slow := others()
+	orders := decideOnDemand(snapshot(asked, slow...))
+	require.NotEmpty(t, orders, "a spare copy takes 4 s")
+
+	quick := others()
+	for _, one := range quick {
+		keeping(one, "m0", "m1", "m2", "m3", "m4", "m5")
+	}
+	made := snapshot(asked, quick...)
+	for _, model := range made.Services["press"].Models {
+		model.DiskLoad = second / 10
+	}
+	require.Empty(t, decideOnDemand(made))
+}
--- a/loading/models.go
+++ b/loading/models.go
@@ -53,6 +53,7 @@
 	takes   time.Duration
 	victims []victim // models to be unloaded first
 	cost    float64  // seconds
+	waits   bool     // the replica has other orders to carry out first
 }
 
 const (
@@ -80,7 +81,7 @@
 	if !found {
 		return
 	}
-	if best.place.freeIn > 0 {
+	if best.waits {
 		// Waiting for the replica is better than any other.
 		best.place.occupy(best.takes)
 		return
@@ -126,9 +127,6 @@
 	var best spot
 	found := false
 	for _, candidate := range p.places {
-		if candidate.promised != "" && candidate.promised != need.model.Name {
-			continue
-		}
 		if _, held := candidate.replica.Holdings[need.model.Name]; held {
 			continue
 		}
@@ -150,8 +148,15 @@
 	if made.origin == FromStore && !fromStore {
 		return spot{}, false
 	}
-	made.cost = candidate.freeIn.Seconds() + made.takes.Seconds() + candidate.shared
+	made.cost = candidate.freeIn.Seconds() + made.takes.Seconds() + candidate.shared*made.takes.Seconds()/need.model.StoreLoad.Seconds()
+	made.waits = candidate.freeIn > 0
 	missing := need.model.MemoryMB - candidate.memoryLeft
+	if other := p.byName[candidate.promised]; other != nil && other != need && !candidate.replica.Holdings.Has(fleet.Target{Model: candidate.promised}) {
+		_, takes := candidate.originOf(other)
+		made.cost += takes.Seconds()
+		made.waits = true
+		missing += other.model.MemoryMB
+	}
 	if missing <= 0 {
 		return made, true
 	}
@@ -248,7 +253,7 @@
 		worth += worthAdapters
 	}
 	if need.successor {
-		worth += worthSuccessor
+		worth += worthSuccessor * reloadTime(need, replica).Seconds() / need.model.StoreLoad.Seconds()
 	}
 	return worth + worthRank*math.Exp(-float64(need.model.Rank)/rankScale)
 }
@@ -262,6 +267,14 @@
 	return need.model.StoreLoad
 }
 
+// loadShare returns how long a load of the model takes, as a share of one from the store.
+func (n *modelNeed) loadShare() float64 {
+	if n.cached && n.model.DiskLoad > 0 {
+		return n.model.DiskLoad.Seconds() / n.model.StoreLoad.Seconds()
+	}
+	return 1
+}
+
 // valueOfCopy returns what one more copy of a model is worth; urgent tells whether
 // requests wait for the first.
 func (p *planner) valueOfCopy(need *modelNeed, urgent bool) float64 {
@@ -272,7 +285,7 @@
 		return need.perSecond * need.model.DiskLoad.Seconds()
 	}
 	if (need.successor || need.perSecond >= busyRate) && need.copies < spareCopies {
-		return worthSuccessor/2 + need.perSecond
+		return worthSuccessor/2*need.loadShare() + need.perSecond
 	}
 	return need.perSecond / float64(need.copies)
 }
