A model that waits for a replica does not keep another from the room made for it

Change: what waits for a replica is kept apart from the orders under way. Weights are fetched ahead while fewer than half of the replicas are busy with any order.

--- a/loading/adapters.go
+++ b/loading/adapters.go
@@ -88,9 +88,12 @@
 	var best *Replica
 	bestUsed, bestScore := 0, uint64(0)
 	for _, candidate := range p.places {
+		if candidate.ordered || candidate.freeIn > 0 {
+			continue
+		}
 		replica := candidate.replica
 		_, held := replica.Holdings[target.Model]
-		if !held || candidate.freeIn > 0 || unloading(replica, target.Model) || replica.Holdings.Has(target) || adaptersComing(replica) >= mostAdaptersComing {
+		if !held || unloading(replica, target.Model) || replica.Holdings.Has(target) || adaptersComing(replica) >= mostAdaptersComing {
 			continue
 		}
 		// Full replicas are equal; among the others the emptiest is best, so that
--- a/loading/fetch.go
+++ b/loading/fetch.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// fetchShare is the share of a service's replicas that may load weights ahead of
-	// demand: one that does takes no other order meanwhile.
+	// fetchShare is the share of a service's replicas that may be busy with orders when
+	// weights are loaded ahead of demand: one that does takes no other order meanwhile.
 	fetchShare = 0.5
 	// furtherShare is the share of the loads at once from the weight store up to which
 	// further copies of a model may be loaded from there.
@@ -67,15 +67,17 @@
 	if !p.allKnown() {
 		return // one that was not heard yet may keep them
 	}
+	mayFetch := int(fetchShare*float64(len(p.places))) - p.busyPlaces()
 	for _, need := range p.absentModels() {
-		if !p.storeRoom(need) || p.fetchers() >= fetchShare*float64(len(p.places)) {
+		if mayFetch <= 0 || !p.storeRoom(need) {
 			return
 		}
-		best, found := p.bestFreeSpot(need)
-		if !found {
+		best, found := p.bestSpot(need, worthFetched, true)
+		if !found || best.waits {
 			return
 		}
 		p.use(best, need, reasonKeptNowhere)
+		mayFetch--
 	}
 }
 
@@ -99,22 +101,13 @@
 	return absent
 }
 
-// fetchers counts the replicas that load from the weight store, or make room for it.
-func (p *planner) fetchers() float64 {
+// busyPlaces counts the replicas that carry out an order.
+func (p *planner) busyPlaces() int {
 	count := 0
 	for _, one := range p.places {
-		if one.ordered || slices.ContainsFunc(one.replica.UnderWay, func(order UnderWay) bool { return order.fromStore() }) {
+		if one.freeIn > 0 {
 			count++
 		}
 	}
-	return float64(count)
-}
-
-// bestFreeSpot returns the best replica among those that take an order now.
-func (p *planner) bestFreeSpot(need *modelNeed) (spot, bool) {
-	all := p.places
-	defer func() { p.places = all }()
-	p.places = slices.DeleteFunc(slices.Clone(all), func(one *place) bool { return one.freeIn > 0 })
-	best, found := p.bestSpot(need, worthFetched, true)
-	return best, found && !best.waits
+	return count
 }
--- a/loading/loading.go
+++ b/loading/loading.go
@@ -216,8 +216,7 @@
 	p.orders = append(p.orders, order)
 	for _, one := range p.places {
 		if one.replica == replica {
-			one.ordered = true
-			one.occupy(order.Takes)
+			one.order(order.Takes)
 		}
 	}
 	if order.Verb == Load && order.Target.Adapter != "" {
--- a/loading/models.go
+++ b/loading/models.go
@@ -83,7 +83,7 @@
 	}
 	if best.waits {
 		// Waiting for the replica is better than any other.
-		best.place.occupy(best.takes)
+		best.place.queue(best.takes)
 		return
 	}
 	reason := "more copies"
@@ -132,6 +132,7 @@
 		}
 		made, possible := p.spotOn(candidate, need, value, fromStore)
 		if possible && candidate.promised == need.model.Name && len(made.victims) == 0 {
+			made.waits = candidate.freeIn > 0
 			return made, true // room was made for the model here
 		}
 		if possible && (!found || made.cost < best.cost) {
@@ -148,8 +149,8 @@
 	if made.origin == FromStore && !fromStore {
 		return spot{}, false
 	}
-	made.cost = candidate.freeIn.Seconds() + made.takes.Seconds() + candidate.shared*made.takes.Seconds()/need.model.StoreLoad.Seconds()
-	made.waits = candidate.freeIn > 0
+	made.cost = candidate.busyFor().Seconds() + made.takes.Seconds() + candidate.shared*made.takes.Seconds()/need.model.StoreLoad.Seconds()
+	made.waits = candidate.busyFor() > 0
 	missing := need.model.MemoryMB - candidate.memoryLeft
 	if other := p.byName[candidate.promised]; other != nil && other != need && !candidate.replica.Holdings.Has(fleet.Target{Model: candidate.promised}) {
 		_, takes := candidate.originOf(other)
--- a/loading/place.go
+++ b/loading/place.go
@@ -17,6 +17,7 @@
 	replica    *Replica
 	ordered    bool          // it was given an order in this decision
 	freeIn     time.Duration // until it can take an order for a model; zero: it can now
+	queued     time.Duration // what models that wait for the place will keep it for
 	promised   string        // the model that its room is kept for
 	memoryLeft float64
 	shared     float64  // cost of what is in use there already, in seconds
@@ -52,8 +53,17 @@
 	}
 }
 
-// occupy takes in that the place will be busy with one more order.
-func (p *place) occupy(takes time.Duration) { p.freeIn += max(leastFreeIn, takes) }
+// order takes in that an order was given.
+func (p *place) order(takes time.Duration) {
+	p.ordered = true
+	p.freeIn += max(leastFreeIn, takes)
+}
+
+// queue takes in that a model waits for the place.
+func (p *place) queue(takes time.Duration) { p.queued += max(leastFreeIn, takes) }
+
+// busyFor returns when a model that has no claim on the place could be loaded there.
+func (p *place) busyFor() time.Duration { return p.freeIn + p.queued }
 
 func setOf(names []string) map[string]bool {
 	set := make(map[string]bool, len(names))
