Prompts that are being read count where a replica is chosen

Requests were counted, not tokens.

Change: each token of a prompt that this daemon sent and whose answer has not begun costs 1/50 of a request.

--- a/core/core.go
+++ b/core/core.go
@@ -23,6 +23,8 @@
 	Target  fleet.Target
 	// Prefix names the shared part of the prompt; empty if there is none.
 	Prefix string
+	// PromptTokens is the length of the prompt; zero if the caller does not say.
+	PromptTokens int
 	// ResumeAfter is the id of the last event that the caller has; empty: none.
 	ResumeAfter string
 	Method      string
@@ -221,10 +223,15 @@
 	lastWrite time.Time
 	longest   time.Duration // pause between two parts of the answer
 	lastID    string        // of the replica dispatched to last
+	pick      *fleet.Pick   // of the present dispatch, until its answer begins
 }
 
 // wrote notes that a part of the answer went to the caller.
 func (r *run) wrote(now time.Time) {
+	if r.pick != nil {
+		r.pick.Read()
+		r.pick = nil
+	}
 	if r.lastWrite.IsZero() {
 		r.firstByte = now.Sub(r.Arrived)
 	} else {
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -43,7 +43,7 @@
 func (c *Core) dispatch(ctx context.Context, running *run, pick *fleet.Pick) dispatchOutcome {
 	stopRunning := c.Demand.Run(running.key())
 	defer stopRunning()
-	running.lastID = pick.ID
+	running.lastID, running.pick = pick.ID, pick
 	try, cancel := c.tryContext(ctx, running)
 	defer cancel()
 	outcome := c.exchange(try, running, pick)
--- a/core/wait.go
+++ b/core/wait.go
@@ -117,7 +117,7 @@
 // await returns the replica for the next dispatch, waiting for one if that is worth
 // it; otherwise the failure that ends the call.
 func (c *Core) await(ctx context.Context, running *run) (*fleet.Pick, *failure.Error) {
-	ask := fleet.Ask{Service: running.Service.Name, Target: running.Target, Prefix: running.Prefix, Tried: running.tried}
+	ask := fleet.Ask{Service: running.Service.Name, Target: running.Target, Prefix: running.Prefix, Tried: running.tried, PromptTokens: running.PromptTokens}
 	var stopWaiting func()
 	defer func() {
 		if stopWaiting != nil {
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -19,6 +19,8 @@
 	Tried []string
 	// Patience is how long the request may wait at a replica; zero: without end.
 	Patience time.Duration
+	// PromptTokens is the length of the prompt; zero if it is not known.
+	PromptTokens int
 }
 
 // Miss says why no replica can take a request now.
@@ -45,16 +47,33 @@
 	Address  string
 	Inflight int // of this daemon there, this one excluded
 	began    time.Time
+	reading  int // tokens of the prompt, until the replica has read it
 	replica  *Replica
 	fleet    *Directory
 }
 
+// Read notes that the replica has read the prompt: the answer has begun.
+func (p *Pick) Read() {
+	p.fleet.mutex.Lock()
+	defer p.fleet.mutex.Unlock()
+	p.read()
+}
+
+// read is Read; the directory's mutex is held.
+func (p *Pick) read() {
+	p.replica.reading -= p.reading
+	p.reading = 0
+}
+
 // Costs of a candidate, in requests that run there already.
 const (
 	costOtherZone    = 0.7
 	costNotOwner     = 0.5 // another replica has the prompt's prefix
 	costFailureShare = 12.0
 	costTie          = 0.5
+	// costPerToken is the cost of each token of a prompt that is being read: reading holds
+	// up all that runs beside it.
+	costPerToken = 1.0 / 50
 )
 
 // Choose returns the best replica for a request, or why there is none.
@@ -74,8 +93,9 @@
 			best, lowest = candidate, cost
 		}
 	}
-	pick := &Pick{ID: best.ID, Address: best.Address, Inflight: best.inflight, began: now, replica: best, fleet: d}
+	pick := &Pick{ID: best.ID, Address: best.Address, Inflight: best.inflight, began: now, reading: ask.PromptTokens, replica: best, fleet: d}
 	best.inflight++
+	best.reading += ask.PromptTokens
 	return pick, Found
 }
 
@@ -176,7 +196,7 @@
 
 // cost weighs a candidate; the lowest is chosen.
 func (d *Directory) cost(candidate *Replica, ask Ask, owner *Replica, now time.Time) float64 {
-	cost := float64(d.load(candidate, now)) + costFailureShare*candidate.health.failureShare + costTie*d.random()
+	cost := float64(d.load(candidate, now)) + costPerToken*float64(candidate.reading) + costFailureShare*candidate.health.failureShare + costTie*d.random()
 	if candidate.Zone != d.zone {
 		cost += costOtherZone
 	}
@@ -207,6 +227,7 @@
 	p.fleet.mutex.Lock()
 	defer p.fleet.mutex.Unlock()
 	p.replica.inflight--
+	p.read()
 	switch result {
 	case Answered:
 		p.replica.health.answered(false)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -71,6 +71,7 @@
 	entryAt     time.Time // when the registry's word came
 	inflight    int       // requests of this daemon
 	others      int       // requests of other daemons, as last told
+	reading     int       // tokens of this daemon's prompts that are being read there
 	health      health
 	confirmed   *Confirmation // nil if the holder of load orders said nothing
 	confirmedAt time.Time
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -67,6 +67,24 @@
 	require.Equal(t, first.ID, later.ID, "a resting replica is better than none")
 }
 
+// Reading a prompt holds up all that runs beside it: a long one weighs more than the
+// requests that are being answered.
+func TestARequestAvoidsReplicasThatReadLongPrompts(t *testing.T) {
+	directory := directoryOf(press("r1", "a", nil), press("r2", "a", nil))
+	long, _ := directory.Choose(Ask{Service: "press", PromptTokens: 6000}, start)
+	for range 10 {
+		pick, _ := directory.Choose(Ask{Service: "press", PromptTokens: 10}, start)
+		require.NotEqual(t, long.ID, pick.ID)
+		pick.Read()
+	}
+	long.Read()
+	pick, _ := directory.Choose(Ask{Service: "press", PromptTokens: 10}, start)
+	require.Equal(t, long.ID, pick.ID, "it has been read")
+	long.Release(Answered, Target{}, start)
+	pick.Release(Answered, Target{}, start)
+	require.Zero(t, directory.members[long.ID].reading)
+}
+
 func TestTheSamePrefixGoesToTheSameReplicaWhileItIsNotBusier(t *testing.T) {
 	directory := directoryOf(press("r1", "a", nil), press("r2", "a", nil), press("r3", "a", nil))
 	ask := Ask{Service: "press", Prefix: "91bd"}
