A stop serves what comes on connections taken before it

Ruled out: the deadline, the replica (none reached), the end of the stop's time (8 s).

Change: the stop does not use Shutdown. It closes the listener once no connection waits to be accepted, serves what comes on the others, closes those that rest, and ends when none holds a request. The override of Close is gone; a test of it asserted that net/http's close is ignored, now it asserts that closing the resting spares a connection with a request, which is what holds.

Two tests failed before: a connection in the backlog (reset), and one that was accepted (no answer).

--- a/node/callerconn.go
+++ b/node/callerconn.go
@@ -16,7 +16,6 @@
 // byte of a request to net/http, and one that gave any is not closed as idle.
 type callerConn struct {
 	net.Conn
-	leaving func() bool // the daemon leaves
 	mutex   sync.Mutex
 	reading bool // bytes of a request were read, and its handler has not ended
 	closed  bool // as idle
@@ -54,15 +53,11 @@
 	}
 }
 
-// Close implements net.Conn. While the daemon leaves, net/http closes what it takes for
-// idle; a connection on which a request has begun stays open until its answer is out.
-func (c *callerConn) Close() error {
+// taken tells whether bytes of a request were read that has no whole answer yet.
+func (c *callerConn) taken() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.reading && c.leaving() {
-		return nil
-	}
-	return c.Conn.Close()
+	return c.reading
 }
 
 // CloseWrite closes the connection's sending side, as net/http does before it closes a
@@ -75,10 +70,7 @@
 }
 
 // callerListener makes callers' connections.
-type callerListener struct {
-	net.Listener
-	leaving func() bool
-}
+type callerListener struct{ net.Listener }
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
@@ -86,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: conn, leaving: l.leaving}, nil
+	return &callerConn{Conn: conn}, nil
 }
 
 type connKey struct{}
@@ -96,15 +88,13 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
-// serving counts requests and notes their ends; while the daemon leaves, answers say
+// serving notes the ends of requests; while the daemon leaves, answers say
 // that the connection closes.
 func (f *frontend) serving(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if conn, known := request.Context().Value(connKey{}).(*callerConn); known {
 			defer conn.rest()
 		}
-		f.running.Add(1)
-		defer f.running.Add(-1)
 		next.ServeHTTP(&leavingWriter{ResponseWriter: writer, front: f}, request)
 	})
 }
--- a/node/frontend.go
+++ b/node/frontend.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/finchspoke/finchspoke/routing"
 	"github.com/finchspoke/finchspoke/sleep"
 	"github.com/finchspoke/finchspoke/transport"
@@ -27,23 +29,32 @@
 	turnAway = 3 * time.Second
 	// drainCheck is the time between looks at whether requests still run.
 	drainCheck = 20 * time.Millisecond
+	// firstByteTime is how long a connection that a leaving daemon accepted last may take
+	// to bring its request.
+	firstByteTime = time.Second
 )
 
 // frontend serves callers. It is a suture service.
 type frontend struct {
-	listener net.Listener
-	server   *http.Server
-	routes   *routing.Store
-	leaving  atomic.Bool
-	running  atomic.Int64 // requests in the handler
-	turnAway time.Duration
-	mutex    sync.Mutex
-	idle     map[net.Conn]time.Time // since when
+	accepting net.Listener // whose backlog is looked at
+	listener  net.Listener
+	server    *http.Server
+	routes    *routing.Store
+	leaving   atomic.Bool
+	turnAway  time.Duration
+	mutex     sync.Mutex
+	conns     map[*callerConn]connPhase // that are open
+}
+
+// connPhase is what net/http does with a connection.
+type connPhase struct {
+	state http.ConnState
+	since time.Time
 }
 
 func newFrontend(listener net.Listener, handler http.Handler, routes *routing.Store) *frontend {
-	created := &frontend{routes: routes, idle: map[net.Conn]time.Time{}, turnAway: turnAway}
-	created.listener = callerListener{listener, created.stopping}
+	created := &frontend{accepting: listener, routes: routes, conns: map[*callerConn]connPhase{}, turnAway: turnAway}
+	created.listener = callerListener{listener}
 	created.server = &http.Server{
 		Handler: created.serving(handler), ConnContext: withConn, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, ConnState: created.track,
 		DisableGeneralOptionsHandler: true,
@@ -51,53 +62,57 @@
 	return created
 }
 
-// track keeps the connections that rest.
+// track follows what net/http does with each connection.
 func (f *frontend) track(conn net.Conn, state http.ConnState) {
+	caller, known := conn.(*callerConn)
+	if !known {
+		return
+	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if state == http.StateIdle {
-		f.idle[conn] = time.Now()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(f.conns, caller)
 		return
 	}
-	delete(f.idle, conn)
+	f.conns[caller] = connPhase{state: state, since: time.Now()}
 }
 
 // sweep closes connections that have rested longer than the table allows, or all that
 // rest while the daemon leaves.
 func (f *frontend) sweep(now time.Time) {
 	if f.stopping() {
-		f.closeResting() // answers begun before the stop did not say so
+		f.closeResting(0, now) // answers begun before the stop did not say so
 		return
 	}
-	table := f.routes.Current()
-	if table == nil || table.Limits.IdleTimeout <= 0 {
-		return
+	if table := f.routes.Current(); table != nil && table.Limits.IdleTimeout > 0 {
+		f.closeResting(time.Duration(idleSlack*float64(table.Limits.IdleTimeout)), now)
 	}
-	longest := time.Duration(idleSlack * float64(table.Limits.IdleTimeout))
+}
+
+// closeResting closes the connections that have rested longer than a time, unless a
+// request has begun to come on them.
+func (f *frontend) closeResting(longest time.Duration, now time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	for conn, since := range f.idle {
-		if now.Sub(since) > longest {
-			delete(f.idle, conn)
-			closeIdle(conn)
+	for conn, phase := range f.conns {
+		if phase.state == http.StateIdle && now.Sub(phase.since) >= longest {
+			conn.closeIdle()
 		}
 	}
 }
 
-// closeIdle closes a connection unless a request has begun to come on it.
-func closeIdle(conn net.Conn) {
-	if caller, known := conn.(*callerConn); known {
-		caller.closeIdle()
-	}
-}
-
-// closeResting closes all connections that rest.
-func (f *frontend) closeResting() {
+// unanswered tells whether a connection holds a request without a whole answer, or is so
+// new that its request may be on its way.
+func (f *frontend) unanswered(now time.Time) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	for conn := range f.idle {
-		closeIdle(conn)
+	for conn, phase := range f.conns {
+		isNew := phase.state == http.StateNew && now.Sub(phase.since) < firstByteTime
+		if isNew || phase.state == http.StateActive || conn.taken() {
+			return true
+		}
 	}
+	return false
 }
 
 // String names the service in the supervisor's events.
@@ -120,18 +135,19 @@
 
 // drain makes the daemon not ready, serves what still comes for a while, and waits
 // for what runs.
+//
+// net/http's own Shutdown is not used: it closes connections whose next request was just
+// read, and leaves a request without an answer whose headers it reads after it began.
 func (f *frontend) drain(ctx context.Context) error {
-	f.leaving.Store(true)
-	// Answers carry Connection: close from now on, so callers move by themselves. What
-	// net/http offers for it closes connections whose next request was just read.
-	f.closeResting()
+	f.leaving.Store(true) // answers say from now on that the connection closes
+	f.closeResting(0, time.Now())
 	sleep.For(ctx, f.turnAway)
-	f.closeResting()
-	if err := f.server.Shutdown(ctx); err != nil {
-		return err
+	awaitAccepted(ctx, f.accepting)
+	if err := f.listener.Close(); err != nil {
+		return errors.Wrap(err, "close the callers' listener")
 	}
-	// Requests whose connections net/http took for idle are not waited for by it.
-	for f.running.Load() > 0 && sleep.For(ctx, drainCheck) {
+	for f.unanswered(time.Now()) && sleep.For(ctx, drainCheck) {
+		f.closeResting(0, time.Now())
 	}
 	sleep.For(ctx, drainCheck) // for the last answers to leave
 	return ctx.Err()
--- a/transport/callers.go
+++ b/transport/callers.go
@@ -9,7 +9,8 @@
 )
 
 // ServeCallers serves callers over HTTP until ctx ends, and then at once no longer. A
-// server that was shut down before, as a planned stop does, rests until then.
+// server that was shut down before, or whose listener was closed, as a planned stop does,
+// rests until then.
 func ServeCallers(ctx context.Context, server *http.Server, listener net.Listener) error {
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
@@ -19,7 +20,7 @@
 		<-failed
 		return ctx.Err()
 	case err := <-failed:
-		if errors.Is(err, http.ErrServerClosed) {
+		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 			<-ctx.Done() // drained
 			return ctx.Err()
 		}
