The holder of orders rests four times as long as a round takes

Change: after a round the holder rests four times as long as the round took, so decisions use a fifth of the processor at most; what wakes it meanwhile is decided together.

--- a/loader/holder.go
+++ b/loader/holder.go
@@ -18,6 +18,7 @@
 	"github.com/finchspoke/finchspoke/loading"
 	"github.com/finchspoke/finchspoke/routing"
 	"github.com/finchspoke/finchspoke/rpc"
+	"github.com/finchspoke/finchspoke/sleep"
 )
 
 // Answer is what a replica says to an order.
@@ -67,6 +68,10 @@
 	tick = 250 * time.Millisecond
 	// leastRest is the least time between two rounds that nothing woke.
 	leastRest = 5 * time.Millisecond
+	// restShare is how long the holder rests after a round, in times of what the round took:
+	// on a small machine with many replicas rounds would follow each other without end, and
+	// answers and reports would wait.
+	restShare = 4
 	// orderTimeout bounds an order, which a replica answers before it carries it out.
 	orderTimeout = 300 * time.Millisecond
 	// reportTimeout bounds a report.
@@ -192,7 +197,9 @@
 // Serve implements suture.Service.
 func (h *Holder) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		h.turn(ctx, time.Now())
+		began := time.Now()
+		h.turn(ctx, began)
+		sleep.For(ctx, restShare*time.Since(began))
 		timer := time.NewTimer(h.untilNext(time.Now()))
 		select {
 		case <-ctx.Done():
