--- a/command/explain_logs.go
+++ b/command/explain_logs.go
@@ -15,7 +15,7 @@
 // explainLogsCommand tells a request's story from log lines.
 type explainLogsCommand struct {
 	cli.Output
-	File     string `long:"file" description:"file with the log lines of one or more daemons; standard input if left out"`
+	logFileOption
 	Argument struct {
 		ID string `positional-arg-name:"REQUEST-ID" description:"a request's id, or how it begins; without one, all failed requests are counted"`
 	} `positional-args:"yes"`
@@ -46,7 +46,12 @@
 	})
 }
 
-func (c *explainLogsCommand) read() ([]logstory.Line, error) {
+// logFileOption names the log that a command reads.
+type logFileOption struct {
+	File string `long:"file" description:"file with the log lines of one or more daemons; standard input if left out"`
+}
+
+func (c *logFileOption) read() ([]logstory.Line, error) {
 	if c.File == "" {
 		return logstory.Read(os.Stdin)
 	}
--- a/core/core.go
+++ b/core/core.go
@@ -219,11 +219,23 @@
 	lastEvent string   // id of the last event that went to the caller
 	waited    time.Duration
 	estimate  time.Duration // of the first wait; zero if the call did not wait
+	miss      fleet.Miss    // why the call first waited; Found if it did not
 	firstByte time.Duration // from the arrival; zero before it
 	lastWrite time.Time
 	longest   time.Duration // pause between two parts of the answer
 	lastID    string        // of the replica dispatched to last
-	pick      *fleet.Pick   // of the present dispatch, until its answer begins
+	// failedStatus is that of a replica's own failure that went to the caller; zero
+	// without one.
+	failedStatus int
+	pick         *fleet.Pick // of the present dispatch, until its answer begins
+}
+
+// waitReason names why the call first waited; empty if it did not.
+func (r *run) waitReason() string {
+	if r.miss == fleet.Found {
+		return ""
+	}
+	return r.miss.String()
 }
 
 // wrote notes that a part of the answer went to the caller.
@@ -315,7 +327,7 @@
 
 // passOn answers with a replica's own failure.
 func (c *Core) passOn(running *run, held *heldReply) *failure.Error {
-	running.began = true
+	running.began, running.failedStatus = true, held.status
 	running.caller.Begin(held.status, held.header, int64(len(held.body)))
 	if err := running.caller.Write(held.body); err != nil {
 		return callerLeft(err, running.life.Execution())
--- a/core/log.go
+++ b/core/log.go
@@ -61,6 +61,8 @@
 		logging.Replica: running.lastID, logging.WaitedMs: running.waited.Milliseconds(), logging.EstimateMs: running.estimate.Milliseconds(),
 		logging.FirstByteMs: running.firstByte.Milliseconds(), logging.LongestPauseMs: running.longest.Milliseconds(),
 		logging.DurationMs: time.Since(running.Arrived).Milliseconds(), logging.ConfigVersion: running.Version,
+		logging.ObjectiveMs: running.Route.Objective.Milliseconds(), logging.GapTargetMs: running.Route.MaxGap.Milliseconds(),
+		logging.Priority: running.Route.Priority, logging.PromptTokens: running.PromptTokens, logging.WaitReason: running.waitReason(), logging.FailedStatus: running.failedStatus,
 	})
 	if failed != nil {
 		outcome, execution = string(failed.Kind), failed.Execution
--- a/core/wait.go
+++ b/core/wait.go
@@ -145,6 +145,9 @@
 			if decision.wait && running.estimate == 0 {
 				running.estimate = decision.readyIn
 			}
+			if running.miss == fleet.Found {
+				running.miss = miss
+			}
 			c.logWait(running, miss, decision)
 		}
 		if !decision.wait {
--- a/logging/fields.go
+++ b/logging/fields.go
@@ -41,4 +41,10 @@
 	Revision       = "revision"
 	Dropped        = "dropped"
 	LeftOut        = "left_out"
+	ObjectiveMs    = "objective_ms"
+	GapTargetMs    = "gap_target_ms"
+	Priority       = "priority"
+	PromptTokens   = "prompt_tokens"
+	WaitReason     = "wait_reason"
+	FailedStatus   = "failed_status"
 )
