--- a/loader/holder.go
+++ b/loader/holder.go
@@ -72,6 +72,9 @@
 	// on a small machine with many replicas rounds would follow each other without end, and
 	// answers and reports would wait.
 	restShare = 4
+	// settleTime is how long no replica came that was not known before it is thought that
+	// all are known: they enter the registry one after the other.
+	settleTime = 2 * time.Second
 	// orderTimeout bounds an order, which a replica answers before it carries it out.
 	orderTimeout = 300 * time.Millisecond
 	// reportTimeout bounds a report.
@@ -113,6 +116,7 @@
 	fetches     loading.Fetches
 	daemons     map[string]*daemonDemand
 	rates       map[demand.Key]*rate
+	grewAt      time.Time // when a replica was last seen for the first time
 	attached    int
 	attachedMax int
 	version     uint64
@@ -233,7 +237,7 @@
 	if fence == 0 || h.Table.Current() == nil {
 		return
 	}
-	h.refreshStates()
+	h.refreshStates(now)
 	h.refreshRunning(now)
 	if !h.mayOrder(standing, now) {
 		return
@@ -289,7 +293,7 @@
 }
 
 // refreshStates takes in what the registry says of replicas; the mutex is held.
-func (h *Holder) refreshStates() {
+func (h *Holder) refreshStates(now time.Time) {
 	table := h.Table.Current()
 	seen := map[string]bool{}
 	for _, entry := range h.Fleet.Entries() {
@@ -303,6 +307,7 @@
 			// From now on the replica's own reports tell what it holds and keeps.
 			state = &loading.Replica{ID: entry.ID, Service: entry.Service, Slots: entry.Slots, Holdings: entry.Holdings, InMemory: entry.InMemory, OnDisk: entry.OnDisk}
 			h.states[entry.ID] = state
+			h.grewAt = now
 		}
 		state.Draining = entry.Draining
 	}
@@ -327,6 +332,7 @@
 	h.window.Most = int(storeShare * (perSecond*h.Limits.Window.Seconds()*h.Limits.Slack + float64(h.Limits.Extra)))
 	snapshot.StoreLoads = h.window.Allowed(now)
 	snapshot.StoreAtOnce = h.fetches.Pace.AtOnce()
+	snapshot.Settled = now.Sub(h.grewAt) > settleTime
 	for _, id := range sortedIDs(h.states) {
 		state := h.states[id]
 		state.Running = int(h.running.total[id])
--- a/loading/fetch.go
+++ b/loading/fetch.go
@@ -64,8 +64,8 @@
 // fetchAhead loads models that no replica keeps, while the weight store has room: a
 // request for one would wait many times longer than for one that is kept.
 func (p *planner) fetchAhead() {
-	if !p.allKnown() {
-		return // one that was not heard yet may keep them
+	if !p.Settled || !p.allKnown() {
+		return // a replica that is not known yet may keep them
 	}
 	mayFetch := int(fetchShare*float64(len(p.places))) - p.busyPlaces()
 	for _, need := range p.absentModels() {
--- a/loading/fetch_test.go
+++ b/loading/fetch_test.go
@@ -90,6 +90,16 @@
 	require.Empty(t, Decide(snapshot(nil, replica("r1", "m0"), unheard)))
 }
 
+// Seen before traffic: replicas entered the registry within 2 s, and until then models
+// that the last ones kept were loaded from the store, pushing out what others kept.
+func TestNothingIsFetchedAheadWhileReplicasStillEnterTheRegistry(t *testing.T) {
+	made := snapshot(nil, replica("r1", "m0"), replica("r2", "m1"))
+	made.Settled = false
+	require.Empty(t, Decide(made))
+	made.Settled = true
+	require.NotEmpty(t, Decide(made))
+}
+
 func TestFetchesAheadLeaveHalfOfTheReplicasForOthers(t *testing.T) {
 	orders := Decide(snapshot(nil, replica("r1"), replica("r2"), replica("r3"), replica("r4")))
 	require.Len(t, orders, 2)
--- a/loading/loading.go
+++ b/loading/loading.go
@@ -172,6 +172,8 @@
 	StoreLoads int
 	// StoreAtOnce is how many loads from the weight store may be under way together.
 	StoreAtOnce int
+	// Settled tells that no replica is thought to be missing from Replicas.
+	Settled bool
 }
 
 // Decide returns the orders to give now, at most one for each replica.
--- a/loading/loading_test.go
+++ b/loading/loading_test.go
@@ -40,7 +40,7 @@
 }
 
 func snapshot(asked map[demand.Key]Demand, replicas ...*Replica) Snapshot {
-	return Snapshot{Now: start, Services: map[string]*routing.Engine{"press": testEngine()}, Replicas: replicas, Demand: asked, StoreLoads: 5, StoreAtOnce: 4}
+	return Snapshot{Now: start, Services: map[string]*routing.Engine{"press": testEngine()}, Replicas: replicas, Demand: asked, StoreLoads: 5, StoreAtOnce: 4, Settled: true}
 }
 
 // decideOnDemand leaves out the loads of models that no replica keeps, which have tests
