--- a/loader/holder_test.go
+++ b/loader/holder_test.go
@@ -57,3 +57,66 @@
 	holder.Prepare()
 	require.NotPanics(t, func() { holder.turn(t.Context(), time.Now()) })
 }
+
+// recordingReplicas count the orders that they get; each says that the order is done.
+type recordingReplicas struct {
+	silentReplicas
+	orders chan loading.Order
+}
+
+func (r recordingReplicas) Order(_ context.Context, _ fleet.Entry, order loading.Order, _ string, _ int64) (Answer, error) {
+	r.orders <- order
+	return Done, nil
+}
+
+// Replicas that check no fence obey a holder of an ended term: asking them whether a load
+// has ended is an order too, and is given in a term only.
+func TestAHolderAsksByOrdersOnlyInItsTerm(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(t.Output())
+	made := election.New(election.Config{Key: "term", Daemon: "d1", Address: "a:1", TTL: 3 * time.Second}, grantingStore{}, log)
+	began := make(chan struct{})
+	made.Listen(func(holder election.Holder) {
+		if holder.Nonce != "" {
+			close(began)
+		}
+	})
+	made.Vacate()
+	go func() { _ = made.Serve(t.Context()) }()
+	<-began
+
+	table, err := routing.NewTable(routing.Revision{Version: 1, Services: []*routing.Service{{Name: "press", Engine: &routing.Engine{
+		MemoryMB: 200, Models: map[string]*routing.Model{"m1": {Name: "m1", MemoryMB: 90, StoreLoad: 4 * time.Second, DiskLoad: time.Second}},
+	}}}})
+	require.NoError(t, err)
+	routes := &routing.Store{}
+	routes.Put(table)
+	directory := fleet.NewDirectory("a", func() float64 { return 0 })
+	directory.Put(fleet.Entry{ID: "r1", Service: "press", Address: "b:1"}, time.Now())
+	replicas := recordingReplicas{orders: make(chan loading.Order, 10)}
+	holder := &Holder{
+		Daemon: "d1", Fleet: directory, Table: routes, Replicas: replicas,
+		Election: made, Metrics: NewMetrics(prometheus.NewRegistry()), Log: log, FirstStart: true,
+	}
+	holder.Prepare()
+	fence, _ := made.Term()
+	underWay := func() *loading.Replica {
+		state := &loading.Replica{ID: "r1", Service: "press", Known: true, LoadedAt: map[string]time.Time{}}
+		state.Took(loading.Order{ReplicaID: "r1", Verb: loading.Load, Target: fleet.Target{Model: "m1"}, Origin: loading.FromDisk, Takes: time.Second}, time.Now().Add(-time.Second))
+		return state
+	}
+	holder.fence = fence
+	holder.states["r1"] = underWay()
+	holder.turn(t.Context(), time.Now())
+	require.Equal(t, "m1", (<-replicas.orders).Target.Model, "asked in the term")
+	require.Eventually(t, func() bool {
+		holder.mutex.Lock()
+		defer holder.mutex.Unlock()
+		return holder.states["r1"].Holdings.Has(fleet.Target{Model: "m1"})
+	}, time.Second, time.Millisecond, "done tells that it is loaded")
+
+	holder.states["r1"] = underWay()
+	made.Deposed("a test")
+	holder.turn(t.Context(), time.Now())
+	require.Empty(t, replicas.orders)
+}
--- a/loading/pace.go
+++ b/loading/pace.go
@@ -45,18 +45,17 @@
 	}
 }
 
-// Fetch is a load from the weight store under way.
-type Fetch struct {
-	ReplicaID string
+// fetch is a load from the weight store under way.
+type fetch struct {
 	UnderWay
-	Together int // loads under way when it began, itself included
+	together int // loads under way when it began, itself included
 }
 
 // Fetches follows the loads from the weight store of all replicas and learns the
 // store's pace from them.
 type Fetches struct {
 	Pace     StorePace
-	underWay map[string]Fetch // by replica
+	underWay map[string]fetch // by replica
 }
 
 // Began takes in that a replica accepted a load from the store.
@@ -65,21 +64,21 @@
 		return
 	}
 	if f.underWay == nil {
-		f.underWay = map[string]Fetch{}
+		f.underWay = map[string]fetch{}
 	}
-	f.underWay[order.ReplicaID] = Fetch{ReplicaID: order.ReplicaID, UnderWay: UnderWay{Order: order, Since: now}, Together: len(f.underWay) + 1}
+	f.underWay[order.ReplicaID] = fetch{UnderWay: UnderWay{Order: order, Since: now}, together: len(f.underWay) + 1}
 }
 
 // Heard takes in a replica's state after its report.
 func (f *Fetches) Heard(replica *Replica, now time.Time) {
-	fetch, known := f.underWay[replica.ID]
-	if !known || replica.underWay(fetch.Target) != nil {
+	begun, known := f.underWay[replica.ID]
+	if !known || replica.underWay(begun.Target) != nil {
 		return
 	}
-	together := float64(fetch.Together+len(f.underWay)) / 2
+	together := float64(begun.together+len(f.underWay)) / 2
 	delete(f.underWay, replica.ID)
-	if _, held := replica.Holdings[fetch.Target.Model]; held {
-		f.Pace.Ended(now.Sub(fetch.Since), fetch.Takes, together)
+	if _, held := replica.Holdings[begun.Target.Model]; held {
+		f.Pace.Ended(now.Sub(begun.Since), begun.Takes, together)
 	}
 }
 
