A load's cost is worked out in steps; times of nothing in a catalogue do no harm

spotOn was long and divided by the catalogue's time of a load from the store: where that is nothing, the cost was no number and the first replica was always taken (test failed before). Behaviour is otherwise the same.

--- a/loading/fetch_test.go
+++ b/loading/fetch_test.go
@@ -198,3 +198,15 @@
 	}
 	require.Empty(t, decideOnDemand(made))
 }
+
+func TestACatalogueWithoutLoadTimesIsServed(t *testing.T) {
+	crowded := replica("r1", "m0")
+	crowded.Slots, crowded.Running = 10, 9
+	made := snapshot(waitingFor("m5", ""), crowded, replica("r2"))
+	for _, model := range made.Services["press"].Models {
+		model.StoreLoad, model.DiskLoad, model.MemoryLoad = 0, 0, 0
+	}
+	orders := decideOnDemand(made)
+	require.Len(t, orders, 1)
+	require.Equal(t, "r2", orders[0].ReplicaID)
+}
--- a/loading/models.go
+++ b/loading/models.go
@@ -149,15 +149,14 @@
 	if made.origin == FromStore && !fromStore {
 		return spot{}, false
 	}
-	made.cost = candidate.busyFor().Seconds() + made.takes.Seconds() + candidate.shared*made.takes.Seconds()/need.model.StoreLoad.Seconds()
-	made.waits = candidate.busyFor() > 0
-	missing := need.model.MemoryMB - candidate.memoryLeft
-	if other := p.byName[candidate.promised]; other != nil && other != need && !candidate.replica.Holdings.Has(fleet.Target{Model: candidate.promised}) {
+	busyFor, missing := candidate.busyFor(), need.model.MemoryMB-candidate.memoryLeft
+	if other := p.claimOf(candidate); other != nil && other != need {
 		_, takes := candidate.originOf(other)
-		made.cost += takes.Seconds()
-		made.waits = true
+		busyFor += takes
 		missing += other.model.MemoryMB
 	}
+	made.waits = busyFor > 0
+	made.cost = busyFor.Seconds() + made.takes.Seconds() + candidate.shared*need.shareOfStoreLoad(made.takes)
 	if missing <= 0 {
 		return made, true
 	}
@@ -165,17 +164,31 @@
 	if !enough {
 		return spot{}, false
 	}
-	lost := 0.0
+	made.victims = victims
+	cost, lost := costOfEviction(victims)
+	made.cost += cost + lost
+	return made, lost < value
+}
+
+// claimOf returns the model for which room on a place is kept; nil without one, or if it
+// is there.
+func (p *planner) claimOf(candidate *place) *modelNeed {
+	if _, held := candidate.replica.Holdings[candidate.promised]; held {
+		return nil
+	}
+	return p.byName[candidate.promised]
+}
+
+// costOfEviction returns the seconds that unloading models takes, and what they are worth.
+func costOfEviction(victims []victim) (cost, lost float64) {
 	for _, one := range victims {
 		lost += one.worth
-		made.cost += costEviction
+		cost += costEviction
 		if one.running > 0 {
-			made.cost += costRunsEnd
+			cost += costRunsEnd
 		}
 	}
-	made.victims = victims
-	made.cost += lost
-	return made, lost < value
+	return cost, lost
 }
 
 // originOf returns where a model would be loaded from, and how long that takes.
@@ -254,7 +267,7 @@
 		worth += worthAdapters
 	}
 	if need.successor {
-		worth += worthSuccessor * reloadTime(need, replica).Seconds() / need.model.StoreLoad.Seconds()
+		worth += worthSuccessor * need.shareOfStoreLoad(reloadTime(need, replica))
 	}
 	return worth + worthRank*math.Exp(-float64(need.model.Rank)/rankScale)
 }
@@ -268,10 +281,18 @@
 	return need.model.StoreLoad
 }
 
+// shareOfStoreLoad returns a time as a share of that of a load from the weight store.
+func (n *modelNeed) shareOfStoreLoad(takes time.Duration) float64 {
+	if n.model.StoreLoad <= 0 {
+		return 1
+	}
+	return takes.Seconds() / n.model.StoreLoad.Seconds()
+}
+
 // loadShare returns how long a load of the model takes, as a share of one from the store.
 func (n *modelNeed) loadShare() float64 {
 	if n.cached && n.model.DiskLoad > 0 {
-		return n.model.DiskLoad.Seconds() / n.model.StoreLoad.Seconds()
+		return n.shareOfStoreLoad(n.model.DiskLoad)
 	}
 	return 1
 }
