The judge of tests prints its counts and takes no result for a failure

It printed nothing when all was green, and took a package as judged when one listed test failed in it: a panic, or the end of the package's time, behind that hid tests that never ended. It now prints passed, failed and skipped tests, and counts one that began and has no result as failed. A test of that failed before.

--- a/lab/knownred/knownred.go
+++ b/lab/knownred/knownred.go
@@ -65,18 +65,29 @@
 type Verdict struct {
 	// Known are listed tests that failed, Mended listed tests that passed.
 	Known, Mended []Entry
-	// Failed are tests that failed and are not listed, and packages that failed though
-	// none of their tests did.
+	// Failed are tests that failed, or never ended, and are not listed, and packages that
+	// failed though none of their tests did.
 	Failed []string
+	// Counts are of whole tests, without their parts.
+	Counts Counts
 	output map[string]string // of what failed
 }
 
+// Counts are how the tests of a run ended.
+type Counts struct{ Passed, Failed, Skipped int }
+
+// String returns the counts as they are printed.
+func (c Counts) String() string {
+	return fmt.Sprintf("%d passed, %d failed, %d skipped", c.Passed, c.Failed, c.Skipped)
+}
+
 // Good tells whether only listed tests failed.
 func (v *Verdict) Good() bool { return len(v.Failed) == 0 }
 
 // Judge reads the output of `go test -json ./...`.
 func Judge(run io.Reader, entries []Entry) (*Verdict, error) {
 	results, output := map[string]string{}, map[string]string{}
+	begun := map[string]string{}     // package of each test that began
 	failedTests := map[string]bool{} // packages with one
 	decoder := json.NewDecoder(run)
 	for {
@@ -92,6 +103,12 @@
 		switch read.Action {
 		case "output":
 			output[name] += read.Output
+		case "run":
+			begun[name] = read.Package
+		case "skip":
+			if !strings.Contains(read.Test, partOf) {
+				results[name] = read.Action
+			}
 		case "pass", "fail":
 			results[name] = read.Action
 			failedTests[read.Package] = failedTests[read.Package] || read.Test != "" && read.Action == "fail"
@@ -100,16 +117,45 @@
 	if len(results) == 0 {
 		return nil, failure.New(failure.InvalidConfig, "pass the output of `go test -json` on standard input", "the run holds no results")
 	}
-	return verdictOf(results, output, failedTests, entries), nil
+	for name, itsPackage := range begun {
+		if results[name] == "" {
+			// A panic, or the end of the time for its package, came first.
+			results[name] = "fail"
+			output[name] += "began and has no result\n"
+			failedTests[itsPackage] = true
+		}
+	}
+	verdict := verdictOf(results, output, failedTests, entries)
+	verdict.Counts = countOf(results, begun)
+	return verdict, nil
+}
+
+// countOf counts the tests that began.
+func countOf(results, begun map[string]string) Counts {
+	var counts Counts
+	for name := range begun {
+		switch results[name] {
+		case "pass":
+			counts.Passed++
+		case "fail":
+			counts.Failed++
+		case "skip":
+			counts.Skipped++
+		}
+	}
+	return counts
 }
 
+// partOf parts the name of a test from that of a part of it.
+const partOf = "/"
+
 // nameOf returns the name of the package, or of the test with its package. Subtests go
 // by the test that holds them.
 func nameOf(read event) string {
 	if read.Test == "" {
 		return read.Package
 	}
-	test, _, _ := strings.Cut(read.Test, "/")
+	test, _, _ := strings.Cut(read.Test, partOf)
 	return read.Package + "." + test
 }
 
@@ -145,4 +191,5 @@
 	for _, name := range v.Failed {
 		_, _ = fmt.Fprintf(writer, "FAILED: %s\n%s", name, v.output[name])
 	}
+	_, _ = fmt.Fprintln(writer, v.Counts)
 }
--- a/lab/knownred/knownred_test.go
+++ b/lab/knownred/knownred_test.go
@@ -29,7 +29,36 @@
 	require.True(t, verdict.Good())
 	var out bytes.Buffer
 	verdict.Write(&out)
-	require.Equal(t, "known red: mod/a.TestRed: the queue forgets (issue 9)\npasses now: mod/a.TestMended; take its line out of the list\n", out.String())
+	require.Equal(t, "known red: mod/a.TestRed: the queue forgets (issue 9)\npasses now: mod/a.TestMended; take its line out of the list\n0 passed, 0 failed, 0 skipped\n", out.String())
+}
+
+// A panic of a listed test ends the tests behind it; they were taken as judged.
+func TestATestThatBeganAndNeverEndedFailsTheRun(t *testing.T) {
+	verdict := judged(t, `{"Action":"run","Package":"mod/a","Test":"TestRed"}
+{"Action":"run","Package":"mod/a","Test":"TestBehind"}
+{"Action":"run","Package":"mod/a","Test":"TestBehind/part"}
+{"Action":"fail","Package":"mod/a","Test":"TestRed"}
+{"Action":"fail","Package":"mod/a"}
+`)
+	require.Equal(t, []string{"mod/a.TestBehind"}, verdict.Failed)
+	require.Equal(t, Counts{Failed: 2}, verdict.Counts)
+	var out bytes.Buffer
+	verdict.Write(&out)
+	require.Contains(t, out.String(), "began and has no result")
+}
+
+func TestTheVerdictCountsWholeTests(t *testing.T) {
+	verdict := judged(t, `{"Action":"run","Package":"mod/a","Test":"TestMended"}
+{"Action":"run","Package":"mod/a","Test":"TestMended/part"}
+{"Action":"skip","Package":"mod/a","Test":"TestMended/part"}
+{"Action":"pass","Package":"mod/a","Test":"TestMended"}
+{"Action":"run","Package":"mod/a","Test":"TestSkipped"}
+{"Action":"skip","Package":"mod/a","Test":"TestSkipped"}
+{"Action":"pass","Package":"mod/a"}
+{"Action":"skip","Package":"mod/without-tests"}
+`)
+	require.True(t, verdict.Good())
+	require.Equal(t, "1 passed, 0 failed, 1 skipped", verdict.Counts.String())
 }
 
 func TestWhatIsNotListedFailsTheRunWithItsOutput(t *testing.T) {
