A stop waits until every accepted connection is noted

Ruled out: the backlog (empty), the stop's time (8 s).

Change: after closing the listener the stop waits until Accept has failed; net/http notes each connection before it accepts the next. A test that holds a connection back for 0.1 s failed before.

--- a/node/backlog_test.go
+++ b/node/backlog_test.go
@@ -79,6 +79,46 @@
 	require.False(t, hasBacklog(listener))
 }
 
+// heldListener gives each connection some time after it was accepted.
+type heldListener struct {
+	net.Listener
+	pause time.Duration
+}
+
+func (l heldListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		time.Sleep(l.pause)
+	}
+	return conn, err
+}
+
+// Seen once in a hunt (hunt-cd50-123, lantern-core): a request came 3.001 s after SIGTERM
+// on a connection that had been accepted and was not noted yet; the process ended 23 ms
+// later, while a replica had the request.
+func TestAStopWaitsForAConnectionThatWasAcceptedJustBefore(t *testing.T) {
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var served atomic.Bool
+	front := newFrontend(heldListener{plain, 100 * time.Millisecond}, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		served.Store(true)
+		_, _ = fmt.Fprint(writer, "whole")
+	}), &routing.Store{})
+	front.turnAway = 0
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go func() { _ = front.Serve(ctx) }()
+
+	conn, err := net.Dial("tcp", plain.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return !hasBacklog(plain) }, time.Second, time.Millisecond)
+	require.NoError(t, front.drain(ctx))
+	require.True(t, served.Load(), "the stop ended before the request was served")
+}
+
 // net/http's Shutdown reads such a request and drops it.
 func TestAStopServesARequestThatComesAfterItOnANewConnection(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/node/callerconn.go
+++ b/node/callerconn.go
@@ -70,12 +70,22 @@
 }
 
 // callerListener makes callers' connections.
-type callerListener struct{ net.Listener }
+type callerListener struct {
+	net.Listener
+	once  sync.Once
+	ended chan struct{} // closed when no connection is accepted any more
+}
+
+func newCallerListener(listener net.Listener) *callerListener {
+	return &callerListener{Listener: listener, ended: make(chan struct{})}
+}
 
-// Accept implements net.Listener.
-func (l callerListener) Accept() (net.Conn, error) {
+// Accept implements net.Listener. net/http notes each connection before it asks for the
+// next, so it has noted all when Accept fails.
+func (l *callerListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
+		l.once.Do(func() { close(l.ended) })
 		return nil, err
 	}
 	return &callerConn{Conn: conn}, nil
--- a/node/frontend.go
+++ b/node/frontend.go
@@ -37,7 +37,7 @@
 // frontend serves callers. It is a suture service.
 type frontend struct {
 	accepting net.Listener // whose backlog is looked at
-	listener  net.Listener
+	listener  *callerListener
 	server    *http.Server
 	routes    *routing.Store
 	leaving   atomic.Bool
@@ -54,7 +54,7 @@
 
 func newFrontend(listener net.Listener, handler http.Handler, routes *routing.Store) *frontend {
 	created := &frontend{accepting: listener, routes: routes, conns: map[*callerConn]connPhase{}, turnAway: turnAway}
-	created.listener = callerListener{listener}
+	created.listener = newCallerListener(listener)
 	created.server = &http.Server{
 		Handler: created.serving(handler), ConnContext: withConn, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, ConnState: created.track,
 		DisableGeneralOptionsHandler: true,
@@ -146,6 +146,10 @@
 	if err := f.listener.Close(); err != nil {
 		return errors.Wrap(err, "close the callers' listener")
 	}
+	select {
+	case <-f.listener.ended:
+	case <-ctx.Done():
+	}
 	for f.unanswered(time.Now()) && sleep.For(ctx, drainCheck) {
 		f.closeResting(0, time.Now())
 	}
