A decision on loads looks at the places that matter for a model

Change: places are listed with each model that they hold, keep, load or have room for; a load from the store still looks at all of them, but not at what costs more than the best so far.

--- a/loading/adapters.go
+++ b/loading/adapters.go
@@ -85,15 +85,18 @@
 
 // adapterSpot returns the replica that suits an adapter best, or nil.
 func (p *planner) adapterSpot(target fleet.Target) *Replica {
+	need := p.byName[target.Model]
+	if need == nil {
+		return nil // not declared any more
+	}
 	var best *Replica
 	bestUsed, bestScore := 0, uint64(0)
-	for _, candidate := range p.places {
+	for _, candidate := range need.holders {
 		if candidate.freeIn > 0 {
 			continue
 		}
 		replica := candidate.replica
-		_, held := replica.Holdings[target.Model]
-		if !held || unloading(replica, target.Model) || replica.Holdings.Has(target) || adaptersComing(replica) >= mostAdaptersComing {
+		if unloading(replica, target.Model) || replica.Holdings.Has(target) || adaptersComing(replica) >= mostAdaptersComing {
 			continue
 		}
 		// Full replicas are equal; among the others the emptiest is best, so that
--- a/loading/bench_test.go
+++ b/loading/bench_test.go
@@ -35,7 +35,7 @@
 }
 
 func BenchmarkDecide(b *testing.B) {
-	for _, size := range []struct{ replicas, models, adapters int }{{12, 44, 2}, {140, 481, 2}, {300, 880, 4}} {
+	for _, size := range []struct{ replicas, models, adapters int }{{12, 44, 2}, {140, 481, 2}, {300, 880, 4}, {1200, 880, 4}} {
 		made := largeSnapshot(size.replicas, size.models, size.adapters)
 		b.Run(fmt.Sprintf("%d replicas", size.replicas), func(b *testing.B) {
 			for b.Loop() {
--- a/loading/fetch.go
+++ b/loading/fetch.go
@@ -41,18 +41,17 @@
 	if need.copies == 0 {
 		return p.fetching < p.StoreAtOnce
 	}
-	if p.keptElsewhere(need) {
+	if need.keptElsewhere() {
 		return false // sooner or later a replica that keeps the weights loads them
 	}
 	return float64(p.fetching) < furtherShare*float64(p.StoreAtOnce)
 }
 
 // keptElsewhere tells whether a replica that does not hold the model keeps its weights.
-func (p *planner) keptElsewhere(need *modelNeed) bool {
-	return slices.ContainsFunc(p.places, func(one *place) bool {
-		origin, _ := one.originOf(need)
-		_, held := one.replica.Holdings[need.model.Name]
-		return origin != FromStore && !held
+func (n *modelNeed) keptElsewhere() bool {
+	return slices.ContainsFunc(n.keepers, func(kept keeper) bool {
+		_, held := kept.place.replica.Holdings[n.model.Name]
+		return !held
 	})
 }
 
@@ -86,7 +85,7 @@
 func (p *planner) absentModels() []*modelNeed {
 	var absent []*modelNeed
 	for _, need := range p.models {
-		if !need.cached && need.copies == 0 && !p.roomIsComing(need) {
+		if !need.cached && need.copies == 0 && !need.roomIsComing() {
 			absent = append(absent, need)
 		}
 	}
--- a/loading/loading.go
+++ b/loading/loading.go
@@ -191,15 +191,7 @@
 	planner.fetching = storeLoadsUnderWay(snapshot.Replicas)
 	for _, service := range sortedKeys(snapshot.Services) {
 		planner.service, planner.engine = service, snapshot.Services[service]
-		planner.meant = meantFor(service, snapshot.Replicas)
-		planner.models = planner.modelNeeds()
-		planner.byName = make(map[string]*modelNeed, len(planner.models))
-		for _, need := range planner.models {
-			planner.byName[need.model.Name] = need
-		}
-		planner.places = planner.listPlaces()
-		planner.adapters = planner.countAdapters()
-		planner.markCached()
+		planner.prepare()
 		planner.loadAdapters()
 		planner.loadModels()
 		planner.fetchAhead()
@@ -208,6 +200,18 @@
 	return planner.orders
 }
 
+// prepare works out, for the service, what the choices among its models and places need.
+func (p *planner) prepare() {
+	p.meant = meantFor(p.service, p.Replicas)
+	p.models = p.modelNeeds()
+	p.byName = make(map[string]*modelNeed, len(p.models))
+	for _, need := range p.models {
+		p.byName[need.model.Name] = need
+	}
+	p.listPlaces()
+	p.adapters = p.countAdapters()
+}
+
 type planner struct {
 	Snapshot
 	service  string
@@ -216,6 +220,7 @@
 	models   []*modelNeed
 	byName   map[string]*modelNeed
 	places   []*place             // of the service
+	placeOf  map[*Replica]*place  // the same, by replica
 	fetching int                  // loads from the weight store under way
 	adapters map[fleet.Target]int // copies of each adapter, those being loaded included
 	orders   []Order
@@ -225,11 +230,7 @@
 func (p *planner) give(replica *Replica, order Order) {
 	order.ReplicaID, order.Sequence = replica.ID, replica.Sequence
 	p.orders = append(p.orders, order)
-	for _, one := range p.places {
-		if one.replica == replica {
-			one.order(order.Takes)
-		}
-	}
+	p.placeOf[replica].order(order.Takes)
 	if order.Verb == Load && !order.ForModel() {
 		p.adapters[order.Target]++
 	}
--- a/loading/models.go
+++ b/loading/models.go
@@ -19,38 +19,10 @@
 	}
 }
 
-// markCached notes of which models some replica holds or keeps the weights, or loads
-// them.
-func (p *planner) markCached() {
-	for _, one := range p.places {
-		for name := range one.replica.Holdings {
-			p.mark(name)
-		}
-		for _, name := range one.replica.InMemory {
-			p.mark(name)
-		}
-		for _, name := range one.replica.OnDisk {
-			p.mark(name)
-		}
-		for _, order := range one.replica.UnderWay {
-			if order.Verb == Load {
-				p.mark(order.Target.Model)
-			}
-		}
-	}
-}
-
-func (p *planner) mark(model string) {
-	if need := p.byName[model]; need != nil {
-		need.cached = true
-	}
-}
-
 // spot is a replica that a model could be loaded on.
 type spot struct {
-	place   *place
-	origin  Origin
-	takes   time.Duration
+	place *place
+	source
 	victims []victim // models to be unloaded first
 	cost    float64  // seconds
 	waits   bool     // the replica has other orders to carry out first
@@ -74,7 +46,7 @@
 // loadModel loads one copy of a model, or makes room for it.
 func (p *planner) loadModel(need *modelNeed) {
 	urgent := need.copies == 0 && need.waiting > 0
-	if p.roomIsComing(need) {
+	if need.roomIsComing() {
 		return
 	}
 	best, found := p.bestSpot(need, p.valueOfCopy(need, urgent), p.storeRoom(need))
@@ -114,49 +86,93 @@
 const unloadTime = 100 * time.Millisecond
 
 // roomIsComing tells whether a replica is being emptied for the model.
-func (p *planner) roomIsComing(need *modelNeed) bool {
-	return slices.ContainsFunc(p.places, func(one *place) bool {
-		return one.replica.busy() && one.freeIn > 0 && one.promised == need.model.Name
-	})
+func (n *modelNeed) roomIsComing() bool {
+	return slices.ContainsFunc(n.promisers, func(one *place) bool { return one.replica.busy() && one.freeIn > 0 })
 }
 
 // bestSpot returns the replica where the model is loaded soonest at the least cost
 // to others, which may have other orders to carry out first. value bounds what may be
 // unloaded for it; fromStore allows loads from the weight store.
 func (p *planner) bestSpot(need *modelNeed, value float64, fromStore bool) (spot, bool) {
-	var best spot
-	found := false
-	for _, candidate := range p.places {
-		if _, held := candidate.replica.Holdings[need.model.Name]; held {
-			continue
+	search := spotSearch{need: need, value: value}
+	if !fromStore {
+		for _, kept := range need.keepers {
+			if _, held := kept.place.replica.Holdings[need.model.Name]; !held {
+				search.consider(kept.place, kept.source)
+			}
 		}
-		made, possible := p.spotOn(candidate, need, value, fromStore)
-		if possible && candidate.promised == need.model.Name && len(made.victims) == 0 {
-			made.waits = candidate.freeIn > 0
-			return made, true // room was made for the model here
+		return search.best, search.found
+	}
+	// All lists follow the order of places, so that one walk joins them.
+	holders, keepers := need.holders, need.keepers
+	for _, candidate := range p.places {
+		from := need.fromStore()
+		if len(keepers) > 0 && keepers[0].place == candidate {
+			from, keepers = keepers[0].source, keepers[1:]
 		}
-		if possible && (!found || made.cost < best.cost) {
-			best, found = made, true
+		if len(holders) > 0 && holders[0] == candidate {
+			holders = holders[1:]
+			continue
 		}
+		search.consider(candidate, from)
 	}
-	return best, found
+	return search.best, search.found
 }
 
-// spotOn returns what a load on a place costs, if it is possible and worth it.
-func (p *planner) spotOn(candidate *place, need *modelNeed, value float64, fromStore bool) (spot, bool) {
-	made := spot{place: candidate}
-	made.origin, made.takes = candidate.originOf(need)
-	if made.origin == FromStore && !fromStore {
-		return spot{}, false
+// spotSearch finds the best spot for a model among places that are considered in turn.
+type spotSearch struct {
+	need     *modelNeed
+	value    float64 // of what may be unloaded
+	best     spot
+	found    bool
+	reserved bool // best is a place whose room is kept for the model
+}
+
+// consider compares a place with the best so far. The first whose room is kept for the
+// model, and needs no more of it, is taken.
+func (s *spotSearch) consider(candidate *place, from source) {
+	promised := candidate.promised == s.need.model.Name
+	if s.reserved || s.found && !promised && candidate.leastCost(s.need, from) >= s.best.cost {
+		return
+	}
+	made, possible := spotOn(candidate, s.need, s.value, from)
+	switch {
+	case !possible:
+	case promised && len(made.victims) == 0:
+		made.waits = candidate.freeIn > 0
+		s.best, s.found, s.reserved = made, true, true
+	case !s.found || made.cost < s.best.cost:
+		s.best, s.found = made, true
+	}
+}
+
+// loadCost returns what a load on the place costs, in seconds, where no other model has a
+// claim on it and nothing has to be unloaded.
+func (p *place) loadCost(need *modelNeed, from source) float64 {
+	return p.busyFor().Seconds() + from.takes.Seconds() + p.shared*need.shareOfStoreLoad(from.takes)
+}
+
+// leastCost is a lower bound of what a load on the place costs, in seconds.
+func (p *place) leastCost(need *modelNeed, from source) float64 {
+	cost := p.loadCost(need, from)
+	if need.model.MemoryMB > p.memoryLeft && len(p.victims) > 0 {
+		cost += costEviction + p.victims[0].worth
 	}
-	busyFor, missing := candidate.busyFor(), need.model.MemoryMB-candidate.memoryLeft
-	if other := p.claimOf(candidate); other != nil && other != need {
-		_, takes := candidate.originOf(other)
-		busyFor += takes
+	return cost
+}
+
+// spotOn returns what a load on a place costs, if it is possible and worth it.
+func spotOn(candidate *place, need *modelNeed, value float64, from source) (spot, bool) {
+	made := spot{place: candidate, source: from}
+	missing := need.model.MemoryMB - candidate.memoryLeft
+	made.waits = candidate.busyFor() > 0
+	made.cost = candidate.loadCost(need, from)
+	if other := candidate.claim; other != nil && other != need {
+		takes := other.sourceOn(candidate).takes
+		made.waits = made.waits || takes > 0
+		made.cost += takes.Seconds()
 		missing += other.model.MemoryMB
 	}
-	made.waits = busyFor > 0
-	made.cost = busyFor.Seconds() + made.takes.Seconds() + candidate.shared*need.shareOfStoreLoad(made.takes)
 	if missing <= 0 {
 		return made, true
 	}
@@ -170,15 +186,6 @@
 	return made, lost < value
 }
 
-// claimOf returns the model for which room on a place is kept; nil without one, or if it
-// is there.
-func (p *planner) claimOf(candidate *place) *modelNeed {
-	if _, held := candidate.replica.Holdings[candidate.promised]; held {
-		return nil
-	}
-	return p.byName[candidate.promised]
-}
-
 // costOfEviction returns the seconds that unloading models takes, and what they are worth.
 func costOfEviction(victims []victim) (cost, lost float64) {
 	for _, one := range victims {
@@ -191,17 +198,6 @@
 	return cost, lost
 }
 
-// originOf returns where a model would be loaded from, and how long that takes.
-func (p *place) originOf(need *modelNeed) (Origin, time.Duration) {
-	switch {
-	case p.inMemory[need.model.Name] && need.model.MemoryLoad > 0:
-		return FromMemory, need.model.MemoryLoad
-	case p.onDisk[need.model.Name] && need.model.DiskLoad > 0:
-		return FromDisk, need.model.DiskLoad
-	}
-	return FromStore, need.model.StoreLoad
-}
-
 // memoryLeft returns the memory in MB that nothing holds or may hold. What should have
 // been unloaded counts as free.
 func (p *planner) memoryLeft(replica *Replica) float64 {
--- a/loading/needs.go
+++ b/loading/needs.go
@@ -26,6 +26,9 @@
 	adapterWaiting int
 	successor      bool // demand is expected to move here
 	cached         bool // a replica holds or keeps the weights, or loads them
+	holders        []*place
+	keepers        []keeper
+	promisers      []*place // places whose room is kept for the model
 }
 
 const (
--- a/loading/place.go
+++ b/loading/place.go
@@ -21,8 +21,21 @@
 	memoryLeft float64
 	shared     float64  // cost of what is in use there already, in seconds
 	victims    []victim // what may be unloaded, worth least first
-	inMemory   map[string]bool
-	onDisk     map[string]bool
+	// claim is the model that the room is kept for and that is not there yet; nil: none.
+	claim *modelNeed
+}
+
+// keeper is a place that keeps the weights of a model where a load is faster than from
+// the weight store.
+type keeper struct {
+	place *place
+	source
+}
+
+// source is where the weights of a load come from, and how long that takes.
+type source struct {
+	origin Origin
+	takes  time.Duration
 }
 
 // victim is a model that may be unloaded.
@@ -34,26 +47,86 @@
 }
 
 // listPlaces lists the replicas of the service that take orders, now or after those
-// under way.
-func (p *planner) listPlaces() []*place {
-	var places []*place
+// under way, and notes with each model where it is loaded, kept or expected.
+func (p *planner) listPlaces() {
+	p.places, p.placeOf = nil, map[*Replica]*place{}
 	for _, replica := range p.Replicas {
 		if replica.Service == p.service && !replica.Draining {
-			places = append(places, p.placeOn(replica))
+			made := p.placeOn(replica)
+			p.places = append(p.places, made)
+			p.placeOf[replica] = made
+			p.indexPlace(made)
 		}
 	}
-	return places
 }
 
 func (p *planner) placeOn(replica *Replica) *place {
 	made := &place{
 		replica: replica, freeIn: replica.freeIn(p.Now), promised: p.promisedTo(replica), memoryLeft: p.memoryLeft(replica),
-		shared: p.sharedCost(replica), inMemory: setOf(replica.InMemory), onDisk: setOf(replica.OnDisk),
+		shared: p.sharedCost(replica),
+	}
+	if _, held := replica.Holdings[made.promised]; !held {
+		made.claim = p.byName[made.promised]
 	}
 	made.victims = p.victimsOn(made)
 	return made
 }
 
+// indexPlace notes a place with the models that it holds, keeps, loads or has room for, so
+// that the choice for a model looks at few places. The lists follow the order of places.
+func (p *planner) indexPlace(one *place) {
+	for name := range one.replica.Holdings {
+		if need := p.byName[name]; need != nil {
+			need.holders, need.cached = append(need.holders, one), true
+		}
+	}
+	for _, name := range one.replica.InMemory {
+		p.indexKeeper(one, name, FromMemory)
+	}
+	for _, name := range one.replica.OnDisk {
+		p.indexKeeper(one, name, FromDisk)
+	}
+	for _, order := range one.replica.UnderWay {
+		if need := p.byName[order.Target.Model]; need != nil && order.Verb == Load {
+			need.cached = true
+		}
+	}
+	if need := p.byName[one.promised]; need != nil {
+		need.promisers = append(need.promisers, one)
+	}
+}
+
+// indexKeeper notes that a place keeps a model's weights. What is noted first is the
+// faster source.
+func (p *planner) indexKeeper(one *place, name string, origin Origin) {
+	need := p.byName[name]
+	if need == nil {
+		return
+	}
+	need.cached = true
+	takes := need.model.DiskLoad
+	if origin == FromMemory {
+		takes = need.model.MemoryLoad
+	}
+	known := len(need.keepers) > 0 && need.keepers[len(need.keepers)-1].place == one
+	if takes > 0 && !known {
+		need.keepers = append(need.keepers, keeper{one, source{origin, takes}})
+	}
+}
+
+// sourceOn returns where a model would be loaded from on a place.
+func (n *modelNeed) sourceOn(one *place) source {
+	for _, kept := range n.keepers {
+		if kept.place == one {
+			return kept.source
+		}
+	}
+	return n.fromStore()
+}
+
+// fromStore is the source of weights that a place does not keep.
+func (n *modelNeed) fromStore() source { return source{FromStore, n.model.StoreLoad} }
+
 // order takes in that an order was given.
 func (p *place) order(takes time.Duration) { p.freeIn += max(leastFreeIn, takes) }
 
@@ -63,14 +136,6 @@
 // busyFor returns when a model that has no claim on the place could be loaded there.
 func (p *place) busyFor() time.Duration { return p.freeIn + p.queued }
 
-func setOf(names []string) map[string]bool {
-	set := make(map[string]bool, len(names))
-	for _, name := range names {
-		set[name] = true
-	}
-	return set
-}
-
 // sharedCost returns what it costs that a replica has other models in use.
 func (p *planner) sharedCost(replica *Replica) float64 {
 	cost := costUsage * replica.usage()
@@ -117,7 +182,7 @@
 
 // reloadTime returns how long it takes to load a model again that is on the place now.
 func (p *place) reloadTime(need *modelNeed) time.Duration {
-	if need.model.DiskLoad > 0 && p.onDisk[need.model.Name] {
+	if need.model.DiskLoad > 0 && slices.Contains(p.replica.OnDisk, need.model.Name) {
 		return need.model.DiskLoad
 	}
 	return need.model.StoreLoad
