A daemon that listens to a peer asks a silent store less often

The holder of orders asks too, and tells all when it is answered. Change: while a peer's records come in, pauses between calls that fail are three times as long; the one that follows for all keeps its pace.

--- a/records/feed.go
+++ b/records/feed.go
@@ -120,11 +120,13 @@
 		return err
 	}
 	defer func() { _ = stream.Close() }()
+	defer m.listen(false)
 	for {
 		message, err := stream.Recv()
 		if err != nil {
 			return err
 		}
+		m.listen(true)
 		update, err := updateOf(message, time.Now())
 		if err != nil {
 			return err
--- a/records/records.go
+++ b/records/records.go
@@ -32,6 +32,10 @@
 	gatherTime   = 400 * time.Millisecond
 	pauseFirst   = 100 * time.Millisecond
 	pauseLongest = 600 * time.Millisecond
+	// listeningPauses is how many times longer the pauses between calls that fail are while a
+	// peer's records are listened to: the peer tells when the service answers again, and 300
+	// daemons that ask at once are 500 calls a second.
+	listeningPauses = 3
 	// vouchTime is how long what the service said to a peer counts. It is longer than
 	// the service holds a call without news, and short enough for a change to be
 	// heard in time where the peer falls silent.
@@ -62,11 +66,15 @@
 	// zero once that is too long ago. It is never passed on itself: two peers that
 	// listen to each other would vouch for each other without end.
 	vouched time.Time
-	reached bool          // the service answered last
-	leading bool          // this daemon follows the service for all
-	lead    chan struct{} // holds an element once it begins to
-	recent  changeLog
-	changed chan struct{} // closed at the next answer of the service, or change
+	reached bool // the service answered last
+	// listening tells that a peer passes its records on, whether or not it vouches for them.
+	listening bool
+	leading   bool          // this daemon follows the service for all
+	lead      chan struct{} // holds an element once it begins to
+	hurried   chan struct{} // holds an element once changes are not to be gathered
+	urgent    string        // key of the record whose changes are passed on at once
+	recent    changeLog
+	changed   chan struct{} // closed at the next answer of the service, or change
 }
 
 type subscription struct {
@@ -76,7 +84,7 @@
 
 // NewMirror returns a mirror of the records under a prefix.
 func NewMirror(store kv.ChangeStore, prefix string, log logrus.FieldLogger) *Mirror {
-	return &Mirror{store: store, prefix: prefix, log: log, pairs: map[string]kv.Pair{}, changed: make(chan struct{}), lead: make(chan struct{}, 1)}
+	return &Mirror{store: store, prefix: prefix, log: log, pairs: map[string]kv.Pair{}, changed: make(chan struct{}), lead: make(chan struct{}, 1), hurried: make(chan struct{}, 1)}
 }
 
 // Handle calls handle for each change under a prefix. All calls come one after the
@@ -94,6 +102,10 @@
 // Serve.
 func (m *Mirror) Notable(notable func(before, after kv.Pair) bool) { m.notable = notable }
 
+// Urgent names the record whose changes are not gathered with others. It must be called
+// before Serve.
+func (m *Mirror) Urgent(key string) { m.urgent = key }
+
 // String names the service in the supervisor's events.
 func (m *Mirror) String() string { return "records" }
 
@@ -116,13 +128,30 @@
 			whole = false
 		default:
 			m.lose(err)
-			sleep.For(ctx, pause)
+			sleep.For(ctx, m.stretched(pause))
 			pause = min(2*pause, pauseLongest)
 		}
 	}
 	return ctx.Err()
 }
 
+// stretched returns how long to wait before the next call after one that failed.
+func (m *Mirror) stretched(pause time.Duration) time.Duration {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.listening && !m.leading {
+		return listeningPauses * pause
+	}
+	return pause
+}
+
+// listen notes whether a peer's records are being listened to.
+func (m *Mirror) listen(listening bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.listening = listening
+}
+
 // restWhileVouched waits until no peer vouches any more; it returns false at once
 // where none does.
 func (m *Mirror) restWhileVouched(ctx context.Context) bool {
@@ -187,12 +216,34 @@
 	}
 	m.apply(events, revision)
 	m.answered(time.Now())
-	if len(events) > 0 {
-		sleep.For(ctx, gatherTime)
-	}
+	m.gather(ctx, events)
 	return nil
 }
 
+// gather waits for more changes after some came, unless one of them, or the next, is urgent.
+func (m *Mirror) gather(ctx context.Context, events []kv.Event) {
+	isUrgent := func(event kv.Event) bool { return event.Pair.Key == m.urgent }
+	if len(events) == 0 || slices.ContainsFunc(events, isUrgent) {
+		return
+	}
+	timer := time.NewTimer(gatherTime)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-m.hurried:
+	}
+}
+
+// Hurry makes the mirror ask for changes at once where it waits for more of them: this
+// daemon has written an urgent one.
+func (m *Mirror) Hurry() {
+	select {
+	case m.hurried <- struct{}{}:
+	default:
+	}
+}
+
 // answered notes that the service answered here, and tells the peers.
 func (m *Mirror) answered(at time.Time) {
 	m.mutex.Lock()
--- a/records/records_test.go
+++ b/records/records_test.go
@@ -27,7 +27,8 @@
 	changed   chan struct{}
 	life      int // counts silences: a watch of an earlier life hears nothing
 	lists     int
-	calls     int // for changes
+	calls     int  // for changes
+	refuse    bool // calls for changes are refused at once
 }
 
 func newFakeStore() *fakeStore {
@@ -50,6 +51,21 @@
 	s.life++
 }
 
+// refuseFor refuses calls for changes for a while, and tells how many there were.
+func (s *fakeStore) refuseFor(length time.Duration) (calls int) {
+	s.mutex.Lock()
+	s.refuse = true
+	close(s.changed)
+	s.changed = make(chan struct{})
+	before := s.calls
+	s.mutex.Unlock()
+	time.Sleep(length)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.refuse = false
+	return s.calls - before
+}
+
 func (s *fakeStore) wait(ctx context.Context) error {
 	s.mutex.Lock()
 	silent := s.silent
@@ -98,9 +114,11 @@
 				events = append(events, kv.Event{Pair: pair})
 			}
 		}
-		revision, changed, answers, compacted := s.revision, s.changed, life == s.life, after < s.compacted
+		revision, changed, answers, compacted, refuse := s.revision, s.changed, life == s.life, after < s.compacted, s.refuse
 		s.mutex.Unlock()
 		switch {
+		case refuse:
+			return nil, after, kv.ErrUnavailable
 		case answers && compacted:
 			return nil, after, kv.ErrCompacted
 		case answers && len(events) > 0:
@@ -378,3 +396,52 @@
 		require.Equal(t, "2", value(mirror, "config"))
 	})
 }
+
+// A change of who follows the service for all reaches the daemons through the one that
+// does: gathered with others, each change of the holder cost them 0.4 s.
+func TestAnUrgentRecordIsNotGatheredWithOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		mirror := mirrorOf(t, store)
+		mirror.Urgent("term")
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go func() { _ = mirror.Serve(ctx) }()
+		time.Sleep(time.Second)
+		store.put("term", "offered")
+		time.Sleep(time.Millisecond)
+		store.put("term", "taken")
+		time.Sleep(time.Millisecond)
+		require.Equal(t, "taken", value(mirror, "term"))
+
+		store.put("other", "1")
+		time.Sleep(time.Millisecond)
+		store.put("other", "2")
+		time.Sleep(gatherTime / 2)
+		require.Equal(t, "1", value(mirror, "other"), "changes that come together are asked for together")
+		mirror.Hurry() // after a write of this daemon's own
+		time.Sleep(time.Millisecond)
+		require.Equal(t, "2", value(mirror, "other"))
+		stop()
+		synctest.Wait()
+	})
+}
+
+// Seen on days of Nitra large that take the store away: 300 daemons asked it 500 times a
+// second, though the holder of orders would have told them when it answered.
+func TestADaemonThatListensToAPeerAsksASilentServiceRarely(t *testing.T) {
+	calls := func(listening, leading bool) (count int) {
+		synctest.Test(t, func(t *testing.T) {
+			store, mirror, stop := followedOne(t)
+			mirror.listen(listening)
+			mirror.Lead(leading)
+			count = store.refuseFor(4 * time.Second)
+			stop()
+			synctest.Wait()
+		})
+		return count
+	}
+	alone, listening := calls(false, false), calls(true, false)
+	require.LessOrEqual(t, 2*listening, alone, "half as many calls at the most")
+	require.Equal(t, alone, calls(true, true), "others rely on the one that follows for all")
+}
