A planned stop hands the term over; a weak machine hands it to a stronger one

Cause: (1) after each planned stop of the holder no order went out for 3 s, the distance that orders of two holders keep, since the next holder did not know when each replica had got its last. Change: who gives the term up replaces its record by one that offers it, with the time of each replica's last order, under the same lease; the next holder keeps the distance for each replica by itself. A holder hands the term over when a daemon on a machine at least twice as strong is attached. Ruled out: a stronger daemon taking the term by itself (it does not know the last orders, so it would have to wait 3 s for all replicas). Tests: handover and inheritance, offers that cannot be written, held replicas, who yields to whom.

--- a/election/election.go
+++ b/election/election.go
@@ -29,10 +29,39 @@
 	Address string `json:"address"` // where daemons reach it
 	// Nonce tells this write from every other, so that a lost answer can be settled.
 	Nonce string `json:"nonce"`
+	// Handover tells that the holder has given the term up and gives no more orders: the
+	// next may take it at once. Nil while it holds the term.
+	Handover *Handover `json:"handover,omitempty"`
 	// Fence is the revision of the record; it is not part of the value.
 	Fence int64 `json:"-"`
 }
 
+// Handover is what the next holder must know to keep its distance from the orders of
+// earlier ones. Times are in ms before, or after, the record was written.
+type Handover struct {
+	// LastOrderMs is how long ago each replica got its last order, for those that got one
+	// lately.
+	LastOrderMs map[string]int64 `json:"last_order_ms,omitempty"`
+	// WaitMs is how long no replica may be given an order.
+	WaitMs int64 `json:"wait_ms,omitempty"`
+}
+
+// Inheritance is a handover as the next holder counts it, by its own clock.
+type Inheritance struct {
+	LastOrders map[string]time.Time // by replica
+	Begins     time.Time            // no order is given before
+}
+
+// inheritance counts the handover's times from when its record was heard of, which is later
+// than when it was written.
+func (h *Handover) inheritance(heard time.Time) *Inheritance {
+	inherited := &Inheritance{LastOrders: make(map[string]time.Time, len(h.LastOrderMs)), Begins: heard.Add(time.Duration(h.WaitMs) * time.Millisecond)}
+	for replica, age := range h.LastOrderMs {
+		inherited.LastOrders[replica] = heard.Add(-time.Duration(age) * time.Millisecond)
+	}
+	return inherited
+}
+
 // ParseHolder reads a holder's record.
 func ParseHolder(pair kv.Pair) (Holder, error) {
 	var holder Holder
@@ -72,6 +101,8 @@
 	// Delay is how much later than others this daemon campaigns: one on a weak machine
 	// leaves the term to those on strong ones.
 	Delay time.Duration
+	// Written is called after this daemon has written the record; nil: nothing is.
+	Written func()
 }
 
 // Election campaigns for the term and keeps it. It is a suture service.
@@ -88,12 +119,18 @@
 	// is none.
 	orphan    Holder
 	reclaimed bool // the term before this one was an earlier process's of this daemon
+	// offer is a record whose holder has given the term up, and offeredAt when it was heard
+	// of. Its fence is zero if there is none.
+	offer     Holder
+	offeredAt time.Time
+	inherited *Inheritance // of this daemon's term; nil if the term was not handed over
 	current   Holder
 	term      Holder // of this daemon; its nonce is empty without a term
 	lease     kv.LeaseID
 	renewed   time.Time // when the last renewal that succeeded was sent
 	attempted time.Time // when the last renewal that failed was given up
-	resigned  bool
+	resigned  bool      // for good: this daemon stops
+	yielding  bool      // the term is being handed over
 	wake      chan struct{}
 	failures  int // campaigns without an answer since the last with one; of Serve only
 	onHolder  []func(Holder)
@@ -137,15 +174,19 @@
 		return // from before the record that is known
 	}
 	e.vacant = event.Deleted
-	e.current, e.orphan = holder, Holder{}
-	if holder.Daemon == e.Daemon && e.term.Nonce == "" {
+	e.current, e.orphan, e.offer = holder, Holder{}, Holder{}
+	switch {
+	case holder.Handover != nil:
+		e.offer, e.offeredAt = holder, e.now()
+	case holder.Daemon == e.Daemon && e.term.Nonce == "":
 		e.orphan = holder
 	}
 	if e.term.Nonce != "" && e.term.Nonce != holder.Nonce {
 		e.loseTerm("another record stands")
 	}
 	e.mutex.Unlock()
-	e.log.WithFields(logrus.Fields{logging.Holder: holder.Daemon, logging.Fence: holder.Fence}).Info(logging.MessageHolderChanged)
+	e.log.WithFields(logrus.Fields{logging.Holder: holder.Daemon, logging.Fence: holder.Fence, logging.HandedOver: holder.Handover != nil}).
+		Info(logging.MessageHolderChanged)
 	e.signal()
 	for _, listener := range e.onHolder {
 		listener(holder)
@@ -179,7 +220,7 @@
 func (e *Election) Term() (fence int64, standing Standing) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if e.term.Nonce == "" || e.resigned {
+	if e.term.Nonce == "" || e.resigned || e.yielding {
 		return 0, None
 	}
 	now := e.now()
@@ -215,8 +256,9 @@
 func (e *Election) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
 		e.mutex.Lock()
-		holding, open, resigned := e.term.Nonce != "", e.vacant || e.orphan.Fence > 0, e.resigned
+		holding, resigned := e.term.Nonce != "", e.resigned || e.yielding
 		e.mutex.Unlock()
+		_, open := e.opening()
 		switch {
 		case holding && !resigned:
 			e.renew(ctx)
@@ -264,8 +306,11 @@
 
 // campaign tries to take the term.
 func (e *Election) campaign(ctx context.Context) {
-	orphan := e.orphaned()
-	if orphan.Fence == 0 && (!sleep.For(ctx, e.Delay+e.stagger()+e.handicap()) || !e.stillVacant()) {
+	if e.orphaned().Fence == 0 && !sleep.For(ctx, e.Delay+e.stagger()+e.handicap()) {
+		return
+	}
+	opening, open := e.opening()
+	if !open {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, e.TTL)
@@ -283,11 +328,11 @@
 		return
 	}
 	result, err := kv.CommitResolved(ctx, store, kv.Txn{
-		Conditions: []kv.Condition{{Key: e.Key, ModRevision: orphan.Fence}}, Puts: []kv.Put{{Key: e.Key, Value: value, Lease: lease}},
+		Conditions: []kv.Condition{{Key: e.Key, ModRevision: opening.base}}, Puts: []kv.Put{{Key: e.Key, Value: value, Lease: lease}},
 	})
 	if err == nil && !result.Succeeded {
 		e.mutex.Lock()
-		e.vacant, e.orphan = false, Holder{} // until the mirror says otherwise
+		e.vacant, e.orphan, e.offer = false, Holder{}, Holder{} // until the mirror says otherwise
 		e.mutex.Unlock()
 	}
 	if err != nil {
@@ -299,7 +344,7 @@
 		return
 	}
 	term.Fence, e.failures = result.Revision, 0
-	e.begin(term, lease, sent, orphan.Fence > 0)
+	e.begin(term, lease, sent, opening)
 }
 
 const (
@@ -315,13 +360,35 @@
 	return min(patienceMost, patienceFirst<<min(e.failures, 4))
 }
 
+// opening is what a campaign begins from.
+type opening struct {
+	base      int64        // revision of the record to be replaced; zero: there is none
+	reclaimed bool         // it is that of an earlier process of this daemon
+	inherited *Inheritance // nil unless its holder handed the term over
+}
+
+// opening returns what a campaign may begin from, if the term is open to one.
+func (e *Election) opening() (opening, bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	switch {
+	case e.orphan.Fence > 0:
+		return opening{base: e.orphan.Fence, reclaimed: true}, true
+	case e.offer.Fence > 0:
+		return opening{base: e.offer.Fence, inherited: e.offer.Handover.inheritance(e.offeredAt)}, true
+	}
+	return opening{}, e.vacant
+}
+
 // begin notes a term that was taken and tells the listeners.
-func (e *Election) begin(term Holder, lease kv.LeaseID, sent time.Time, reclaimed bool) {
+func (e *Election) begin(term Holder, lease kv.LeaseID, sent time.Time, from opening) {
 	e.mutex.Lock()
+	e.reclaimed, e.inherited = from.reclaimed, from.inherited
 	e.term, e.lease, e.renewed, e.attempted, e.vacant, e.current = term, lease, sent, time.Time{}, false, term
-	e.orphan, e.reclaimed = Holder{}, reclaimed
+	e.orphan, e.offer = Holder{}, Holder{}
 	e.mutex.Unlock()
-	e.log.WithFields(logrus.Fields{logging.Holder: e.Daemon, logging.Fence: term.Fence, logging.Reclaimed: reclaimed}).Info(logging.MessageTermBegins)
+	e.log.WithFields(logrus.Fields{logging.Holder: e.Daemon, logging.Fence: term.Fence, logging.Reclaimed: from.reclaimed, logging.HandedOver: from.inherited != nil}).
+		Info(logging.MessageTermBegins)
 	for _, listener := range e.onHolder {
 		listener(term)
 	}
@@ -342,10 +409,12 @@
 	return e.reclaimed
 }
 
-func (e *Election) stillVacant() bool {
+// Inherited returns what the holder before this daemon's term handed over; nil if the term
+// was not handed over.
+func (e *Election) Inherited() *Inheritance {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return e.vacant
+	return e.inherited
 }
 
 func (e *Election) renew(ctx context.Context) {
@@ -370,14 +439,80 @@
 	}
 }
 
-// Resign ends the term, if this daemon has it, and campaigns no more.
-func (e *Election) Resign(ctx context.Context) {
+// Resign ends the term, if this daemon has it, and campaigns no more. handover is asked,
+// once no order is given any more, for what the next holder must know.
+func (e *Election) Resign(ctx context.Context, handover func() Handover) {
 	e.mutex.Lock()
 	e.resigned = true
-	lease := e.lease
 	e.mutex.Unlock()
-	if lease != 0 {
-		_ = e.store.EndLease(ctx, lease) // it runs out by itself otherwise
+	e.giveUp(ctx, handover)
+}
+
+// Yielding begins to hand the term over to whoever campaigns first: Term tells of none from
+// now on, and Yield has to follow. It returns false if there is no term to hand over.
+func (e *Election) Yielding() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.term.Nonce == "" || e.resigned || e.yielding {
+		return false
+	}
+	e.yielding = true
+	return true
+}
+
+// Yield hands over the term. This daemon goes on to campaign for it, after its own delay.
+func (e *Election) Yield(ctx context.Context, handover func() Handover) {
+	e.giveUp(ctx, handover)
+	e.mutex.Lock()
+	e.yielding = false
+	if e.term.Nonce != "" {
+		e.loseTerm("handed over")
 	}
+	e.mutex.Unlock()
 	e.signal()
 }
+
+// giveUp offers the term to others, or ends it at least.
+func (e *Election) giveUp(ctx context.Context, handover func() Handover) {
+	defer e.signal()
+	e.mutex.Lock()
+	term, lease := e.term, e.lease
+	e.mutex.Unlock()
+	if lease == 0 {
+		return
+	}
+	err := e.handOver(ctx, term, lease, handover())
+	if err == nil {
+		e.written()
+		return
+	}
+	// A handover that comes late finds no record to replace once the lease is over.
+	e.log.WithFields(logrus.Fields{logging.Fence: term.Fence, logging.Cause: err.Error()}).Warn("the term is not handed over; its lease is ended")
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	defer cancel()
+	if err := e.store.EndLease(ctx, lease); err != nil {
+		e.log.WithFields(logrus.Fields{logging.Fence: term.Fence, logging.Cause: err.Error()}).Warn("the lease is not ended; it runs out by itself")
+	}
+}
+
+func (e *Election) written() {
+	if e.Written != nil {
+		e.Written()
+	}
+}
+
+// handOver replaces the term's record by one that offers the term, under the same lease.
+func (e *Election) handOver(ctx context.Context, term Holder, lease kv.LeaseID, handover Handover) error {
+	term.Handover = &handover
+	value, err := json.Marshal(term)
+	if err != nil {
+		return errors.Wrap(err, "write the record of a handover")
+	}
+	result, err := e.store.Commit(ctx, kv.Txn{
+		Conditions: []kv.Condition{{Key: e.Key, ModRevision: term.Fence}}, Puts: []kv.Put{{Key: e.Key, Value: value, Lease: lease}},
+	})
+	if err == nil && !result.Succeeded {
+		err = errors.New("another record stands")
+	}
+	return err
+}
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -220,7 +220,7 @@
 		_, made := elections(t, map[string]bool{"c": true}, "a", "b", "c")
 		time.Sleep(time.Second)
 		before, _ := made["c"].Term()
-		made["c"].Resign(t.Context())
+		made["c"].Resign(t.Context(), func() Handover { return Handover{} })
 		time.Sleep(2 * time.Second)
 		next := holders(made)
 		require.Len(t, next, 1)
@@ -360,3 +360,88 @@
 		require.Equal(t, Sure, standing)
 	})
 }
+
+// Seen on days that stop all daemons in turn: no orders for three seconds after each stop
+// of the holder, though it knew when it had given the last.
+func TestAPlannedStopHandsTheTermOverWithTheTimesOfItsOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, made := elections(t, map[string]bool{"c": true}, "a", "b", "c")
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"c"}, holders(made))
+		before, _ := made["c"].Term()
+		stopped := time.Now()
+		made["c"].Resign(t.Context(), func() Handover {
+			_, standing := made["c"].Term()
+			require.Equal(t, None, standing, "no order is given any more when the times are asked for")
+			return Handover{LastOrderMs: map[string]int64{"r1": 400}, WaitMs: 100}
+		})
+		synctest.Wait()
+		require.Empty(t, holders(made))
+		require.True(t, store.held, "the record stays, and offers the term")
+		time.Sleep(500 * time.Millisecond)
+		next := holders(made)
+		require.Len(t, next, 1)
+		require.NotEqual(t, "c", next[0])
+		after, _ := made[next[0]].Term()
+		require.Greater(t, after, before)
+		require.False(t, made[next[0]].Reclaimed())
+		inherited := made[next[0]].Inherited()
+		require.NotNil(t, inherited)
+		require.Equal(t, map[string]time.Time{"r1": stopped.Add(-400 * time.Millisecond)}, inherited.LastOrders)
+		require.Equal(t, stopped.Add(100*time.Millisecond), inherited.Begins)
+	})
+}
+
+// An offer that nobody takes goes with its lease, as a record of a dead holder does.
+func TestAnOfferThatCannotBeWrittenEndsTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, made := elections(t, map[string]bool{"a": true}, "a", "b")
+		time.Sleep(time.Second)
+		store.mutex.Lock()
+		store.pair.ModRevision++ // as if another write had come between
+		store.mutex.Unlock()
+		made["a"].Resign(t.Context(), func() Handover { return Handover{} })
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"b"}, holders(made))
+		require.Nil(t, made["b"].Inherited(), "the times of earlier orders are not known")
+	})
+}
+
+// A daemon that yields its term gives no more orders, and may take it again if no other does.
+func TestAYieldedTermGoesToWhoCampaignsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, made := elections(t, map[string]bool{"weak": true}, "weak")
+		time.Sleep(time.Second)
+		weak := made["weak"]
+		before, standing := weak.Term()
+		require.Equal(t, Sure, standing)
+		yield := func() {
+			require.True(t, weak.Yielding())
+			require.False(t, weak.Yielding(), "it is being handed over")
+			_, standing := weak.Term()
+			require.Equal(t, None, standing)
+			weak.Yield(t.Context(), func() Handover { return Handover{LastOrderMs: map[string]int64{"r1": 10}} })
+		}
+		yield()
+		time.Sleep(time.Second)
+		again, standing := weak.Term()
+		require.Equal(t, Sure, standing, "nobody else took it")
+		require.Greater(t, again, before)
+		require.NotNil(t, weak.Inherited())
+
+		strong := New(Config{Key: testKey, Daemon: "strong", Address: "strong:1", TTL: testTTL}, view{store, "strong"}, quietLog())
+		store.mutex.Lock()
+		store.told = append(store.told, strong)
+		store.mutex.Unlock()
+		go func() { _ = strong.Serve(t.Context()) }()
+		weak.Delay = 300 * time.Millisecond
+		yield()
+		time.Sleep(time.Second)
+		_, standing = strong.Term()
+		require.Equal(t, Sure, standing)
+		require.Contains(t, strong.Inherited().LastOrders, "r1")
+		_, standing = weak.Term()
+		require.Equal(t, None, standing)
+		require.False(t, weak.Yielding(), "there is nothing to hand over")
+	})
+}
--- a/loader/attach.go
+++ b/loader/attach.go
@@ -33,6 +33,7 @@
 	defer leave()
 	h.begin(daemonID)
 	h.report(first)
+	h.noteDelay(daemonID, time.Duration(first.GetTermDelayMs())*time.Millisecond)
 	failed := make(chan error, 1)
 	go func() {
 		for {
--- a/loader/follower.go
+++ b/loader/follower.go
@@ -33,10 +33,12 @@
 	Holder *Holder // of this daemon, told of orders that others gave
 	// Daemons is told how many daemons are attached to the holder.
 	Daemons func(int)
-	Log     logrus.FieldLogger
-	mutex   sync.Mutex
-	current election.Holder
-	changed chan struct{}
+	// TermDelay is how long this daemon waits before it campaigns for the term.
+	TermDelay time.Duration
+	Log       logrus.FieldLogger
+	mutex     sync.Mutex
+	current   election.Holder
+	changed   chan struct{}
 }
 
 // Prepare makes the follower ready for use.
@@ -102,7 +104,9 @@
 		return errors.Wrap(err, "attach to the holder of load orders")
 	}
 	sent := &reported{counts: map[demand.Key]demand.Count{}, running: map[string]uint32{}}
-	if err := stream.Send(f.message(sent, time.Now())); err != nil {
+	first := f.message(sent, time.Now())
+	first.TermDelayMs = f.TermDelay.Milliseconds()
+	if err := stream.Send(first); err != nil {
 		return err
 	}
 	f.Log.WithFields(logrus.Fields{logging.Dependency: "order holder", logging.Holder: holder.Daemon, logging.Fence: holder.Fence}).Info(logging.MessageDependencyRegained)
--- a/loader/holder.go
+++ b/loader/holder.go
@@ -103,6 +103,9 @@
 	Log      logrus.FieldLogger
 	// FirstStart tells that no holder can have been at work before.
 	FirstStart bool
+	// TermDelay is how long this daemon waits before it campaigns for the term: the stronger
+	// its machine, the shorter.
+	TermDelay time.Duration
 
 	mutex  sync.Mutex
 	fence  int64 // of the term that the state belongs to; zero without one
@@ -127,6 +130,8 @@
 	wake        chan struct{}
 	next        time.Time // when to look again; zero: at the next tick
 	lastOrder   time.Time // of any holder, as far as this daemon has heard
+	ordered     recentOrders
+	yields      yieldPlan
 }
 
 // daemonDemand is the last report of one daemon.
@@ -134,6 +139,8 @@
 	counts   map[demand.Key]demand.Count
 	running  map[string]uint32 // requests by replica
 	detached time.Time         // zero while attached
+	delay    time.Duration     // before it campaigns for the term; zero if not known
+	attached time.Time
 }
 
 // rate is a moving average of arrivals.
@@ -242,6 +249,10 @@
 	if !h.mayOrder(standing, now) {
 		return
 	}
+	if h.yields.due(now) && standing == election.Sure && h.strongerAttached(now) && h.Election.Yielding() {
+		h.yield(ctx, now)
+		return
+	}
 	h.checkReplicas(ctx, now)
 	if now.Before(h.begins) {
 		return
@@ -253,9 +264,19 @@
 
 // beginTerm starts a term, or ends one; the mutex is held.
 func (h *Holder) beginTerm(fence int64, now time.Time) {
+	if fence == 0 {
+		h.reset(fence, h.begins) // what is handed over stays known
+		return
+	}
 	begins := now
+	h.yields.termBegan(now)
+	h.ordered.inherited = nil
+	inherited := h.Election.Inherited()
 	switch {
-	case fence == 0, h.Election.Reclaimed():
+	case h.Election.Reclaimed():
+	case inherited != nil:
+		begins = inherited.Begins
+		h.ordered.inherited = inherited.LastOrders
 	case !h.lastOrder.IsZero():
 		begins = h.lastOrder.Add(h.Limits.TermGap)
 	case !h.FirstStart:
@@ -305,7 +326,8 @@
 		state := h.states[entry.ID]
 		if state == nil {
 			// From now on the replica's own reports tell what it holds and keeps.
-			state = &loading.Replica{ID: entry.ID, Service: entry.Service, Slots: entry.Slots, Holdings: entry.Holdings, InMemory: entry.InMemory, OnDisk: entry.OnDisk}
+			state = &loading.Replica{ID: entry.ID, Service: entry.Service, Slots: entry.Slots, Holdings: entry.Holdings, InMemory: entry.InMemory, OnDisk: entry.OnDisk,
+				HeldUntil: h.ordered.heldUntil(entry.ID, h.Limits.TermGap)}
 			h.states[entry.ID] = state
 			h.grewAt = now
 		}
@@ -315,6 +337,7 @@
 		if !seen[id] {
 			delete(h.states, id)
 			h.fetches.Forget(id)
+			h.ordered.forget(id)
 		}
 	}
 }
--- a/loader/orders.go
+++ b/loader/orders.go
@@ -21,6 +21,7 @@
 	}
 	h.calling[order.ReplicaID] = &order
 	h.lastOrder = now
+	h.ordered.note(order.ReplicaID, now)
 	if order.LoadsFromStore() {
 		h.window.Began(now)
 	}
@@ -44,6 +45,7 @@
 func (h *Holder) answered(order loading.Order, fence int64, answer Answer, err error, apply applyAnswer) {
 	now := time.Now()
 	h.mutex.Lock()
+	h.ordered.note(order.ReplicaID, now) // it may have reached the replica as late as this
 	if fence == h.fence {
 		delete(h.calling, order.ReplicaID)
 		if state := h.states[order.ReplicaID]; state != nil {
@@ -130,6 +132,7 @@
 	}
 	h.calling[order.ReplicaID] = nil
 	h.lastOrder = now
+	h.ordered.note(order.ReplicaID, now)
 	h.send(ctx, entry, order, h.fence, h.applyAsked)
 }
 
--- a/loading/ask.go
+++ b/loading/ask.go
@@ -25,7 +25,7 @@
 // that the load of a model has ended: the replica answers that it holds the model, or
 // that it is busy.
 func (r *Replica) Question(now time.Time) (Order, bool) {
-	if !r.Known {
+	if !r.Known || now.Before(r.HeldUntil) {
 		return Order{}, false
 	}
 	for _, order := range r.UnderWay {
--- a/loading/loading.go
+++ b/loading/loading.go
@@ -94,6 +94,8 @@
 	UnderWay []UnderWay
 	// BlockedUntil keeps orders back after one was refused or got no answer.
 	BlockedUntil time.Time
+	// HeldUntil keeps orders back while those of an earlier holder are too recent.
+	HeldUntil time.Time
 	// PromisedTo is the model for which room was made, until a moment.
 	PromisedTo    string
 	PromisedUntil time.Time
@@ -127,7 +129,7 @@
 func (r *Replica) freeIn(now time.Time) time.Duration {
 	wait := time.Duration(0)
 	if !r.open(now) {
-		wait = max(leastFreeIn, r.BlockedUntil.Sub(now))
+		wait = max(leastFreeIn, r.BlockedUntil.Sub(now), r.HeldUntil.Sub(now))
 	}
 	for _, order := range r.UnderWay {
 		if order.ForModel() && !order.unloaded(now) {
@@ -158,7 +160,7 @@
 
 // open tells whether the replica can be given an order now.
 func (r *Replica) open(now time.Time) bool {
-	return r.Known && !r.Draining && !now.Before(r.BlockedUntil)
+	return r.Known && !r.Draining && !now.Before(r.BlockedUntil) && !now.Before(r.HeldUntil)
 }
 
 // Demand is the demand for a key over all daemons.
--- a/loading/loading_test.go
+++ b/loading/loading_test.go
@@ -284,3 +284,24 @@
 	require.Len(t, orders, 2)
 	require.NotEqual(t, orders[0].ReplicaID, orders[1].ReplicaID)
 }
+
+// Orders of two holders to one replica keep a distance; other replicas need not wait.
+func TestAReplicaThatAnEarlierHolderOrderedLatelyGetsNoOrder(t *testing.T) {
+	held := replica("r1")
+	held.HeldUntil = start.Add(second)
+	orders := Decide(snapshot(waitingFor("m5", ""), held, replica("r2", "m3")))
+	require.Len(t, orders, 1)
+	require.Equal(t, "r2", orders[0].ReplicaID)
+	later := snapshot(waitingFor("m5", ""), held)
+	require.Empty(t, Decide(later))
+	later.Now = held.HeldUntil
+	require.Len(t, Decide(later), 1)
+
+	asked := replica("r3")
+	asked.Took(Order{Verb: Load, Target: fleet.Target{Model: "m5"}, Takes: second}, start)
+	asked.HeldUntil = start.Add(3 * second)
+	_, possible := asked.Question(start.Add(2 * second))
+	require.False(t, possible, "a question is an order too")
+	_, possible = asked.Question(asked.HeldUntil)
+	require.True(t, possible)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -175,13 +175,16 @@
 	n.election = election.New(election.Config{
 		Key: n.config.TermKey, Daemon: n.config.ID, Address: n.config.PeerAddress, TTL: n.config.LeaseTime,
 		Informed: func() bool { return n.holder.Informed() }, Delay: n.config.TermDelay,
+		Written: n.mirror.Hurry, // other daemons hear of it from this one
 	}, adapters.Store, n.log)
 	n.holder = &loader.Holder{
 		Daemon: n.config.ID, Fleet: n.fleet, Table: n.routes, Replicas: adapters.Replicas(n.pool), Election: n.election,
 		Limits: n.config.LoadLimits, Metrics: loader.NewMetrics(n.metrics), Log: n.log, FirstStart: n.config.FirstStart,
+		TermDelay: n.config.TermDelay,
 	}
 	n.holder.Prepare()
-	follower := &loader.Follower{Daemon: n.config.ID, Demand: tracker, Fleet: n.fleet, Holder: n.holder, Log: n.log, Daemons: requests.ShareRetries}
+	follower := &loader.Follower{Daemon: n.config.ID, Demand: tracker, Fleet: n.fleet, Holder: n.holder, Log: n.log, Daemons: requests.ShareRetries,
+		TermDelay: n.config.TermDelay}
 	follower.Prepare()
 	n.election.Listen(func(holder election.Holder) {
 		follower.HolderChanged(holder)
@@ -268,7 +271,7 @@
 	defer cancel()
 	resigning, done := context.WithTimeout(ctx, resignTime)
 	defer done()
-	go n.election.Resign(resigning)
+	go n.election.Resign(resigning, n.holder.Handover)
 	if err := n.frontend.drain(ctx); err != nil {
 		n.log.WithField(logging.Cause, err.Error()).Warn("requests were still running at the end of the stop")
 	}
