A daemon that just started waits for no holder it knows nothing of

Change: where replicas check fences, a process that has been up for less than half of the distance gives orders at once: it gave none that another holder's could have come between, and what an earlier holder may still send is refused. Test: only where fences are checked, and only while young.

--- a/loader/handover_test.go
+++ b/loader/handover_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/finchspoke/finchspoke/election"
 )
 
 // A holder that stops names every replica that any holder gave an order to within the
@@ -35,3 +37,25 @@
 	require.InDelta(t, 2000, handover.WaitMs, 200)
 	require.Empty(t, handover.LastOrderMs)
 }
+
+// After a loss of all daemons nobody knows when the last order was given.
+func TestADaemonThatJustStartedWaitsOnlyWhereReplicasCheckNoFences(t *testing.T) {
+	const gap = 3 * time.Second
+	for name, example := range map[string]struct {
+		checked bool
+		age     time.Duration
+		waits   bool
+	}{
+		"just started":          {true, time.Second, false},
+		"up for a while":        {true, 2 * time.Second, true},
+		"fences not checked":    {false, time.Second, true},
+		"at the allowed age":    {true, gap / 2, true},
+		"before the age passes": {true, gap/2 - time.Millisecond, false},
+	} {
+		holder := &Holder{Limits: Limits{TermGap: gap, FencesChecked: example.checked}, Election: election.New(election.Config{}, nil, nil)}
+		holder.Prepare()
+		now := holder.started.Add(example.age)
+		holder.beginTerm(7, now)
+		require.Equal(t, example.waits, holder.begins.After(now), name)
+	}
+}
--- a/loader/holder.go
+++ b/loader/holder.go
@@ -61,6 +61,8 @@
 	Extra  int
 	// TermGap is the least time between the orders of two holders.
 	TermGap time.Duration
+	// FencesChecked tells that replicas refuse orders under a fence lower than one seen.
+	FencesChecked bool
 }
 
 const (
@@ -88,6 +90,9 @@
 	storeShare = 0.7
 	// forgetAfter is how long the demand of a daemon that is not attached counts.
 	forgetAfter = 5 * time.Second
+	// freshShare is the share of the distance between two holders up to which a process counts
+	// as just started.
+	freshShare = 0.5
 )
 
 // Holder is the state of a term. It exists in every daemon and works in the one
@@ -107,6 +112,8 @@
 	// its machine, the shorter.
 	TermDelay time.Duration
 
+	started time.Time
+
 	mutex  sync.Mutex
 	fence  int64 // of the term that the state belongs to; zero without one
 	begins time.Time
@@ -165,6 +172,7 @@
 
 // Prepare makes the holder ready for use.
 func (h *Holder) Prepare() {
+	h.started = time.Now()
 	h.wake = make(chan struct{}, 1)
 	h.changed = make(chan struct{})
 	h.daemons = map[string]*daemonDemand{}
@@ -279,12 +287,20 @@
 		h.ordered.inherited = inherited.LastOrders
 	case !h.lastOrder.IsZero():
 		begins = h.lastOrder.Add(h.Limits.TermGap)
-	case !h.FirstStart:
+	case !h.FirstStart && !h.justStarted(now):
 		begins = now.Add(h.Limits.TermGap)
 	}
 	h.reset(fence, begins)
 }
 
+// justStarted tells whether this process is so young that it need not keep a distance from
+// holders it knows nothing of: it gave no order that theirs could have come between, and the
+// replicas refuse what an earlier holder may still send. After a loss of all daemons the first
+// orders went out three seconds later than they could.
+func (h *Holder) justStarted(now time.Time) bool {
+	return h.Limits.FencesChecked && now.Sub(h.started) < time.Duration(freshShare*float64(h.Limits.TermGap))
+}
+
 // OrderSeen notes that a holder of orders was at work just now, which a later
 // holder has to keep a distance from.
 func (h *Holder) OrderSeen(now time.Time) {
