Revert "The deputy passes records on while the holder does not hear from the store"

When the holder was answered again, the deputy rested, its word grew old, and all daemons that listened to it asked the store before they went back to the holder. A second stream beside the holder's would do it; not built.

--- a/records/records.go
+++ b/records/records.go
@@ -436,13 +436,6 @@
 // lately tells whether an answer of the service still counts.
 func lately(at time.Time) bool { return time.Since(at) < vouchTime }
 
-// Vouched tells whether a peer vouches for the records.
-func (m *Mirror) Vouched() bool {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	return lately(m.vouched)
-}
-
 // InContact tells whether the service answered lately, here or to the peer that vouches.
 func (m *Mirror) InContact() bool {
 	m.mutex.Lock()
--- a/records/subscriber.go
+++ b/records/subscriber.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,9 +20,6 @@
 	// sourcePatience is how long a peer that does not vouch is listened to while
 	// others may know more.
 	sourcePatience = time.Second
-	// distrustTime is how long a source that does not vouch is left for the deputy: about as
-	// long as a term lasts whose holder is cut off from the service, and then another holds it.
-	distrustTime = 3 * time.Second
 )
 
 // Subscriber keeps one stream of records from a peer. It is a suture service.
@@ -42,11 +38,6 @@
 	Log   logrus.FieldLogger
 
 	round int // of the seeds
-
-	mutex sync.Mutex
-	// distrusted is a source that did not vouch while it was listened to, until a moment.
-	distrusted      string
-	distrustedUntil time.Time
 }
 
 // String names the service in the supervisor's events.
@@ -65,10 +56,16 @@
 
 // next returns the peer to listen to; empty: none.
 func (s *Subscriber) next() string {
+	source, other := s.Source()
 	if s.Mirror.InContact() {
-		return s.target()
+		switch {
+		case source == "":
+			return s.Deputy()
+		case !other:
+			return "" // this daemon follows the service for all
+		}
+		return source
 	}
-	source, other := s.Source()
 	peers := s.Seeds()
 	if source != "" && other {
 		peers = append([]string{source}, peers...)
@@ -80,35 +77,6 @@
 	return peers[(s.round-1)%len(peers)]
 }
 
-// target returns the peer to listen to while the service answers here, or to a peer; empty:
-// none. While the daemon that follows the service for all does not hear from it, the deputy
-// takes its place, or all daemons would ask the service themselves.
-func (s *Subscriber) target() string {
-	source, other := s.Source()
-	switch {
-	case source == "":
-		return s.Deputy()
-	case !other:
-		return "" // this daemon follows the service for all
-	}
-	if deputy := s.Deputy(); deputy != "" && deputy != source && s.distrusts(source) {
-		return deputy
-	}
-	return source
-}
-
-func (s *Subscriber) distrusts(source string) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.distrusted == source && time.Now().Before(s.distrustedUntil)
-}
-
-func (s *Subscriber) distrust(source string) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.distrusted, s.distrustedUntil = source, time.Now().Add(distrustTime)
-}
-
 var errNotVouching = errors.New("the peer does not hear from the key-value service")
 
 // listen takes in a peer's records until the stream breaks, or another peer is to
@@ -139,24 +107,18 @@
 
 // supervise ends the stream once its peer is no longer the one to listen to.
 func (s *Subscriber) supervise(ctx context.Context, address string, end context.CancelCauseFunc) {
-	inContact, vouched := time.Now(), time.Now()
+	vouched := time.Now()
 	for sleep.For(ctx, sourceCheck) {
-		now := time.Now()
-		if s.Mirror.Vouched() {
-			vouched = now
-		}
-		if source, other := s.Source(); other && source == address && now.Sub(vouched) > sourcePatience {
-			s.distrust(source)
-		}
-		if !s.Mirror.InContact() {
-			if now.Sub(inContact) > sourcePatience {
-				end(errNotVouching)
-			}
-			continue
+		source, _ := s.Source()
+		inContact := s.Mirror.InContact()
+		if inContact {
+			vouched = time.Now()
 		}
-		inContact = now
-		if target := s.target(); target != "" && target != address {
+		switch {
+		case inContact && source != "" && source != address:
 			end(errors.New("another daemon follows the key-value service for all"))
+		case !inContact && time.Since(vouched) > sourcePatience:
+			end(errNotVouching)
 		}
 	}
 }
