--- a/records/records.go
+++ b/records/records.go
@@ -220,10 +220,11 @@
 	return nil
 }
 
-// gather waits for more changes after some came, unless one of them, or the next, is urgent.
+// gather waits for more changes after some came, unless one of them, or the next, is urgent to
+// those that this daemon passes them on to.
 func (m *Mirror) gather(ctx context.Context, events []kv.Event) {
 	isUrgent := func(event kv.Event) bool { return event.Pair.Key == m.urgent }
-	if len(events) == 0 || slices.ContainsFunc(events, isUrgent) {
+	if len(events) == 0 || m.Leading() && slices.ContainsFunc(events, isUrgent) {
 		return
 	}
 	timer := time.NewTimer(gatherTime)
--- a/records/records_test.go
+++ b/records/records_test.go
@@ -51,6 +51,13 @@
 	s.life++
 }
 
+// asked returns how often changes were asked for.
+func (s *fakeStore) asked() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.calls
+}
+
 // refuseFor refuses calls for changes for a while, and tells how many there were.
 func (s *fakeStore) refuseFor(length time.Duration) (calls int) {
 	s.mutex.Lock()
@@ -404,6 +411,7 @@
 		store := newFakeStore()
 		mirror := mirrorOf(t, store)
 		mirror.Urgent("term")
+		mirror.Lead(true)
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
 		go func() { _ = mirror.Serve(ctx) }()
@@ -422,6 +430,12 @@
 		mirror.Hurry() // after a write of this daemon's own
 		time.Sleep(time.Millisecond)
 		require.Equal(t, "2", value(mirror, "other"))
+
+		mirror.Lead(false)
+		before := store.asked()
+		store.put("term", "taken again")
+		time.Sleep(gatherTime / 2)
+		require.Equal(t, before, store.asked(), "one call more of each of 300 daemons would not pay")
 		stop()
 		synctest.Wait()
 	})
