Requests that come before the next word are spread over a model's replicas

Cause: all daemons choose by the same counts, some 0.65 s old at 295 daemons. Change: each daemon draws so that the requests that come before the next word even the costs out, as water fills vessels; how many come follows from what runs, how long runs take, and the measured pause between words. Where one request comes, the cheapest replica takes it.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -85,14 +85,12 @@
 		return nil, miss
 	}
 	owner := prefixOwner(ask.Prefix, candidates)
-	var best *Replica
-	lowest := 0.0
-	for _, candidate := range d.sample(candidates, now) {
-		cost := d.cost(candidate, ask, owner, now)
-		if best == nil || cost < lowest || (cost == lowest && candidate.ID < best.ID) {
-			best, lowest = candidate, cost
-		}
+	candidates = awake(candidates, now)
+	costs := make([]float64, len(candidates))
+	for index, candidate := range candidates {
+		costs[index] = d.cost(candidate, ask, owner, now)
 	}
+	best := candidates[spread(costs, d.coming(candidates, now), d.random())]
 	pick := &Pick{ID: best.ID, Address: best.Address, Inflight: best.inflight, began: now, reading: ask.PromptTokens, replica: best, fleet: d}
 	best.inflight++
 	best.reading += ask.PromptTokens
@@ -145,27 +143,14 @@
 	d.runTime[service] = mean + time.Duration(runTimeWeight*float64(took-mean))
 }
 
-// sampled is how many candidates are compared. Daemons that all took the best by the
-// same numbers, which are some hundred ms old, would overrun it; the better of two
-// drawn at random spreads nearly as well as fresh numbers would.
-const sampled = 2
-
-// sample draws the candidates to compare, those that rest only where all do.
-func (d *Directory) sample(candidates []*Replica, now time.Time) []*Replica {
-	awake := slices.DeleteFunc(slices.Clone(candidates), func(one *Replica) bool { return one.health.resting(now) })
-	if len(awake) > 0 {
-		candidates = awake
-	}
-	if now.Sub(d.othersAt) > othersTime || len(candidates) <= sampled {
-		return candidates // by its own numbers, a daemon knows best
-	}
-	// The order of a map is random, but not evenly so.
-	slices.SortFunc(candidates, func(a, b *Replica) int { return strings.Compare(a.ID, b.ID) })
-	for drawn := range sampled {
-		other := drawn + int(d.random()*float64(len(candidates)-drawn))
-		candidates[drawn], candidates[other] = candidates[other], candidates[drawn]
+// awake leaves out the candidates that rest, unless all do. The others are in a fixed order.
+func awake(candidates []*Replica, now time.Time) []*Replica {
+	able := slices.DeleteFunc(slices.Clone(candidates), func(one *Replica) bool { return one.health.resting(now) })
+	if len(able) == 0 {
+		able = candidates
 	}
-	return candidates[:sampled]
+	slices.SortFunc(able, func(a, b *Replica) int { return strings.Compare(a.ID, b.ID) })
+	return able
 }
 
 // missRank orders the reasons by how close the request came to a replica.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -107,8 +107,10 @@
 	members map[string]*Replica
 	// othersAt is when other daemons' requests were last told.
 	othersAt time.Time
-	changed  chan struct{}
-	random   func() float64 // in [0, 1)
+	// wordPause is the mean time between two words of them.
+	wordPause time.Duration
+	changed   chan struct{}
+	random    func() float64 // in [0, 1)
 	// runTime is the mean time of the runs of each service that ended whole, or with the
 	// caller's leaving.
 	runTime map[string]time.Duration
@@ -190,7 +192,7 @@
 func (d *Directory) Others(id string, requests int, now time.Time) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.othersAt = now
+	d.noteWord(now)
 	if known := d.members[id]; known != nil {
 		known.others = max(0, requests)
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -161,25 +161,34 @@
 	directory.Others("gone", 3, start) // not in the registry any more
 }
 
-func TestOfManyReplicasTheBetterOfTwoThatAreAwakeIsChosen(t *testing.T) {
-	directory := directoryOf(press("r1", "a", nil), press("r2", "a", nil), press("r3", "a", nil), press("r4", "a", nil))
-	draws := []float64{0, 0}
-	directory.random = func() float64 {
-		drawn := 0.0
-		if len(draws) > 0 {
-			drawn, draws = draws[0], draws[1:]
+func TestRequestsThatComeBeforeTheNextWordAreSpreadOverReplicasThatAreAwake(t *testing.T) {
+	requests := map[string]int{"r1": 9, "r2": 8, "r3": 7, "r4": 0}
+	chosen := func(rests string) map[string]int {
+		counts := map[string]int{}
+		for draw := range 100 {
+			directory := directoryOf(press("r1", "a", nil), press("r2", "a", nil), press("r3", "a", nil), press("r4", "a", nil))
+			directory.random = func() float64 { return (float64(draw) + 0.5) / 100 }
+			directory.runTime["press"] = time.Second
+			for id, running := range requests {
+				directory.Others(id, running, start)
+			}
+			if rests != "" {
+				directory.members[rests].health.unreachable(start)
+			}
+			pick, _ := directory.Choose(Ask{Service: "press"}, start)
+			counts[pick.ID]++
 		}
-		return drawn
+		return counts
 	}
-	for id, requests := range map[string]int{"r1": 9, "r2": 8, "r3": 7, "r4": 0} {
-		directory.Others(id, requests, start)
-	}
-	pick, _ := directory.Choose(Ask{Service: "press"}, start)
-	require.Equal(t, "r2", pick.ID, "the emptiest was not drawn")
-	pick.Release(Unreachable, Target{}, start)
-	draws = []float64{0, 0}
-	pick, _ = directory.Choose(Ask{Service: "press"}, start)
-	require.Equal(t, "r3", pick.ID, "one that rests is not drawn")
+	all := chosen("")
+	// 24 requests in 0.65 s of 1 s: 15.6 come, and fill up to (15.6 + 24) / 4 = 9.9.
+	require.InDelta(t, 63, all["r4"], 3)
+	require.InDelta(t, 19, all["r3"], 3)
+	require.InDelta(t, 12, all["r2"], 3)
+	require.InDelta(t, 6, all["r1"], 3)
+	require.Zero(t, chosen("r4")["r4"], "one that rests is not drawn")
+	requests["r1"] = 40
+	require.Zero(t, chosen("")["r1"], "nor one above the level")
 }
 
 func TestAReplicaWhereARequestWouldWaitTooLongIsNotChosen(t *testing.T) {
