--- a/command/explain_losses.go
+++ b/command/explain_losses.go
@@ -47,8 +47,20 @@
 				route.Pauses.Beside, route.Pauses.Models, route.Pauses.PromptTokens)
 		}
 	}
+	writeCrowding(writer, losses.Crowding)
 	_, _ = fmt.Fprintf(writer, "from           ended  in time  late  not answered  most for\n")
 	for _, window := range losses.Windows {
 		_, _ = fmt.Fprintf(writer, "%9.1f s  %8d %8d %5d %13d  %s\n", window.From, window.Ended, window.InTime, window.Late, window.Ended-window.InTime-window.Late, window.MostFor)
 	}
 }
+
+func writeCrowding(writer io.Writer, crowding logstory.Crowding) {
+	if crowding.Late == 0 {
+		return
+	}
+	_, _ = fmt.Fprintf(writer, "made late by the replica: %d; %.0f in 100 of them on %d of %d replicas; by model:\n",
+		crowding.Late, 100*crowding.OnFew, crowding.FewCount, crowding.Replicas)
+	for _, load := range crowding.ByModel {
+		_, _ = fmt.Fprintf(writer, "  %6d of %d answers of %s, by %d replicas\n", load.Late, load.Answered, load.Model, load.Replicas)
+	}
+}
--- a/logstory/losses.go
+++ b/logstory/losses.go
@@ -28,6 +28,8 @@
 	Ended   int            `json:"ended"`
 	Routes  []RouteLosses  `json:"routes"`  // the most urgent first
 	Windows []WindowLosses `json:"windows"` // in order
+	// Crowding tells on how few replicas and models the late answers were.
+	Crowding Crowding `json:"crowding"`
 }
 
 // RouteLosses are the requests of one route.
@@ -239,7 +241,7 @@
 
 // losses puts what was counted in order.
 func (c *lossCounter) losses() Losses {
-	made := Losses{Ended: len(c.requests)}
+	made := Losses{Ended: len(c.requests), Crowding: c.crowding()}
 	for _, route := range c.routes {
 		route.Causes = sortedCauses(route.causes)
 		made.Routes = append(made.Routes, route.RouteLosses)
--- a/logstory/losses_test.go
+++ b/logstory/losses_test.go
@@ -50,3 +50,14 @@
 func TestNoLossesWithoutRequests(t *testing.T) {
 	require.Equal(t, Losses{}, CountLosses(nil, time.Second))
 }
+
+func TestLateAnswersAreCountedByReplicaAndModel(t *testing.T) {
+	lines, err := Read(strings.NewReader(dayLog))
+	require.NoError(t, err)
+	crowding := CountLosses(lines, 2*time.Second).Crowding
+	require.Equal(t, Crowding{
+		Late: 2, Replicas: 2, FewCount: 2, OnFew: 1,
+		ByModel: []CrowdedLoad{{Model: "m2", Answered: 3, Late: 2, Replicas: 2}},
+	}, crowding, "a wait for a load and a refusal are not the replica's doing")
+	require.InDelta(t, 0.75, shareOfMost(map[string]int{"r1": 6, "r2": 1, "r3": 1}, 1, 8), 1e-9)
+}
