Loads do not read the order of the catalogue

Cause: the model after a busy one counted as the next to be asked for, and the first of the list as worth more. Change: both are gone, with models' ranks. Learning from observed demand which models rise together is not built.

--- a/loading/adapters.go
+++ b/loading/adapters.go
@@ -36,7 +36,7 @@
 // adapter, and a holder of orders may be missing when one is asked for.
 func (p *planner) loadAdaptersAhead() {
 	for _, need := range p.models {
-		if need.perSecond < busyRate && !need.successor {
+		if need.perSecond < busyRate {
 			continue
 		}
 		for _, adapter := range need.model.Adapters {
--- a/loading/fetch.go
+++ b/loading/fetch.go
@@ -99,8 +99,7 @@
 	return !slices.ContainsFunc(p.places, func(one *place) bool { return !one.replica.Known })
 }
 
-// absentModels lists the models that no replica keeps, those asked for most first, then
-// in the catalogue's order.
+// absentModels lists the models that no replica keeps, those asked for most first.
 func (p *planner) absentModels() []*modelNeed {
 	var absent []*modelNeed
 	for _, need := range p.models {
@@ -109,7 +108,7 @@
 		}
 	}
 	slices.SortStableFunc(absent, func(a, b *modelNeed) int {
-		return cmp.Or(cmp.Compare(b.waiting, a.waiting), cmp.Compare(b.perSecond, a.perSecond), cmp.Compare(a.model.Rank, b.model.Rank))
+		return cmp.Or(cmp.Compare(b.waiting, a.waiting), cmp.Compare(b.perSecond, a.perSecond))
 	})
 	return absent
 }
--- a/loading/needs.go
+++ b/loading/needs.go
@@ -24,7 +24,6 @@
 	roomy     int // copies, those being loaded included, on replicas with places left
 	// adapterWaiting is how many wait for an adapter, or for the model of one.
 	adapterWaiting int
-	successor      bool            // demand is expected to move here
 	cached         bool            // a replica holds or keeps the weights, or loads them
 	zones          map[string]bool // where copies are loaded or being loaded
 	holders        []*place
@@ -104,7 +103,6 @@
 	}
 	p.addDemand(byName)
 	replicas := p.countCopies(byName)
-	markSuccessors(byName)
 	needs := make([]*modelNeed, 0, len(byName))
 	for _, name := range sortedKeys(byName) {
 		need := byName[name]
@@ -180,25 +178,11 @@
 const (
 	// busyRate is the arrivals a second from which a model counts as busy.
 	busyRate = 1.0
-	// spareCopies is the least number of copies of a busy model, and of the one that
-	// comes after it in the catalogue: the loss of one replica must not take it away.
+	// spareCopies is the least number of copies of a busy model: the loss of one replica must
+	// not take it away.
 	spareCopies = 2
 )
 
-// markSuccessors marks the model after each busy one in the catalogue: demand moves
-// along it, and a load that begins with the demand comes seconds late.
-func markSuccessors(needs map[string]*modelNeed) {
-	byRank := make(map[int]*modelNeed, len(needs))
-	for _, need := range needs {
-		byRank[need.model.Rank] = need
-	}
-	for _, need := range needs {
-		if next := byRank[need.model.Rank+1]; need.perSecond >= busyRate && next != nil {
-			next.successor = true
-		}
-	}
-}
-
 func unloading(replica *Replica, model string) bool {
 	order := replica.underWay(fleet.Target{Model: model})
 	return order != nil && order.Verb == Unload
@@ -216,7 +200,7 @@
 	if n.waiting > 0 || (!n.lastUsed.IsZero() && now.Sub(n.lastUsed) < keepUsed) {
 		copies = max(copies, 1)
 	}
-	if n.successor || n.perSecond >= busyRate {
+	if n.perSecond >= busyRate {
 		copies = max(copies, spareCopies)
 	}
 	return min(copies, replicas)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -76,7 +76,6 @@
 	StoreLoad       time.Duration // load from the weight store
 	MemoryLoad      time.Duration // from the replica's host memory
 	DiskLoad        time.Duration // from the replica's disk
-	Rank            int           // place in the catalogue, 0 first
 }
 
 // Engine describes the replicas of a service that load models.
