--- a/election/election.go
+++ b/election/election.go
@@ -36,32 +36,6 @@
 	Fence int64 `json:"-"`
 }
 
-// Handover is what the next holder must know to keep its distance from the orders of
-// earlier ones. Times are in ms before, or after, the record was written.
-type Handover struct {
-	// LastOrderMs is how long ago each replica got its last order, for those that got one
-	// lately.
-	LastOrderMs map[string]int64 `json:"last_order_ms,omitempty"`
-	// WaitMs is how long no replica may be given an order.
-	WaitMs int64 `json:"wait_ms,omitempty"`
-}
-
-// Inheritance is a handover as the next holder counts it, by its own clock.
-type Inheritance struct {
-	LastOrders map[string]time.Time // by replica
-	Begins     time.Time            // no order is given before
-}
-
-// inheritance counts the handover's times from when its record was heard of, which is later
-// than when it was written.
-func (h *Handover) inheritance(heard time.Time) *Inheritance {
-	inherited := &Inheritance{LastOrders: make(map[string]time.Time, len(h.LastOrderMs)), Begins: heard.Add(time.Duration(h.WaitMs) * time.Millisecond)}
-	for replica, age := range h.LastOrderMs {
-		inherited.LastOrders[replica] = heard.Add(-time.Duration(age) * time.Millisecond)
-	}
-	return inherited
-}
-
 // ParseHolder reads a holder's record.
 func ParseHolder(pair kv.Pair) (Holder, error) {
 	var holder Holder
@@ -319,7 +293,7 @@
 	sent := e.now()
 	lease, err := store.GrantLease(ctx, e.TTL)
 	if err != nil {
-		e.failures++
+		e.campaignFailed(err)
 		return
 	}
 	term := Holder{Daemon: e.Daemon, Address: e.Address, Nonce: uuid.NewString()}
@@ -336,17 +310,32 @@
 		e.mutex.Unlock()
 	}
 	if err != nil {
-		e.failures++
+		e.campaignFailed(err)
 	}
 	if err != nil || !result.Succeeded {
 		// The record, if it came after all, is bound to the lease.
-		_ = e.store.EndLease(context.WithoutCancel(ctx), lease)
+		e.endLease(ctx, lease)
 		return
 	}
 	term.Fence, e.failures = result.Revision, 0
 	e.begin(term, lease, sent, opening)
 }
 
+// campaignFailed notes that the service did not answer a campaign.
+func (e *Election) campaignFailed(cause error) {
+	e.failures++
+	e.log.WithField(logging.Cause, cause.Error()).Info("a campaign for the term got no answer")
+}
+
+// endLease ends a lease that is not needed any more.
+func (e *Election) endLease(ctx context.Context, lease kv.LeaseID) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	defer cancel()
+	if err := e.store.EndLease(ctx, lease); err != nil {
+		e.log.WithField(logging.Cause, err.Error()).Info("a lease is not ended; it runs out by itself")
+	}
+}
+
 const (
 	// patienceFirst is how long a call of a campaign waits for its answer: a lost one
 	// must not cost the time of a term. It doubles with each campaign that fails, for
@@ -409,14 +398,6 @@
 	return e.reclaimed
 }
 
-// Inherited returns what the holder before this daemon's term handed over; nil if the term
-// was not handed over.
-func (e *Election) Inherited() *Inheritance {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	return e.inherited
-}
-
 func (e *Election) renew(ctx context.Context) {
 	e.mutex.Lock()
 	lease := e.lease
@@ -438,81 +419,3 @@
 		e.attempted = e.now()
 	}
 }
-
-// Resign ends the term, if this daemon has it, and campaigns no more. handover is asked,
-// once no order is given any more, for what the next holder must know.
-func (e *Election) Resign(ctx context.Context, handover func() Handover) {
-	e.mutex.Lock()
-	e.resigned = true
-	e.mutex.Unlock()
-	e.giveUp(ctx, handover)
-}
-
-// Yielding begins to hand the term over to whoever campaigns first: Term tells of none from
-// now on, and Yield has to follow. It returns false if there is no term to hand over.
-func (e *Election) Yielding() bool {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	if e.term.Nonce == "" || e.resigned || e.yielding {
-		return false
-	}
-	e.yielding = true
-	return true
-}
-
-// Yield hands over the term. This daemon goes on to campaign for it, after its own delay.
-func (e *Election) Yield(ctx context.Context, handover func() Handover) {
-	e.giveUp(ctx, handover)
-	e.mutex.Lock()
-	e.yielding = false
-	if e.term.Nonce != "" {
-		e.loseTerm("handed over")
-	}
-	e.mutex.Unlock()
-	e.signal()
-}
-
-// giveUp offers the term to others, or ends it at least.
-func (e *Election) giveUp(ctx context.Context, handover func() Handover) {
-	defer e.signal()
-	e.mutex.Lock()
-	term, lease := e.term, e.lease
-	e.mutex.Unlock()
-	if lease == 0 {
-		return
-	}
-	err := e.handOver(ctx, term, lease, handover())
-	if err == nil {
-		e.written()
-		return
-	}
-	// A handover that comes late finds no record to replace once the lease is over.
-	e.log.WithFields(logrus.Fields{logging.Fence: term.Fence, logging.Cause: err.Error()}).Warn("the term is not handed over; its lease is ended")
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
-	defer cancel()
-	if err := e.store.EndLease(ctx, lease); err != nil {
-		e.log.WithFields(logrus.Fields{logging.Fence: term.Fence, logging.Cause: err.Error()}).Warn("the lease is not ended; it runs out by itself")
-	}
-}
-
-func (e *Election) written() {
-	if e.Written != nil {
-		e.Written()
-	}
-}
-
-// handOver replaces the term's record by one that offers the term, under the same lease.
-func (e *Election) handOver(ctx context.Context, term Holder, lease kv.LeaseID, handover Handover) error {
-	term.Handover = &handover
-	value, err := json.Marshal(term)
-	if err != nil {
-		return errors.Wrap(err, "write the record of a handover")
-	}
-	result, err := e.store.Commit(ctx, kv.Txn{
-		Conditions: []kv.Condition{{Key: e.Key, ModRevision: term.Fence}}, Puts: []kv.Put{{Key: e.Key, Value: value, Lease: lease}},
-	})
-	if err == nil && !result.Succeeded {
-		err = errors.New("another record stands")
-	}
-	return err
-}
--- a/loading/models.go
+++ b/loading/models.go
@@ -18,6 +18,7 @@
 			continue
 		}
 		for p.loadModel(need) && need.short() {
+			continue // the next copy, too
 		}
 	}
 }
--- a/records/records.go
+++ b/records/records.go
@@ -102,10 +102,6 @@
 // Serve.
 func (m *Mirror) Notable(notable func(before, after kv.Pair) bool) { m.notable = notable }
 
-// Urgent names the record whose changes are not gathered with others. It must be called
-// before Serve.
-func (m *Mirror) Urgent(key string) { m.urgent = key }
-
 // String names the service in the supervisor's events.
 func (m *Mirror) String() string { return "records" }
 
@@ -135,47 +131,6 @@
 	return ctx.Err()
 }
 
-// stretched returns how long to wait before the next call after one that failed.
-func (m *Mirror) stretched(pause time.Duration) time.Duration {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	if m.listening && !m.leading {
-		return listeningPauses * pause
-	}
-	return pause
-}
-
-// listen notes whether a peer's records are being listened to.
-func (m *Mirror) listen(listening bool) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	m.listening = listening
-}
-
-// restWhileVouched waits until no peer vouches any more; it returns false at once
-// where none does.
-func (m *Mirror) restWhileVouched(ctx context.Context) bool {
-	m.mutex.Lock()
-	left := time.Until(m.vouched.Add(vouchTime))
-	if left <= 0 || m.leading {
-		if !m.vouched.IsZero() {
-			m.vouched = time.Time{}
-			m.log.WithFields(logrus.Fields{logging.Dependency: dependencyPeer, logging.Revision: m.revision}).Info(logging.MessageDependencyLost)
-		}
-		m.mutex.Unlock()
-		return false
-	}
-	m.mutex.Unlock()
-	timer := time.NewTimer(left)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-m.lead:
-	}
-	return true
-}
-
 // Lead tells whether this daemon follows the service for all: then it does so itself,
 // whoever vouches.
 func (m *Mirror) Lead(leading bool) {
@@ -220,31 +175,6 @@
 	return nil
 }
 
-// gather waits for more changes after some came, unless one of them, or the next, is urgent to
-// those that this daemon passes them on to.
-func (m *Mirror) gather(ctx context.Context, events []kv.Event) {
-	isUrgent := func(event kv.Event) bool { return event.Pair.Key == m.urgent }
-	if len(events) == 0 || m.Leading() && slices.ContainsFunc(events, isUrgent) {
-		return
-	}
-	timer := time.NewTimer(gatherTime)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-m.hurried:
-	}
-}
-
-// Hurry makes the mirror ask for changes at once where it waits for more of them: this
-// daemon has written an urgent one.
-func (m *Mirror) Hurry() {
-	select {
-	case m.hurried <- struct{}{}:
-	default:
-	}
-}
-
 // answered notes that the service answered here, and tells the peers.
 func (m *Mirror) answered(at time.Time) {
 	m.mutex.Lock()
