--- a/loading/search_test.go
+++ b/loading/search_test.go
@@ -159,3 +159,19 @@
 		}
 	})
 }
+
+// A place that is left out for its least cost must not cost less.
+func TestTheLeastCostOfAPlaceIsABound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		planner := drawPlanner(t)
+		for _, need := range planner.models {
+			for _, one := range planner.places {
+				from := plainSource(one, need)
+				made, possible := spotOn(one, need, float64(rapid.IntRange(0, 20).Draw(t, "value")), from)
+				if possible {
+					require.LessOrEqual(t, one.leastCost(need, from), made.cost)
+				}
+			}
+		}
+	})
+}
