Whose a caller's key is: one index, used by settings and by the routing table

A hash in capitals in the settings was accepted before and never matched; now it matches, and is found to be the same key as in small letters.

--- a/logging/fields.go
+++ b/logging/fields.go
@@ -8,6 +8,7 @@
 	Service        = "service"
 	Model          = "model"
 	Adapter        = "adapter"
+	Tenant         = "tenant"
 	Replica        = "replica"
 	Address        = "address"
 	Zone           = "zone"
--- /dev/null
+++ b/records/proof.go
@@ -0,0 +1,79 @@
+package records
+
+import "time"
+
+// ProvenAt returns the latest moment, on the monotonic clock, at which the records here were
+// surely the newest: all changes that the service had acknowledged by then are known. It is
+// the zero time if there was none.
+//
+// The moment is that of a question, not of its answer. An answer may be late, and a process
+// may stand still before it reads one; neither makes the records look newer than they are.
+func (m *Mirror) ProvenAt() time.Time {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.provenAt()
+}
+
+// provenAt is ProvenAt; the mutex is held.
+func (m *Mirror) provenAt() time.Time {
+	if m.provenByPeer.After(m.provenHere) {
+		return m.provenByPeer
+	}
+	return m.provenHere
+}
+
+// LimitProof makes the mirror ask the service itself once the newest proof is as old as
+// limit, whoever vouches for the records; zero sets no limit. It must be called before Serve.
+func (m *Mirror) LimitProof(limit time.Duration) { m.proofLimit = limit }
+
+// proofLeft returns for how long the newest proof stays within the limit; the mutex is held.
+func (m *Mirror) proofLeft(now time.Time) time.Duration {
+	if m.proofLimit <= 0 {
+		return vouchTime
+	}
+	return m.provenAt().Add(m.proofLimit).Sub(now)
+}
+
+// wait returns how long the service may hold the next call without news. A daemon whose
+// proof is old asks for an answer at once.
+func (m *Mirror) wait(now time.Time) time.Duration {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.proofLimit > 0 && m.proofLeft(now) <= watchWait {
+		return soonWait
+	}
+	return watchWait
+}
+
+// questions remembers when numbered questions were sent to a peer, until one of them is
+// answered. Only the newest are kept: an answer to an older one proves less than the next.
+type questions struct {
+	last uint64
+	sent map[uint64]time.Time
+}
+
+// mostOpen bounds the questions that wait for an answer.
+const mostOpen = 8
+
+// next returns the number of a question that is sent at a moment.
+func (q *questions) next(now time.Time) uint64 {
+	if q.sent == nil {
+		q.sent = map[uint64]time.Time{}
+	}
+	q.last++
+	q.sent[q.last] = now
+	delete(q.sent, q.last-mostOpen)
+	return q.last
+}
+
+// answered returns when a question was sent, and forgets it with those before it; known is
+// false for one that was never asked, or whose answer came before.
+func (q *questions) answered(number uint64) (sent time.Time, known bool) {
+	sent, known = q.sent[number]
+	for one := range q.sent {
+		if one <= number {
+			delete(q.sent, one)
+		}
+	}
+	return sent, known
+}
--- /dev/null
+++ b/records/proof_test.go
@@ -0,0 +1,142 @@
+package records
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/finchspoke/finchspoke/kv"
+	"github.com/finchspoke/finchspoke/rpc"
+	"github.com/finchspoke/finchspoke/transport"
+)
+
+func TestRecordsAreProvenFromWhenTheQuestionWasSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		require.True(t, mirrorOf(t, store).ProvenAt().IsZero(), "nothing was heard")
+		mirror, stop := followed(t, store)
+		defer stop()
+		synctest.Wait()
+		listed := mirror.ProvenAt()
+		require.Equal(t, time.Now(), listed)
+
+		time.Sleep(watchWait + time.Millisecond) // a call without news ends
+		synctest.Wait()
+		require.Equal(t, listed, mirror.ProvenAt(), "the call was sent right after the list")
+	})
+}
+
+// Messages that wait at a peer, in a link or for a process that stands still are older than
+// they say.
+func TestAPeersWordCountsFromTheQuestionThatItAnswers(t *testing.T) {
+	asked := time.Now()
+	proven := asked.Add(-100 * time.Millisecond)
+	feed := &Feed{}
+	message := feed.message(0, Update{Revision: 1, Contact: asked, Proven: proven}, asked.Add(50*time.Millisecond))
+	read := asked.Add(8 * time.Second) // the process stood still
+
+	update, err := updateOf(message, read, asked)
+	require.NoError(t, err)
+	require.Equal(t, asked.Add(-150*time.Millisecond), update.Proven, "the age of 150 ms counts from the question")
+
+	update, err = updateOf(message, read, time.Time{})
+	require.NoError(t, err)
+	require.True(t, update.Proven.IsZero(), "an answer to no question proves nothing")
+
+	update, err = updateOf(feed.message(0, Update{Revision: 1}, asked), read, asked)
+	require.NoError(t, err)
+	require.True(t, update.Proven.IsZero(), "the peer itself heard nothing")
+}
+
+func TestAnAgeIsNeverRoundedDown(t *testing.T) {
+	require.EqualValues(t, 2, roundedUp(time.Millisecond+time.Nanosecond))
+	require.EqualValues(t, 1, roundedUp(time.Millisecond))
+	require.EqualValues(t, 0, roundedUp(-time.Second))
+}
+
+func TestAPeersProofIsNotPassedOn(t *testing.T) {
+	mirror := mirrorOf(t, newFakeStore())
+	proven := time.Now()
+	mirror.Take(Update{Revision: 3, Whole: true, Contact: proven, Proven: proven})
+	require.Equal(t, proven, mirror.ProvenAt())
+	update, _ := mirror.since(0)
+	require.True(t, update.Proven.IsZero())
+}
+
+func TestAPeerThatKnowsMoreThanItSentProvesNothing(t *testing.T) {
+	mirror := mirrorOf(t, newFakeStore())
+	mirror.Take(Update{Revision: 3, Whole: true, Proven: time.Now().Add(-time.Second)})
+	before := mirror.ProvenAt()
+	mirror.apply(nil, 2)
+	mirror.Take(Update{Revision: 3, Whole: true, Proven: time.Now()})
+	require.True(t, mirror.ProvenAt().After(before), "the same records, proven later")
+}
+
+func TestQuestionsAreAnsweredOnceAndForgotten(t *testing.T) {
+	var open questions
+	start := time.Now()
+	for number := range mostOpen + 2 {
+		open.next(start.Add(time.Duration(number) * time.Second))
+	}
+	_, known := open.answered(1)
+	require.False(t, known, "too many are open")
+	sent, known := open.answered(5)
+	require.True(t, known)
+	require.Equal(t, start.Add(4*time.Second), sent)
+	_, known = open.answered(5)
+	require.False(t, known)
+	_, known = open.answered(4)
+	require.False(t, known, "an older one proves less")
+	require.Len(t, open.sent, mostOpen+2-5)
+}
+
+// A daemon that hears a peer but whose questions do not come through must ask the service
+// before its proof is too old, and get an answer at once.
+func TestAnOldProofIsRenewedAtTheServiceThoughAPeerVouches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 2 * time.Second
+		store, mirror, stop := followedOne(t)
+		defer stop()
+		mirror.LimitProof(limit)
+		began := time.Now()
+		for time.Since(began) < 10*limit {
+			mirror.Take(Update{Revision: mirror.Revision(), Contact: time.Now()}) // vouches, proves nothing
+			synctest.Wait()
+			require.LessOrEqual(t, time.Since(mirror.ProvenAt()), limit+100*time.Millisecond)
+			time.Sleep(50 * time.Millisecond)
+		}
+		require.Less(t, store.asked(), 20, "about one call each time the proof grows old")
+	})
+}
+
+// Over a real connection: proofs go on from question to question.
+func TestAFollowerProvesItsRecordsOverAConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	source := mirrorOf(t, newFakeStore())
+	source.replace([]kv.Pair{{Key: "config", Value: []byte("1"), ModRevision: 5}}, 5)
+	server := transport.NewServer(listener)
+	require.NoError(t, rpc.DRPCRegisterRecords(server.Mux(), &Feed{Mirror: source}))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = server.Serve(ctx) }()
+
+	conn, err := transport.Dial(ctx, listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	follower := mirrorOf(t, newFakeStore())
+	go func() { _ = follower.followPeer(ctx, rpc.NewDRPCRecordsClient(conn), "follower") }()
+	require.Eventually(t, func() bool { return follower.Revision() == 5 }, time.Second, time.Millisecond)
+	require.True(t, follower.ProvenAt().IsZero(), "the source has heard nothing itself")
+	for range 3 {
+		proven := time.Now()
+		source.answered(proven, proven)
+		require.Eventually(t, func() bool { return !follower.ProvenAt().IsZero() }, time.Second, time.Millisecond)
+		source.answered(time.Now(), proven)
+		require.False(t, follower.ProvenAt().After(proven))
+	}
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -10,7 +10,9 @@
 	"strings"
 	"time"
 
+	"github.com/finchspoke/finchspoke/callers"
 	"github.com/finchspoke/finchspoke/failure"
+	"github.com/finchspoke/finchspoke/quota"
 )
 
 // Kind says what may be done with a request of a route.
@@ -61,7 +63,9 @@
 	// route does not say.
 	MaxGap   time.Duration
 	Priority int // 0 is the most urgent
-	Splits   []Split
+	// Public routes take requests without a key.
+	Public bool
+	Splits []Split
 }
 
 // Repeatable tells whether a request may run again after it may have run.
@@ -100,6 +104,31 @@
 	Engine         *Engine // nil for a service without models
 }
 
+// Tenant is a customer whose requests carry one of its keys.
+type Tenant struct {
+	Name string
+	Keys []callers.KeyHash
+	// Priority goes before that of the route; nil leaves the route's.
+	Priority *int
+	Limit    quota.Limit
+	// CountsTokens tells that the limit is in tokens; otherwise it is in requests.
+	CountsTokens bool
+	// PlainTokens is what a request counts that names no tokens.
+	PlainTokens int
+}
+
+// Cost returns what a request counts toward the tenant's limit; tokens is zero for a
+// request that names none.
+func (t *Tenant) Cost(tokens int) int {
+	switch {
+	case !t.CountsTokens:
+		return 1
+	case tokens > 0:
+		return tokens
+	}
+	return t.PlainTokens
+}
+
 // Limits bound what a caller may send and how long it may rest.
 type Limits struct {
 	MaxHeaderBytes int
@@ -113,7 +142,9 @@
 	Version  int64
 	Routes   []*Route
 	Services []*Service
-	Limits   Limits
+	// Tenants hold the callers' keys; without any, requests need none.
+	Tenants []*Tenant
+	Limits  Limits
 }
 
 // Table is a revision indexed for lookups. It is not changed once made.
@@ -122,6 +153,8 @@
 	Limits   Limits
 	services map[string]*Service
 	byHost   map[string][]*Route // longest prefix first
+	tenants  []*Tenant
+	keys     callers.Keys[*Tenant]
 }
 
 // NewTable checks a revision and indexes it.
@@ -129,6 +162,12 @@
 	table := &Table{
 		Version: revision.Version, Limits: revision.Limits,
 		services: make(map[string]*Service, len(revision.Services)), byHost: map[string][]*Route{},
+		tenants: revision.Tenants,
+	}
+	for _, tenant := range revision.Tenants {
+		for _, key := range tenant.Keys {
+			table.keys.Add(key, tenant)
+		}
 	}
 	for _, service := range revision.Services {
 		table.services[service.Name] = service
@@ -162,6 +201,18 @@
 	return nil
 }
 
+// NeedsKeys tells whether requests on routes that are not public need a key.
+func (t *Table) NeedsKeys() bool { return len(t.tenants) > 0 }
+
+// Tenants lists the tenants in the order of the revision. It is not to be changed.
+func (t *Table) Tenants() []*Tenant { return t.tenants }
+
+// TenantOf returns the tenant that holds a key, or nil.
+func (t *Table) TenantOf(key callers.KeyHash) *Tenant {
+	tenant, _ := t.keys.Owner(key)
+	return tenant
+}
+
 // Service returns a service by name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
--- a/settings/check.go
+++ b/settings/check.go
@@ -8,7 +8,6 @@
 
 const (
 	keyPrefix       = "sha256:"
-	keyLength       = len(keyPrefix) + 64
 	maxAccelerators = 64
 	// defaultAdapterSlots is how many adapters a replica holds unless said.
 	defaultAdapterSlots = 4
@@ -52,7 +51,6 @@
 		Models:   map[string]*Model{},
 		Targets:  map[string]Target{},
 		Branches: map[string]*Branch{},
-		keys:     map[string]string{},
 	}
 }
 
--- a/settings/check_branch.go
+++ b/settings/check_branch.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"github.com/finchspoke/finchspoke/callers"
 	"github.com/finchspoke/finchspoke/request"
 )
 
@@ -38,13 +39,15 @@
 func (c *checker) keysOf(at place, branch *Branch, document BranchDocument) {
 	for index, key := range document.Keys {
 		where := at.item("keys", index)
-		if len(key) != keyLength || !strings.HasPrefix(key, keyPrefix) {
+		digits, prefixed := strings.CutPrefix(key, keyPrefix)
+		hash, valid := callers.ParseHash(digits)
+		if !prefixed || !valid {
 			c.fail(where, "branches."+branch.Path+".keys", "write sha256: and the 64 hexadecimal digits that `finchspoke settings hash-key` prints",
 				"a key must be given as its SHA-256 hash")
 			continue
 		}
-		c.unique(where, "key", key)
-		c.tree.keys[key] = branch.Path
+		c.unique(where, "key", hash.String())
+		c.tree.keys.Add(hash, branch.Path)
 	}
 }
 
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -1,11 +1,10 @@
 package settings
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"path"
 	"time"
 
+	"github.com/finchspoke/finchspoke/callers"
 	"github.com/finchspoke/finchspoke/request"
 )
 
@@ -13,10 +12,10 @@
 type Tree struct {
 	Regions  map[string]Region
 	Services map[string]Service
-	Models   map[string]*Model  // by model name
-	Targets  map[string]Target  // every name a caller may ask for
-	Branches map[string]*Branch // by path, for example andina/handhelds
-	keys     map[string]string  // API key hash to branch path
+	Models   map[string]*Model    // by model name
+	Targets  map[string]Target    // every name a caller may ask for
+	Branches map[string]*Branch   // by path, for example andina/handhelds
+	keys     callers.Keys[string] // owners are branch paths
 	document Document
 	set      *sourceSet // to find positions when they are asked for
 }
@@ -122,13 +121,12 @@
 
 // HashKey returns the form in which an API key stands in the settings.
 func HashKey(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return keyPrefix + hex.EncodeToString(sum[:])
+	return keyPrefix + callers.Hash(key).String()
 }
 
 // BranchForKey returns the branch that an API key belongs to.
 func (t *Tree) BranchForKey(key string) (*Branch, bool) {
-	branchPath, found := t.keys[HashKey(key)]
+	branchPath, found := t.keys.Owner(callers.Hash(key))
 	if !found {
 		return nil, false
 	}
