Tenants' limits hold over all daemons: asked of the holder, with credit lent ahead

Change: package quota, pure: a token bucket and the history of a window for each tenant at the holder of load orders, and credit lent ahead to the daemons that a tenant uses, so that requests go on while the holder is lost; credit counts as used for as long as it may be used. Package limiter carries it: one message and one reply for what is asked together. A holder grants only while its lease surely holds. Requests that did not run are given back.

Ruled out on paper: equal shares of each daemon (a tenant with 2,700 tokens a second has 31 at each of 87 daemons, and one request costs 1,600).

--- a/callers/callers_test.go
+++ b/callers/callers_test.go
@@ -37,8 +37,8 @@
 	f.Add("", "00")
 	f.Add("secret", Hash("secret").String())
 	f.Fuzz(func(t *testing.T, key, digits string) {
-		if hash, valid := ParseHash(digits); valid {
-			require.Len(t, digits, 2*len(hash))
+		if _, valid := ParseHash(digits); valid {
+			require.Len(t, digits, 2*len(KeyHash{}))
 		}
 		read, valid := ParseHash(Hash(key).String())
 		require.True(t, valid)
--- a/core/core.go
+++ b/core/core.go
@@ -138,6 +138,24 @@
 	Owner(key callers.KeyHash) (*routing.Tenant, *failure.Error)
 }
 
+// Limits keeps tenants within what they may use.
+type Limits interface {
+	// Admit tells whether a request with so many tokens (zero: it does not say) is within its
+	// tenant's limit, waiting at most for a time where nobody can tell at once.
+	Admit(ctx context.Context, tenant *routing.Tenant, tokens int, most time.Duration) (Permit, *failure.Error)
+}
+
+// Permit is the permission for one request.
+type Permit interface {
+	// Return gives it back: the request did not run.
+	Return()
+}
+
+// limitWaitShare is the share of its objective that a call waits where nobody can tell
+// whether it is within its tenant's limit: the next holder may be there by then, and a refusal
+// after that would come late.
+const limitWaitShare = 8
+
 // RetryPolicy bounds the retries of each service.
 type RetryPolicy struct {
 	Share   float64 // of the requests
@@ -160,6 +178,7 @@
 	Driver  Driver
 	Retries RetryPolicy
 	Gate    Gate
+	Limits  Limits // nil: none are kept
 	Metrics *Metrics
 	Log     logrus.FieldLogger
 
@@ -299,14 +318,31 @@
 		life: &Lifecycle{Repeatable: call.Route.Repeatable(), Resumable: call.Route.Resumable, MaxRuns: max(1, call.Route.Attempts), Deadline: call.Deadline},
 	}
 	if failed = undeclared(call); failed == nil {
-		c.Demand.Arrive(call.key())
-		c.budget(call.Service.Name).Earn()
-		failed = c.lead(ctx, running)
+		failed = c.admit(ctx, running)
 	}
 	c.logEnd(running, failed)
 	return failed, running.began
 }
 
+// admit leads a call that is within its tenant's limit. One that did not run does not count
+// toward it.
+func (c *Core) admit(ctx context.Context, running *run) *failure.Error {
+	if c.Limits != nil && running.Tenant != nil {
+		permit, failed := c.Limits.Admit(ctx, running.Tenant, running.Tokens, running.Route.Objective/limitWaitShare)
+		if failed != nil {
+			return failed
+		}
+		defer func() {
+			if running.life.Execution() == failure.NotRun {
+				permit.Return()
+			}
+		}()
+	}
+	c.Demand.Arrive(running.key())
+	c.budget(running.Service.Name).Earn()
+	return c.lead(ctx, running)
+}
+
 // undeclaredPause is the advice to callers that name a model which the table lacks: a
 // newer table may be on its way.
 const undeclaredPause = time.Second
--- a/core/metrics.go
+++ b/core/metrics.go
@@ -18,6 +18,8 @@
 	dispatches *prometheus.CounterVec
 	retries    *prometheus.CounterVec
 	overrun    prometheus.Histogram
+	tenants    *prometheus.CounterVec
+	tokens     *prometheus.CounterVec
 }
 
 // NewMetrics registers the core's metrics.
@@ -47,13 +49,25 @@
 		Name: "finchspoke_core_wait_overrun_seconds", Help: "How much longer than estimated requests waited for a replica; negative: shorter.",
 		Buckets: []float64{-5, -2.5, -1, -.5, -.1, .1, .5, 1, 2.5, 5},
 	})
-	registerer.MustRegister(created.overrun, created.ended, created.first, created.waited, created.dispatches, created.retries, created.whole)
+	created.tenants = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "finchspoke_core_tenant_requests_total", Help: "Requests ended, by tenant and outcome.",
+	}, []string{"tenant", "outcome"})
+	created.tokens = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "finchspoke_core_tenant_use_total", Help: "What requests that may have run count toward their tenant's limit, in its unit.",
+	}, []string{"tenant"})
+	registerer.MustRegister(created.tenants, created.tokens, created.overrun, created.ended, created.first, created.waited, created.dispatches, created.retries, created.whole)
 	return created
 }
 
 func (m *Metrics) end(running *run, outcome string, execution failure.Execution) {
 	kind := running.Route.Kind.String()
 	m.ended.WithLabelValues(kind, outcome, string(execution)).Inc()
+	if running.Tenant != nil {
+		m.tenants.WithLabelValues(running.Tenant.Name, outcome).Inc()
+		if execution != failure.NotRun {
+			m.tokens.WithLabelValues(running.Tenant.Name).Add(float64(running.Tenant.Cost(running.Tokens)))
+		}
+	}
 	if execution == failure.Completed {
 		m.whole.WithLabelValues(kind, strconv.Itoa(running.Route.Priority)).Observe(time.Since(running.Arrived).Seconds())
 	}
--- a/faultproxy/faultproxy.go
+++ b/faultproxy/faultproxy.go
@@ -33,6 +33,7 @@
 	faults   Faults
 	changed  chan struct{}
 	open     map[net.Conn]bool
+	muted    map[net.Conn]bool // open ones on which nothing passes any more
 	closed   bool
 	finished sync.WaitGroup
 }
@@ -48,7 +49,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen on loopback")
 	}
-	proxy := &Proxy{listener: listener, target: target, changed: make(chan struct{}), open: map[net.Conn]bool{}}
+	proxy := &Proxy{listener: listener, target: target, changed: make(chan struct{}), open: map[net.Conn]bool{}, muted: map[net.Conn]bool{}}
 	proxy.finished.Add(1)
 	go proxy.accept()
 	return proxy, nil
@@ -82,6 +83,23 @@
 	}
 }
 
+// SilenceOpen lets nothing pass any more on the connections that are open now, for good; new
+// ones work.
+func (p *Proxy) SilenceOpen() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for connection := range p.open {
+		p.muted[connection] = true
+	}
+}
+
+// isMuted tells whether nothing passes on a connection any more.
+func (p *Proxy) isMuted(connection net.Conn) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.muted[connection]
+}
+
 // Close ends the proxy.
 func (p *Proxy) Close() {
 	p.mutex.Lock()
@@ -114,6 +132,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	delete(p.open, connection)
+	delete(p.muted, connection)
 }
 
 func (p *Proxy) accept() {
@@ -189,6 +208,9 @@
 			<-changed
 			continue
 		}
+		if p.isMuted(to) {
+			return true
+		}
 		if faults.Delay > 0 {
 			time.Sleep(faults.Delay)
 		}
--- /dev/null
+++ b/limiter/client.go
@@ -0,0 +1,421 @@
+package limiter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/finchspoke/finchspoke/core"
+	"github.com/finchspoke/finchspoke/failure"
+	"github.com/finchspoke/finchspoke/logging"
+	"github.com/finchspoke/finchspoke/quota"
+	"github.com/finchspoke/finchspoke/routing"
+	"github.com/finchspoke/finchspoke/rpc"
+	"github.com/finchspoke/finchspoke/sleep"
+	"github.com/finchspoke/finchspoke/transport"
+)
+
+const (
+	// answerPatience is how long the holder is waited for. It answers within some ms; one that
+	// is slowed by a factor of ten within a few tens.
+	answerPatience = 150 * time.Millisecond
+	// beatPause is the time between messages of a daemon that asks nothing, so that the holder
+	// knows that credit which has lapsed was not used.
+	beatPause = 2 * time.Second
+	// connectPause is the time between tries to reach a holder.
+	connectPause = 100 * time.Millisecond
+	// connectPauseMost bounds the pause, which doubles with each try without an answer: 300
+	// daemons try at once where a holder is not sure of its term.
+	connectPauseMost = 400 * time.Millisecond
+	connectTime      = 500 * time.Millisecond
+	// silentTime ends a stream on which questions got no answer for so long.
+	silentTime = time.Second
+	// leastReturn and unknownReturn are advice to callers: the least after a refusal at the
+	// limit, and that where nobody tells whether there is room.
+	leastReturn   = 200 * time.Millisecond
+	unknownReturn = 500 * time.Millisecond
+)
+
+// Client asks the holder for each request of a tenant. It is a suture service.
+type Client struct {
+	Bounds quota.Bounds
+	// Holder returns the address of the holder; empty: none is known.
+	Holder func() string
+	Log    logrus.FieldLogger
+
+	process string
+	mutex   sync.Mutex
+	account *quota.Account
+	waiting map[uint64]chan quota.Answer // questions whose requests wait
+	outbox  outbox
+	wake    chan struct{} // holds an element while there is something to send
+	// connected is closed while the holder answers; another channel takes its place when it is
+	// lost.
+	connected chan struct{}
+	isUp      bool
+	fence     int64
+	// reports are the numbers of the account's reports that went with messages without a reply.
+	reports []uint64
+	// silentSince is when the first question was sent that has no answer; zero: none.
+	silentSince time.Time
+}
+
+// outbox is what goes with the next message.
+type outbox struct {
+	questions []quota.Ask
+	refunds   []quota.Refund
+}
+
+// Prepare makes the client ready for use.
+func (c *Client) Prepare() {
+	c.process = uuid.NewString()
+	c.account = quota.NewAccount(c.Bounds)
+	c.waiting = map[uint64]chan quota.Answer{}
+	c.wake = make(chan struct{}, 1)
+	c.connected = make(chan struct{})
+}
+
+// Grant is the permission for one request.
+type Grant struct {
+	client *Client
+	tenant string
+	cost   float64
+	ahead  bool // taken from credit lent ahead
+	fence  int64
+	slot   int64
+}
+
+// unlimited is the permission for a request of a tenant without a limit.
+type unlimited struct{}
+
+// Return implements core.Permit.
+func (unlimited) Return() {}
+
+// Admit implements core.Limits: it asks the holder, uses credit that was lent ahead where the
+// holder does not answer, and waits at most for a time where there is neither.
+func (c *Client) Admit(ctx context.Context, tenant *routing.Tenant, tokens int, most time.Duration) (core.Permit, *failure.Error) {
+	if tenant.Limit.Unlimited() {
+		return unlimited{}, nil
+	}
+	cost := float64(tenant.Cost(tokens))
+	deadline := time.Now().Add(most)
+	for {
+		answer, up := c.ask(ctx, tenant.Name, cost)
+		switch {
+		case up && answer.Granted:
+			return &Grant{client: c, tenant: tenant.Name, cost: cost, fence: c.term(), slot: answer.Slot}, nil
+		case up && !answer.Unknown && !answer.Unsettled:
+			return nil, failure.New(failure.LimitExceeded, "come back after the time given, or ask your operator for a higher limit",
+				"tenant %s is at its limit of %.0f a second", tenant.Name, tenant.Limit.PerSecond).WithRetryAfter(max(leastReturn, answer.RetryIn))
+		}
+		if c.useAhead(tenant.Name, cost) {
+			return &Grant{client: c, tenant: tenant.Name, cost: cost, ahead: true}, nil
+		}
+		if !c.awaitHolder(ctx, time.Until(deadline)) {
+			return nil, failure.New(failure.Unavailable, "come back after the time given", "no holder tells whether tenant %s is within its limit", tenant.Name).
+				WithRetryAfter(unknownReturn)
+		}
+	}
+}
+
+// term returns the fence of the holder that answers.
+func (c *Client) term() int64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.fence
+}
+
+// ask asks the holder; up is false if there is none that answers in time.
+func (c *Client) ask(ctx context.Context, tenant string, cost float64) (answer quota.Answer, up bool) {
+	c.mutex.Lock()
+	if !c.isUp || !c.silentSince.IsZero() && time.Since(c.silentSince) > answerPatience {
+		c.mutex.Unlock()
+		return quota.Answer{}, false
+	}
+	now := time.Now()
+	question := c.account.Ask(tenant, cost, now)
+	answered := make(chan quota.Answer, 1)
+	c.waiting[question.ID] = answered
+	c.outbox.questions = append(c.outbox.questions, question)
+	if c.silentSince.IsZero() {
+		c.silentSince = now
+	}
+	lost := c.connected
+	c.mutex.Unlock()
+	c.signal()
+	timer := time.NewTimer(answerPatience)
+	defer timer.Stop()
+	select {
+	case answer = <-answered:
+		// A process that stood still finds an answer from before: it counts for another time.
+		if time.Since(now) <= 2*answerPatience {
+			return answer, true
+		}
+	case <-lost:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	c.abandon(question, answered)
+	return quota.Answer{}, false
+}
+
+// abandon gives back what a question may be granted, or was, whose request waits no longer.
+func (c *Client) abandon(question quota.Ask, answered <-chan quota.Answer) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.waiting, question.ID)
+	c.account.Abandon(question.ID)
+	select {
+	case answer := <-answered:
+		if answer.Granted {
+			c.outbox.refunds = append(c.outbox.refunds, quota.Refund{Tenant: question.Tenant, Cost: question.Cost, Slot: answer.Slot})
+		}
+	default:
+	}
+}
+
+func (c *Client) useAhead(tenant string, cost float64) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.account.UseAhead(tenant, cost, time.Now())
+}
+
+// awaitHolder waits until the holder answers, at most for a time.
+func (c *Client) awaitHolder(ctx context.Context, most time.Duration) bool {
+	for end := time.Now().Add(most); time.Now().Before(end) && sleep.For(ctx, min(holderCheck, time.Until(end))); {
+		c.mutex.Lock()
+		answers := c.isUp && c.silentSince.IsZero()
+		c.mutex.Unlock()
+		if answers {
+			return true
+		}
+	}
+	return false
+}
+
+// holderCheck is the time between looks at whether the holder answers.
+const holderCheck = 10 * time.Millisecond
+
+// Return gives back what was granted to a request that did not run.
+func (g *Grant) Return() {
+	c := g.client
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	switch {
+	case g.ahead:
+		c.account.GiveAheadBack(g.tenant, g.cost)
+	case c.isUp && g.fence == c.fence:
+		c.outbox.refunds = append(c.outbox.refunds, quota.Refund{Tenant: g.tenant, Cost: g.cost, Slot: g.slot})
+	}
+}
+
+func (c *Client) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// String names the service in the supervisor's events.
+func (c *Client) String() string { return "limiter" }
+
+// Serve implements suture.Service.
+func (c *Client) Serve(ctx context.Context) error {
+	pause := connectPause
+	for ctx.Err() == nil {
+		if address := c.Holder(); address != "" {
+			answered, err := c.borrow(ctx, address)
+			if answered {
+				pause = connectPause
+				c.Log.WithFields(logrus.Fields{logging.Dependency: dependencyHolder, logging.Address: address, logging.Cause: err.Error()}).Info(logging.MessageDependencyLost)
+			} else {
+				pause = min(2*pause, connectPauseMost)
+			}
+		}
+		sleep.For(ctx, pause)
+	}
+	return ctx.Err()
+}
+
+// dependencyHolder names the holder in log lines.
+const dependencyHolder = "holder of tenants' limits"
+
+var (
+	errOther  = errors.New("another daemon holds the term")
+	errSilent = errors.New("the holder answers no questions")
+)
+
+// borrow keeps a stream to a holder until it breaks, falls silent or is that of another one,
+// and tells whether the holder answered.
+func (c *Client) borrow(ctx context.Context, address string) (answered bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	dialing, done := context.WithTimeout(ctx, connectTime)
+	conn, err := transport.Dial(dialing, address)
+	done()
+	if err != nil {
+		return false, err
+	}
+	stream, err := rpc.NewDRPCQuotasClient(conn).Borrow(ctx)
+	if err != nil {
+		_ = conn.Close()
+		return false, errors.Wrap(err, "ask the holder of tenants' limits")
+	}
+	hello := c.hello()
+	failed := make(chan error, 1)
+	go func() {
+		defer close(failed)
+		failed <- c.listen(stream)
+	}()
+	err = c.talk(ctx, stream, hello, address, failed)
+	cancel()
+	_ = conn.Close()
+	for range failed { // until no answer can come any more
+	}
+	return c.down(), err
+}
+
+// talk sends what is to be said until the stream breaks or the holder is not to be asked any
+// more.
+func (c *Client) talk(ctx context.Context, stream rpc.DRPCQuotas_BorrowClient, hello *rpc.QuotaQuestions, address string, failed <-chan error) error {
+	if err := stream.Send(hello); err != nil {
+		return err
+	}
+	beat := time.NewTicker(beatPause)
+	defer beat.Stop()
+	check := time.NewTicker(connectPause)
+	defer check.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-failed:
+			return err
+		case <-check.C:
+			if err := c.unfit(address); err != nil {
+				return err
+			}
+			continue
+		case <-c.wake:
+		case <-beat.C:
+		}
+		if err := stream.Send(c.message()); err != nil {
+			return err
+		}
+	}
+}
+
+// unfit tells why the holder at an address is not to be asked any more; nil: it is.
+func (c *Client) unfit(address string) error {
+	if c.Holder() != address {
+		return errOther
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.silentSince.IsZero() && time.Since(c.silentSince) > silentTime {
+		return errSilent
+	}
+	return nil
+}
+
+// hello makes the first message of a stream.
+func (c *Client) hello() *rpc.QuotaQuestions {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.account.Disconnected()
+	c.outbox = outbox{}
+	c.reports = nil
+	message := &rpc.QuotaQuestions{Process: c.process, Used: c.used()}
+	for _, credit := range c.account.Credits(time.Now()) {
+		message.Credits = append(message.Credits, &rpc.QuotaCredit{Tenant: credit.Tenant, Left: credit.Left, ForMs: credit.For.Milliseconds() + 1})
+	}
+	c.silentSince = time.Now()
+	return message
+}
+
+// message makes a further message.
+func (c *Client) message() *rpc.QuotaQuestions {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	message := &rpc.QuotaQuestions{Used: c.used()}
+	for _, question := range c.outbox.questions {
+		message.Questions = append(message.Questions, &rpc.QuotaQuestion{Id: question.ID, Tenant: question.Tenant, Cost: question.Cost})
+	}
+	for _, refund := range c.outbox.refunds {
+		message.Refunds = append(message.Refunds, &rpc.QuotaRefund{Tenant: refund.Tenant, Cost: refund.Cost, Slot: refund.Slot})
+	}
+	c.outbox = outbox{}
+	return message
+}
+
+// used lists what was used of credit lent ahead, for the next message; the mutex is held.
+func (c *Client) used() []*rpc.QuotaCost {
+	var all []*rpc.QuotaCost
+	number, used := c.account.Report()
+	c.reports = append(c.reports, number)
+	for tenant, cost := range used {
+		all = append(all, &rpc.QuotaCost{Tenant: tenant, Cost: cost})
+	}
+	return all
+}
+
+// listen takes in answers until the stream breaks.
+func (c *Client) listen(stream rpc.DRPCQuotas_BorrowClient) error {
+	for {
+		message, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		c.take(message, time.Now())
+	}
+}
+
+// take takes in a message of the holder.
+func (c *Client) take(message *rpc.QuotaAnswers, now time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.isUp {
+		c.isUp = true
+		c.Log.WithFields(logrus.Fields{logging.Dependency: dependencyHolder, logging.Fence: message.GetFence()}).Info(logging.MessageDependencyRegained)
+	}
+	c.fence = message.GetFence()
+	if len(c.reports) > 0 { // each message gets one reply
+		c.account.Confirmed(c.reports[0])
+		c.reports = c.reports[1:]
+	}
+	for _, told := range message.GetAnswers() {
+		answer := quota.Answer{
+			ID: told.GetId(), Granted: told.GetGranted(), Unknown: told.GetUnknown(), RetryIn: time.Duration(told.GetRetryMs()) * time.Millisecond,
+			Slot: told.GetSlot(), Renewed: told.GetRenewed(), Ahead: told.GetAhead(), Unsettled: told.GetUnsettled(),
+		}
+		if unused := c.account.Take(answer, now); unused != nil {
+			c.outbox.refunds = append(c.outbox.refunds, *unused)
+		}
+		if waiting := c.waiting[answer.ID]; waiting != nil {
+			waiting <- answer
+			delete(c.waiting, answer.ID)
+		}
+	}
+	c.silentSince = time.Time{}
+	if len(c.waiting) > 0 {
+		c.silentSince = now
+	}
+}
+
+// down notes that the holder is lost: what waits for it uses credit, or waits for the next. It
+// tells whether the holder had answered.
+func (c *Client) down() (answered bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	answered = c.isUp
+	c.isUp, c.silentSince = false, time.Time{}
+	close(c.connected)
+	c.connected = make(chan struct{})
+	clear(c.waiting)
+	c.account.Disconnected()
+	return answered
+}
--- a/loader/holder.go
+++ b/loader/holder.go
@@ -112,6 +112,7 @@
 	TermDelay time.Duration
 
 	started time.Time
+	others  bool // another daemon is known to have held the term, or this one before
 
 	mutex  sync.Mutex
 	fence  int64 // of the term that the state belongs to; zero without one
@@ -279,6 +280,21 @@
 	h.lastOrder = now
 }
 
+// FirstOfAll tells that no holder can have been at work before this daemon's term: the whole
+// system has just started, and none was heard of.
+func (h *Holder) FirstOfAll() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.FirstStart && !h.others
+}
+
+// OtherHeld notes that another daemon held the term.
+func (h *Holder) OtherHeld() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.others = true
+}
+
 // Informed tells whether this daemon has heard from a holder of orders.
 func (h *Holder) Informed() bool {
 	h.mutex.Lock()
--- a/logging/fields.go
+++ b/logging/fields.go
@@ -9,6 +9,7 @@
 	Model          = "model"
 	Adapter        = "adapter"
 	Tenant         = "tenant"
+	FirstTerm      = "first_term"
 	Replica        = "replica"
 	Address        = "address"
 	Zone           = "zone"
--- a/logging/messages.go
+++ b/logging/messages.go
@@ -13,6 +13,7 @@
 	MessageRegistryFollowed   = "registry followed"
 	MessageLoadOrder          = "load order"
 	MessageReplicaHeard       = "replica state heard"
+	MessageLedgerBegun        = "ledger of tenants' limits begun"
 	MessageDependencyLost     = "dependency lost"
 	MessageDependencyRegained = "dependency regained"
 )
--- a/node/node.go
+++ b/node/node.go
@@ -24,8 +24,10 @@
 	"github.com/finchspoke/finchspoke/failure"
 	"github.com/finchspoke/finchspoke/fleet"
 	"github.com/finchspoke/finchspoke/kv"
+	"github.com/finchspoke/finchspoke/limiter"
 	"github.com/finchspoke/finchspoke/loader"
 	"github.com/finchspoke/finchspoke/logging"
+	"github.com/finchspoke/finchspoke/quota"
 	"github.com/finchspoke/finchspoke/records"
 	"github.com/finchspoke/finchspoke/routing"
 	"github.com/finchspoke/finchspoke/rpc"
@@ -56,7 +58,9 @@
 	LoadLimits loader.Limits
 	// Configurations bounds how old the configuration may be that requests are judged by.
 	Configurations access.Bound
-	RecordsRoot    string // prefix of the records that are followed
+	// Quotas bounds how closely tenants' limits are kept.
+	Quotas      quota.Bounds
+	RecordsRoot string // prefix of the records that are followed
 }
 
 // MetricsOn gives metrics a port on the peer address's IP, unless the settings name an
@@ -99,6 +103,7 @@
 	// registryLog writes what the registry says of replicas.
 	registryLog *registryLog
 	gate        *access.Gate
+	limits      *limiter.Server
 	election    *election.Election
 	holder      *loader.Holder
 	frontend    *frontend
@@ -197,10 +202,17 @@
 	follower.Prepare()
 	n.election.Listen(func(holder election.Holder) {
 		follower.HolderChanged(holder)
+		if holder.Daemon != n.config.ID {
+			n.holder.OtherHeld()
+		}
 		n.mirror.Lead(holder.Daemon == n.config.ID)
 		n.holder.Wake()
 	})
 	n.follow(adapters)
+	limits := &limiter.Client{Bounds: n.config.Quotas, Holder: n.election.HolderAddress, Log: n.log}
+	limits.Prepare()
+	requests.Limits = limits
+	n.limits = &limiter.Server{Bounds: n.config.Quotas, Table: n.routes, Term: n.election.Term, First: n.holder.FirstOfAll, Log: n.log}
 	subscriber := &records.Subscriber{Daemon: n.config.ID, Mirror: n.mirror, Source: n.recordSource, Deputy: n.deputySource, Seeds: n.otherSeeds, Log: n.log}
 	n.registerGauges()
 	n.frontend = newFrontend(n.listeners.callers, adapters.Callers(n.routes, n.gate, requests), n.routes)
@@ -210,7 +222,7 @@
 		n.log.WithField(logging.Cause, event.String()).Warn("supervisor")
 	}})
 	for _, service := range []suture.Service{
-		n.mirror, n.election, n.holder, follower, server, n.frontend, subscriber, &sweeper{node: n},
+		n.mirror, n.election, n.holder, follower, limits, server, n.frontend, subscriber, &sweeper{node: n},
 		&readiness{node: n, path: adapters.ReadyPath, listener: n.listeners.ready},
 	} {
 		n.supervisor.Add(service)
@@ -229,6 +241,7 @@
 func (n *Node) register(server *transport.Server) {
 	for _, err := range []error{
 		rpc.DRPCRegisterLoads(server.Mux(), n.holder), rpc.DRPCRegisterRecords(server.Mux(), &records.Feed{Mirror: n.mirror}),
+		rpc.DRPCRegisterQuotas(server.Mux(), n.limits),
 	} {
 		if err != nil {
 			panic(err) // a service registered twice: a mistake in this function
