A holder that is not sure of its lease goes on with credit that it calls in

And a refusal by a young term was repeated until the wait ended, then said to be 'no holder'.

Change: such a holder calls the daemons' credit in and grants from the sum; what is lent stays the same, so another holder may be there already. A refusal by a young term is a 429 at once, unless the daemon has credit.

--- a/limiter/client.go
+++ b/limiter/client.go
@@ -68,6 +68,7 @@
 type outbox struct {
 	questions []quota.Ask
 	refunds   []quota.Refund
+	returned  []quota.Credit
 }
 
 // Prepare makes the client ready for use.
@@ -109,12 +110,14 @@
 		case up && answer.Granted:
 			return &Grant{client: c, tenant: tenant.Name, cost: cost, fence: c.term(), slot: answer.Slot}, nil
 		case up && !answer.Unknown && !answer.Unsettled:
-			return nil, failure.New(failure.LimitExceeded, "come back after the time given, or ask your operator for a higher limit",
-				"tenant %s is at its limit of %.0f a second", tenant.Name, tenant.Limit.PerSecond).WithRetryAfter(max(leastReturn, answer.RetryIn))
+			return nil, atLimit(tenant, answer)
 		}
 		if c.useAhead(tenant.Name, cost) {
 			return &Grant{client: c, tenant: tenant.Name, cost: cost, ahead: true}, nil
 		}
+		if up && answer.Unsettled {
+			return nil, atLimit(tenant, answer)
+		}
 		if !c.awaitHolder(ctx, time.Until(deadline)) {
 			return nil, failure.New(failure.Unavailable, "come back after the time given", "no holder tells whether tenant %s is within its limit", tenant.Name).
 				WithRetryAfter(unknownReturn)
@@ -122,6 +125,13 @@
 	}
 }
 
+// atLimit is the failure of a request that is not within its tenant's limit, as far as the
+// holder knows.
+func atLimit(tenant *routing.Tenant, answer quota.Answer) *failure.Error {
+	return failure.New(failure.LimitExceeded, "come back after the time given, or ask your operator for a higher limit",
+		"tenant %s is at its limit of %.0f a second", tenant.Name, tenant.Limit.PerSecond).WithRetryAfter(max(leastReturn, answer.RetryIn))
+}
+
 // term returns the fence of the holder that answers.
 func (c *Client) term() int64 {
 	c.mutex.Lock()
@@ -330,9 +340,7 @@
 	c.outbox = outbox{}
 	c.reports = nil
 	message := &rpc.QuotaQuestions{Process: c.process, Used: c.used()}
-	for _, credit := range c.account.Credits(time.Now()) {
-		message.Credits = append(message.Credits, &rpc.QuotaCredit{Tenant: credit.Tenant, Left: credit.Left, ForMs: credit.For.Milliseconds() + 1})
-	}
+	message.Credits = told(c.account.Credits(time.Now()))
 	c.silentSince = time.Now()
 	return message
 }
@@ -348,10 +356,19 @@
 	for _, refund := range c.outbox.refunds {
 		message.Refunds = append(message.Refunds, &rpc.QuotaRefund{Tenant: refund.Tenant, Cost: refund.Cost, Slot: refund.Slot})
 	}
+	message.Returned = told(c.outbox.returned)
 	c.outbox = outbox{}
 	return message
 }
 
+func told(credits []quota.Credit) []*rpc.QuotaCredit {
+	all := make([]*rpc.QuotaCredit, 0, len(credits))
+	for _, credit := range credits {
+		all = append(all, &rpc.QuotaCredit{Tenant: credit.Tenant, Left: credit.Left, ForMs: credit.For.Milliseconds()})
+	}
+	return all
+}
+
 // used lists what was used of credit lent ahead, for the next message; the mutex is held.
 func (c *Client) used() []*rpc.QuotaCost {
 	var all []*rpc.QuotaCost
@@ -404,6 +421,13 @@
 	if len(c.waiting) > 0 {
 		c.silentSince = now
 	}
+	if !message.GetCallIn() {
+		return
+	}
+	if returned := c.account.Return(now); len(returned) > 0 {
+		c.outbox.returned = append(c.outbox.returned, returned...)
+		c.signal()
+	}
 }
 
 // down notes that the holder is lost: what waits for it uses credit, or waits for the next. It
--- a/limiter/server.go
+++ b/limiter/server.go
@@ -35,7 +35,7 @@
 }
 
 // errNotHolding ends the streams of daemons that must ask another one.
-var errNotHolding = errors.New("this daemon does not surely hold the term; ask the holder of load orders")
+var errNotHolding = errors.New("this daemon does not hold the term; ask the holder of load orders")
 
 // Borrow implements rpc.DRPCQuotasServer.
 func (s *Server) Borrow(stream rpc.DRPCQuotas_BorrowStream) error {
@@ -67,23 +67,31 @@
 	// The lease is looked at under the mutex, so that nothing is granted after a pause in
 	// which it ran out.
 	term, standing := s.Term()
-	if standing != election.Sure || fence != 0 && fence != term {
+	unsure := standing == election.Blind || standing == election.Unsure
+	if term == 0 || fence != 0 && fence != term || unsure && term != s.fence {
 		return nil, errNotHolding
 	}
-	s.refresh(term, now)
+	if !unsure {
+		s.refresh(term, now)
+	}
 	for _, used := range message.GetUsed() {
 		s.ledger.Used(process, used.GetTenant(), used.GetCost(), now)
 	}
 	s.ledger.Heard(process, now)
 	if fence == 0 {
-		s.ledger.Adopt(process, creditsOf(message), now)
+		s.ledger.Adopt(process, creditsOf(message.GetCredits()), now)
 	}
+	s.ledger.TakeBack(process, creditsOf(message.GetReturned()), now)
 	for _, refund := range message.GetRefunds() {
 		s.ledger.Return(quota.Refund{Tenant: refund.GetTenant(), Cost: refund.GetCost(), Slot: refund.GetSlot()})
 	}
-	answers := &rpc.QuotaAnswers{Fence: term}
+	answer := s.ledger.Answer
+	if unsure {
+		answer = s.ledger.AnswerUnsure
+	}
+	answers := &rpc.QuotaAnswers{Fence: term, CallIn: unsure}
 	for _, question := range message.GetQuestions() {
-		answer := s.ledger.Answer(process, quota.Ask{ID: question.GetId(), Tenant: question.GetTenant(), Cost: question.GetCost()}, now)
+		answer := answer(process, quota.Ask{ID: question.GetId(), Tenant: question.GetTenant(), Cost: question.GetCost()}, now)
 		answers.Answers = append(answers.Answers, &rpc.QuotaAnswer{
 			Id: answer.ID, Granted: answer.Granted, Unknown: answer.Unknown, RetryMs: answer.RetryIn.Milliseconds(), Slot: answer.Slot,
 			Renewed: answer.Renewed, Ahead: answer.Ahead, Unsettled: answer.Unsettled,
@@ -92,9 +100,9 @@
 	return answers, nil
 }
 
-func creditsOf(message *rpc.QuotaQuestions) []quota.Credit {
-	credits := make([]quota.Credit, 0, len(message.GetCredits()))
-	for _, credit := range message.GetCredits() {
+func creditsOf(told []*rpc.QuotaCredit) []quota.Credit {
+	credits := make([]quota.Credit, 0, len(told))
+	for _, credit := range told {
 		credits = append(credits, quota.Credit{Tenant: credit.GetTenant(), Left: credit.GetLeft(), For: time.Duration(credit.GetForMs()) * time.Millisecond})
 	}
 	return credits
--- a/quota/account.go
+++ b/quota/account.go
@@ -127,6 +127,15 @@
 	return all
 }
 
+// Return empties the credit that may still be used, because the holder has called it in.
+func (a *Account) Return(now time.Time) []Credit {
+	returned := a.Credits(now)
+	for _, one := range returned {
+		a.credits[one.Tenant].left = 0
+	}
+	return returned
+}
+
 // Report lists what was used of the credit and is not reported yet. Until its number is
 // confirmed it is reported again on the next connection: the holder must not lend anew what
 // was used.
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -62,12 +62,19 @@
 	granted  history
 	lent     map[string]*lent // by daemon
 	lentNow  float64          // the sum of it
+	pool     pool             // credit that was called in
 	settleAt time.Time        // when to look for credit that has lapsed
 	usedLent history          // credit lent ahead that daemons said they used, or may have
 	use      rate             // asked for by all daemons
 	returnAt time.Time        // when the next request that is refused should come back
 }
 
+// pool is credit that daemons gave back for others to use, until the first of it lapses.
+type pool struct {
+	amount float64
+	until  time.Time
+}
+
 // lent is the credit that a daemon has for a tenant.
 type lent struct {
 	amount float64
@@ -112,7 +119,61 @@
 	}
 }
 
-// Answer answers a daemon's question.
+// TakeBack takes in credit that a daemon returned because it was called in.
+func (l *Ledger) TakeBack(daemon string, credits []Credit, now time.Time) {
+	for _, credit := range credits {
+		use := l.tenants[credit.Tenant]
+		if use == nil {
+			continue
+		}
+		known := use.lent[daemon]
+		if known == nil || credit.Left <= 0 {
+			continue
+		}
+		returned := min(known.amount, credit.Left)
+		known.amount -= returned
+		use.lentNow -= returned
+		lapses := now.Add(credit.For)
+		if use.pool.amount == 0 || lapses.Before(use.pool.until) {
+			use.pool.until = lapses
+		}
+		use.pool.amount += returned
+	}
+}
+
+// AnswerUnsure answers a daemon's question while the holder's lease does not surely hold, so
+// that another holder may grant from the same limits: only from credit that was called in.
+func (l *Ledger) AnswerUnsure(daemon string, ask Ask, now time.Time) Answer {
+	l.heard[daemon] = now
+	use := l.tenants[ask.Tenant]
+	if use == nil {
+		return Answer{ID: ask.ID, Unknown: true}
+	}
+	use.pool.expire(now)
+	if use.pool.amount < ask.Cost {
+		return Answer{ID: ask.ID, RetryIn: unsureReturn, Unsettled: true}
+	}
+	use.pool.amount -= ask.Cost
+	use.usedLent.add(ask.Cost, now)
+	return Answer{ID: ask.ID, Granted: true, Slot: noSlot}
+}
+
+const (
+	// unsureReturn is the advice to callers while the holder's lease does not surely hold: the
+	// time in which it is renewed, or another holder is there.
+	unsureReturn = time.Second
+	// noSlot is that of grants which cannot be given back.
+	noSlot = -1
+)
+
+// expire empties a pool that has lapsed.
+func (p *pool) expire(now time.Time) {
+	if !now.Before(p.until) {
+		*p = pool{}
+	}
+}
+
+// Answer answers a daemon's question while the holder's lease surely holds.
 func (l *Ledger) Answer(daemon string, ask Ask, now time.Time) Answer {
 	l.heard[daemon] = now
 	use := l.tenants[ask.Tenant]
@@ -126,6 +187,7 @@
 	if !now.Before(use.settleAt) {
 		l.settle(use, now)
 	}
+	use.pool = pool{} // what is left of it was not used
 	use.bucket.refill(use.limit.PerSecond, now)
 	outstanding := l.outstanding(use, now)
 	level := use.parts.reserve - outstanding - use.bucket.missing
@@ -231,7 +293,7 @@
 
 // outstanding returns the credit lent ahead that may be used, or was lately.
 func (l *Ledger) outstanding(use *tenantUse, now time.Time) float64 {
-	total := use.usedLent.sum + use.lentNow
+	total := use.usedLent.sum + use.lentNow + use.pool.amount
 	if now.Before(l.lendsFrom) {
 		return max(total, use.parts.ahead) // of earlier holders
 	}
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -39,11 +39,18 @@
 }
 
 type modelDaemon struct {
-	name      string
-	account   *Account
-	connected bool // to the present holder
-	cut       bool
-	frozen    time.Time // until when it stands still
+	name    string
+	account *Account
+	holder  *modelHolder // that it is connected to; nil: none
+	cut     bool
+	frozen  time.Time // until when it stands still
+}
+
+// modelHolder is a holder's term.
+type modelHolder struct {
+	ledger *Ledger
+	unsure bool // its lease does not surely hold: another may begin
+	over   bool
 }
 
 type model struct {
@@ -54,8 +61,7 @@
 	turn    int
 	queue   events
 	daemons []*modelDaemon
-	ledger  *Ledger // nil without a holder
-	term    int
+	holder  *modelHolder // nil without one
 
 	ideal    *idealBucket // of the tenant one; nil if it is of no interest
 	admitted map[string][]admission
@@ -79,7 +85,7 @@
 	for number := range daemons {
 		m.daemons = append(m.daemons, &modelDaemon{name: fmt.Sprintf("d%d", number), account: NewAccount(m.bounds)})
 	}
-	m.begin(true)
+	m.begin(true, 0)
 	for _, daemon := range m.daemons {
 		m.after(time.Duration(m.random.Float64()*float64(modelBeat)), func() { m.beat(daemon) })
 	}
@@ -104,33 +110,31 @@
 	m.now = end
 }
 
-// begin starts a holder's term.
-func (m *model) begin(first bool) {
-	m.term++
-	m.ledger = NewLedger(m.bounds, first, m.now)
-	m.ledger.SetLimits(m.limits, m.now)
+// begin starts a holder's term. Daemons turn to it within a while.
+func (m *model) begin(first bool, within time.Duration) {
+	m.holder = &modelHolder{ledger: NewLedger(m.bounds, first, m.now)}
+	m.holder.ledger.SetLimits(m.limits, m.now)
 	for _, daemon := range m.daemons {
-		if !daemon.cut {
-			m.after(m.delay(daemon), func() { m.connect(daemon) })
-		}
+		m.after(m.delay(daemon)+time.Duration(m.random.Float64()*float64(within)), func() { m.connect(daemon) })
 	}
 }
 
 // connect lets a daemon introduce itself to the holder.
 func (m *model) connect(daemon *modelDaemon) {
-	if m.ledger == nil || daemon.cut || daemon.connected {
+	if m.holder == nil || daemon.cut || daemon.holder == m.holder {
 		return
 	}
 	daemon.account.Disconnected()
-	daemon.connected = true
+	daemon.holder = m.holder
 	number, used := daemon.account.Report()
-	credits, ledger, account := daemon.account.Credits(m.now), m.ledger, daemon.account
+	credits, holder, account, name := daemon.account.Credits(m.now), m.holder, daemon.account, daemon.name
 	m.after(m.delay(daemon), func() {
-		if ledger == m.ledger {
-			m.report(daemon, used)
-			ledger.Adopt(daemon.name, credits, m.now)
-			account.Confirmed(number)
+		if holder.over || daemon.holder != holder {
+			return
 		}
+		m.report(holder, name, used)
+		holder.ledger.Adopt(name, credits, m.now)
+		account.Confirmed(number)
 	})
 }
 
@@ -139,34 +143,35 @@
 // beat lets a daemon speak now and then.
 func (m *model) beat(daemon *modelDaemon) {
 	m.after(modelBeat, func() { m.beat(daemon) })
-	if !daemon.connected || daemon.cut || daemon.frozen.After(m.now) {
+	if daemon.holder == nil || daemon.cut || daemon.frozen.After(m.now) {
 		return
 	}
-	name, account, ledger := daemon.name, daemon.account, m.ledger
+	name, account, holder := daemon.name, daemon.account, daemon.holder
 	number, used := account.Report()
 	m.after(m.delay(daemon), func() {
-		if ledger != m.ledger || daemon.cut {
+		if holder.over || daemon.holder != holder {
 			return
 		}
 		account.Confirmed(number)
-		for tenant, amount := range used {
-			ledger.Used(name, tenant, amount, m.now)
-		}
-		ledger.Heard(name, m.now)
+		m.report(holder, name, used)
+		holder.ledger.Heard(name, m.now)
 	})
 }
 
-func (m *model) report(daemon *modelDaemon, used map[string]float64) {
+func (m *model) report(holder *modelHolder, name string, used map[string]float64) {
 	for tenant, amount := range used {
-		m.ledger.Used(daemon.name, tenant, amount, m.now)
+		holder.ledger.Used(name, tenant, amount, m.now)
 	}
 }
 
 // end takes the holder away.
 func (m *model) end() {
-	m.ledger = nil
+	if m.holder != nil {
+		m.holder.over = true
+	}
+	m.holder = nil
 	for _, daemon := range m.daemons {
-		daemon.connected = false
+		daemon.holder = nil
 	}
 }
 
@@ -191,56 +196,69 @@
 	}
 	m.asked[tenant] += cost
 	m.requests[tenant]++
-	if !daemon.connected || daemon.cut {
+	if daemon.holder == nil || daemon.cut {
 		m.useAhead(daemon, tenant, cost)
 		return
 	}
 	ask := daemon.account.Ask(tenant, cost, m.now)
 	number, used := daemon.account.Report()
-	ledger, account := m.ledger, daemon.account
+	holder, account, name := daemon.holder, daemon.account, daemon.name
 	settled := false
 	m.after(m.delay(daemon), func() {
-		if ledger != m.ledger || daemon.cut {
+		if holder.over || daemon.holder != holder {
 			return
 		}
-		m.report(daemon, used)
+		m.report(holder, name, used)
 		account.Confirmed(number)
-		answer := ledger.Answer(daemon.name, ask, m.now)
+		unsure := holder.unsure
+		answer := m.answer(holder, name, ask)
 		m.after(m.delay(daemon), func() {
-			if daemon.cut || !daemon.connected {
+			if daemon.holder != holder || daemon.account != account {
 				return
 			}
-			if unused := daemon.account.Take(answer, m.now); unused != nil {
-				m.after(m.delay(daemon), func() { m.giveBack(ledger, *unused) })
+			if unused := account.Take(answer, m.now); unused != nil {
+				m.after(m.delay(daemon), func() { holder.ledger.Return(*unused) })
 				return
 			}
-			if settled {
-				return
+			if unsure {
+				m.returnCredit(daemon, holder)
+			}
+			if !settled {
+				settled = true
+				m.decide(daemon, ask, answer, holder, failing)
 			}
-			settled = true
-			m.decide(daemon, ask, answer, ledger, failing)
 		})
 	})
 	m.after(modelPatience, func() {
-		if settled {
-			return
+		if !settled {
+			settled = true
+			account.Abandon(ask.ID)
+			m.useAhead(daemon, tenant, cost)
 		}
-		settled = true
-		daemon.account.Abandon(ask.ID)
-		m.useAhead(daemon, tenant, cost)
 	})
 }
 
-func (m *model) giveBack(ledger *Ledger, refund Refund) {
-	if ledger == m.ledger {
-		ledger.Return(refund)
+func (m *model) answer(holder *modelHolder, name string, ask Ask) Answer {
+	if holder.unsure {
+		return holder.ledger.AnswerUnsure(name, ask, m.now)
 	}
+	return holder.ledger.Answer(name, ask, m.now)
 }
 
-func (m *model) decide(daemon *modelDaemon, ask Ask, answer Answer, ledger *Ledger, failing bool) {
+// returnCredit lets a daemon return the credit that its holder calls in.
+func (m *model) returnCredit(daemon *modelDaemon, holder *modelHolder) {
+	name, returned := daemon.name, daemon.account.Return(m.now)
+	m.after(m.delay(daemon), func() {
+		if !holder.over && daemon.holder == holder {
+			holder.ledger.TakeBack(name, returned, m.now)
+		}
+	})
+}
+
+func (m *model) decide(daemon *modelDaemon, ask Ask, answer Answer, holder *modelHolder, failing bool) {
 	switch {
 	case answer.Granted && failing:
-		m.giveBack(ledger, Refund{Tenant: ask.Tenant, Cost: ask.Cost, Slot: answer.Slot})
+		holder.ledger.Return(Refund{Tenant: ask.Tenant, Cost: ask.Cost, Slot: answer.Slot})
 	case answer.Granted:
 		m.admit(ask.Tenant, ask.Cost)
 	case answer.Unsettled:
@@ -310,19 +328,22 @@
 		m.after(moment(), func() {
 			m.end()
 			m.after(time.Duration(m.random.Float64()*4*float64(time.Second)), func() {
-				if m.ledger == nil {
-					m.begin(false)
+				if m.holder == nil {
+					m.begin(false, 0)
 				}
 			})
 		})
 	}
+	for range m.random.IntN(3) {
+		m.after(moment(), func() { m.becomeUnsure() })
+	}
 	for range m.random.IntN(60) {
 		daemon := m.daemons[m.random.IntN(len(m.daemons))]
 		length := time.Duration(m.random.Float64() * 10 * float64(time.Second))
 		switch m.random.IntN(3) {
 		case 0:
 			m.after(moment(), func() {
-				daemon.cut, daemon.connected = true, false
+				daemon.cut, daemon.holder = true, nil
 				m.after(length, func() { daemon.cut = false; m.connect(daemon) })
 			})
 		case 1:
@@ -331,13 +352,36 @@
 			m.after(moment(), func() {
 				m.turn++
 				daemon.name = fmt.Sprintf("%s.%d", daemon.name, m.turn)
-				daemon.account, daemon.connected = NewAccount(m.bounds), false
+				daemon.account, daemon.holder = NewAccount(m.bounds), nil
 				m.connect(daemon)
 			})
 		}
 	}
 }
 
+// becomeUnsure lets a holder's lease run out. It is renewed, or another holder begins while
+// the first goes on with what it called in.
+func (m *model) becomeUnsure() {
+	holder := m.holder
+	if holder == nil || holder.unsure {
+		return
+	}
+	holder.unsure = true
+	length := time.Duration(m.random.Float64() * 5 * float64(time.Second))
+	another := m.random.Float64() < 0.5
+	m.after(length/2, func() {
+		if another && m.holder == holder {
+			m.begin(false, 2*time.Second)
+		}
+	})
+	m.after(length, func() {
+		if another {
+			holder.over = true
+		}
+		holder.unsure = false
+	})
+}
+
 func TestNoWindowIsEverOver(t *testing.T) {
 	const (
 		seeds   = 1000
