--- a/core/core.go
+++ b/core/core.go
@@ -179,8 +179,10 @@
 	Retries RetryPolicy
 	Gate    Gate
 	Limits  Limits // nil: none are kept
-	Metrics *Metrics
-	Log     logrus.FieldLogger
+	// OrdersGiven tells whether this daemon is attached to a holder of load orders; nil: never.
+	OrdersGiven func() bool
+	Metrics     *Metrics
+	Log         logrus.FieldLogger
 
 	mutex   sync.Mutex
 	daemons int                     // that share the reserve of retries; zero if not known
--- a/core/wait.go
+++ b/core/wait.go
@@ -62,7 +62,7 @@
 
 // decideWait decides whether a call waits on or is refused. expected is when its
 // target will be loaded, if that is known.
-func decideWait(now time.Time, call *Call, miss fleet.Miss, expected time.Time, known bool) waitDecision {
+func decideWait(now time.Time, call *Call, miss fleet.Miss, expected time.Time, known bool, guess loadEstimate) waitDecision {
 	until := patience(call)
 	switch miss {
 	case fleet.NoReplica:
@@ -82,7 +82,7 @@
 		return decision
 	case fleet.NotLoaded, fleet.AdapterAbsent:
 	}
-	decision := waitDecision{readyIn: loadGuess(call, miss), source: "catalogue"}
+	decision := waitDecision{readyIn: guess.takes, source: guess.source}
 	if known {
 		decision.readyIn, decision.source = max(0, expected.Sub(now)), "order_holder"
 	} else if now.Before(call.Arrived.Add(min(wordTime, call.Route.Objective/wordShare))) {
@@ -96,22 +96,44 @@
 	decision.wait = now.Add(decision.readyIn + looseEnd).Before(until)
 	if !known && now.Sub(call.Arrived) > time.Duration(unknownShare*float64(until.Sub(call.Arrived))) {
 		// Nobody has begun the load: better to come back than to be held to the end.
-		decision.wait, decision.readyIn, decision.source = false, loadGuess(call, miss), "not_begun"
+		decision.wait, decision.readyIn, decision.source = false, guess.takes, "not_begun"
 	}
 	return decision
 }
 
-// loadGuess is how long a load takes that nothing is known of.
-func loadGuess(call *Call, miss fleet.Miss) time.Duration {
+// loadEstimate is how long a load should take that nobody is known to have begun.
+type loadEstimate struct {
+	takes  time.Duration
+	source string
+}
+
+// Sources of estimates, in log lines.
+const (
+	sourceCatalogue = "catalogue"
+	sourceKept      = "kept"
+)
+
+// estimateLoad returns how long a load of what a call lacks should take. Where a replica keeps
+// the weights it is a load from there, while somebody is there to order it; of what is waited
+// for without an order holder nothing comes.
+func (c *Core) estimateLoad(call *Call, miss fleet.Miss, now time.Time) loadEstimate {
 	if miss == fleet.AdapterAbsent {
-		return adapterLoadGuess
+		return loadEstimate{adapterLoadGuess, sourceCatalogue}
+	}
+	if call.Service.Engine == nil {
+		return loadEstimate{decisionGuess, sourceCatalogue}
+	}
+	model := call.Service.Engine.Models[call.Target.Model]
+	if model == nil {
+		return loadEstimate{decisionGuess, sourceCatalogue}
 	}
-	if call.Service.Engine != nil {
-		if model := call.Service.Engine.Models[call.Target.Model]; model != nil {
-			return model.StoreLoad + decisionGuess
+	if miss == fleet.NotLoaded && c.OrdersGiven != nil && c.OrdersGiven() {
+		times := fleet.LoadTimes{FromMemory: model.MemoryLoad, FromDisk: model.DiskLoad}
+		if in, kept := c.Fleet.KeptLoad(call.Service.Name, model.Name, times, now); kept && in < model.StoreLoad {
+			return loadEstimate{in + decisionGuess, sourceKept}
 		}
 	}
-	return decisionGuess
+	return loadEstimate{model.StoreLoad + decisionGuess, sourceCatalogue}
 }
 
 // await returns the replica for the next dispatch, waiting for one if that is worth
@@ -135,7 +157,7 @@
 			return pick, nil
 		}
 		expected, known := c.Fleet.Expected(running.Service.Name, missing(running.Target, miss))
-		decision := decideWait(now, running.Call, miss, expected, known)
+		decision := decideWait(now, running.Call, miss, expected, known, c.estimateLoad(running.Call, miss, now))
 		if c.isStopping() {
 			// Another daemon waits as well, and has the time to serve.
 			decision.wait, decision.readyIn, decision.source = false, 0, "stopping"
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -58,6 +58,9 @@
 	Holdings Holdings // without what is being unloaded
 	// Loading says when what is being loaded will be there.
 	Loading map[Target]time.Time
+	// InMemory and OnDisk are as those of an Entry.
+	InMemory []string
+	OnDisk   []string
 }
 
 // older tells whether another confirmation is known to be newer.
@@ -226,6 +229,63 @@
 	return at, known
 }
 
+// LoadTimes are how long a load takes from the copies of weights that replicas keep.
+type LoadTimes struct {
+	FromMemory time.Duration
+	FromDisk   time.Duration
+}
+
+// KeptLoad returns how soon a model could be loaded on a replica of a service that keeps its
+// weights, after the loads that are under way there; kept is false if no replica does.
+func (d *Directory) KeptLoad(service, model string, times LoadTimes, now time.Time) (in time.Duration, kept bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, member := range d.members {
+		if member.Service != service || member.Draining {
+			continue
+		}
+		takes, keeps := member.keptLoad(model, times)
+		if !keeps {
+			continue
+		}
+		takes += member.busyFor(now)
+		if !kept || takes < in {
+			in, kept = takes, true
+		}
+	}
+	return in, kept
+}
+
+// keptLoad returns how long a load of a model from the replica's own copies takes, and whether
+// it has any.
+func (r *Replica) keptLoad(model string, times LoadTimes) (takes time.Duration, keeps bool) {
+	inMemory, onDisk := r.InMemory, r.OnDisk
+	if r.confirmed != nil {
+		inMemory, onDisk = r.confirmed.InMemory, r.confirmed.OnDisk
+	}
+	switch {
+	case slices.Contains(inMemory, model):
+		return times.FromMemory, true
+	case slices.Contains(onDisk, model):
+		return times.FromDisk, true
+	}
+	return 0, false
+}
+
+// busyFor returns for how long the replica takes no order for a model.
+func (r *Replica) busyFor(now time.Time) time.Duration {
+	if r.confirmed == nil {
+		return 0
+	}
+	busy := time.Duration(0)
+	for target, ready := range r.confirmed.Loading {
+		if target.Adapter == "" {
+			busy = max(busy, ready.Sub(now))
+		}
+	}
+	return busy
+}
+
 // Entries returns what the registry says of all replicas, by id.
 func (d *Directory) Entries() []Entry {
 	d.mutex.Lock()
--- a/loader/attach.go
+++ b/loader/attach.go
@@ -170,7 +170,7 @@
 }
 
 func replicaView(state *loading.Replica, now time.Time) *rpc.ReplicaLoads {
-	told := &rpc.ReplicaLoads{ReplicaId: state.ID, Sequence: state.Sequence}
+	told := &rpc.ReplicaLoads{ReplicaId: state.ID, Sequence: state.Sequence, InMemory: state.InMemory, OnDisk: state.OnDisk}
 	leaving := map[fleet.Target]bool{}
 	for _, order := range state.UnderWay {
 		if order.Verb == loading.Unload {
--- a/loader/follower.go
+++ b/loader/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,8 +40,12 @@
 	mutex     sync.Mutex
 	current   election.Holder
 	changed   chan struct{}
+	attached  atomic.Bool
 }
 
+// Attached tells whether a holder of load orders hears of this daemon's demand.
+func (f *Follower) Attached() bool { return f.attached.Load() }
+
 // Prepare makes the follower ready for use.
 func (f *Follower) Prepare() { f.changed = make(chan struct{}) }
 
@@ -110,6 +115,8 @@
 		return err
 	}
 	f.Log.WithFields(logrus.Fields{logging.Dependency: "order holder", logging.Holder: holder.Daemon, logging.Fence: holder.Fence}).Info(logging.MessageDependencyRegained)
+	f.attached.Store(true)
+	defer f.attached.Store(false)
 	failed := make(chan error, 1)
 	go func() { failed <- f.listen(stream, sent) }()
 	ticker := time.NewTicker(reportPause)
@@ -211,5 +218,6 @@
 	}
 	f.Fleet.Confirm(told.GetReplicaId(), fleet.Confirmation{
 		Fence: fence, Sequence: told.GetSequence(), Holdings: holdings, Loading: loads,
+		InMemory: told.GetInMemory(), OnDisk: told.GetOnDisk(),
 	}, now)
 }
--- a/loading/state.go
+++ b/loading/state.go
@@ -99,6 +99,7 @@
 	}
 	r.ReadAgainAt = time.Time{}
 	changed := report.Sequence != r.Sequence || !r.Known
+	changed = changed || !slices.Equal(r.InMemory, report.InMemory) || !slices.Equal(r.OnDisk, report.OnDisk)
 	r.InMemory, r.OnDisk = report.InMemory, report.OnDisk
 	if report.Sequence != r.Sequence {
 		// Others gave orders, or one of ours was carried out late.
--- a/node/node.go
+++ b/node/node.go
@@ -200,6 +200,7 @@
 	follower := &loader.Follower{Daemon: n.config.ID, Demand: tracker, Fleet: n.fleet, Holder: n.holder, Log: n.log, Daemons: requests.ShareRetries,
 		TermDelay: n.config.TermDelay}
 	follower.Prepare()
+	requests.OrdersGiven = follower.Attached
 	n.election.Listen(func(holder election.Holder) {
 		follower.HolderChanged(holder)
 		if holder.Daemon != n.config.ID {
