Streams to the holder of load orders that fall silent are replaced; gauges of proofs and credit

Cause: open connections may go silent for good while new ones work; the stream of demand and views had no beat, so a daemon would neither have been heard nor told until TCP gave up. Change: both sides speak at least every 2 s and give a stream up after 5 s without a word. Test: a proxy that silences what is open.

Gauges: the age of the configuration's proof, whether the holder of tenants' limits answers, and the credit lent ahead.

--- a/limiter/client.go
+++ b/limiter/client.go
@@ -188,6 +188,26 @@
 	}
 }
 
+// Answers tells whether the holder answers.
+func (c *Client) Answers() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.answers()
+}
+
+// answers is Answers; the mutex is held.
+func (c *Client) answers() bool { return c.isUp && c.silentSince.IsZero() }
+
+// Credit returns the credit lent ahead that may be used, of all tenants together.
+func (c *Client) Credit() (total float64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, credit := range c.account.Credits(time.Now()) {
+		total += credit.Left
+	}
+	return total
+}
+
 func (c *Client) useAhead(tenant string, cost float64) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -197,10 +217,7 @@
 // awaitHolder waits until the holder answers, at most for a time.
 func (c *Client) awaitHolder(ctx context.Context, most time.Duration) bool {
 	for end := time.Now().Add(most); time.Now().Before(end) && sleep.For(ctx, min(holderCheck, time.Until(end))); {
-		c.mutex.Lock()
-		answers := c.isUp && c.silentSince.IsZero()
-		c.mutex.Unlock()
-		if answers {
+		if c.Answers() {
 			return true
 		}
 	}
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -186,14 +186,7 @@
 	began := time.Now()
 	require.Eventually(t, func() bool {
 		_, failed := admit(t, client, tenant) // for the stream to have something to answer
-		return failed == nil && client.up()
+		return failed == nil && client.Answers()
 	}, 5*time.Second, 20*time.Millisecond)
 	require.Less(t, time.Since(began), 4*time.Second)
 }
-
-// up tells whether the holder answers.
-func (c *Client) up() bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.isUp && c.silentSince.IsZero()
-}
--- a/loader/attach.go
+++ b/loader/attach.go
@@ -18,6 +18,30 @@
 	viewPausePerDaemon = 100 * time.Microsecond
 )
 
+const (
+	// beatPause is the longest time between two messages of a stream, in either direction.
+	beatPause = 2 * time.Second
+	// silentTime is how long nothing comes on a stream before it counts as broken: connections
+	// may fall silent without a reset, while new ones work.
+	silentTime = 5 * time.Second
+)
+
+// watchdog reports a failure once nothing was heard for a while.
+type watchdog struct{ timer *time.Timer }
+
+func newWatchdog(failed chan<- error) watchdog {
+	return watchdog{time.AfterFunc(silentTime, func() {
+		select {
+		case failed <- errSilent:
+		default: // another failure is known
+		}
+	})}
+}
+
+func (w watchdog) heard() { w.timer.Reset(silentTime) }
+
+func (w watchdog) stop() { w.timer.Stop() }
+
 func viewPause(daemons int) time.Duration {
 	return viewPauseLeast + time.Duration(daemons)*viewPausePerDaemon
 }
@@ -34,7 +58,9 @@
 	h.begin(daemonID)
 	h.report(first)
 	h.noteDelay(daemonID, time.Duration(first.GetTermDelayMs())*time.Millisecond)
-	failed := make(chan error, 1)
+	failed := make(chan error, 2)
+	silence := newWatchdog(failed)
+	defer silence.stop()
 	go func() {
 		for {
 			message, err := stream.Recv()
@@ -42,12 +68,15 @@
 				failed <- err
 				return
 			}
+			silence.heard()
 			h.report(message)
 		}
 	}()
 	return h.tell(stream, failed)
 }
 
+var errSilent = errors.New("nothing was heard on the stream for too long")
+
 var errTermOver = errors.New("the term of the holder of load orders is over")
 
 // join counts an attached daemon; the function returned ends it.
@@ -128,7 +157,9 @@
 // then each change.
 func (h *Holder) tell(stream rpc.DRPCLoads_AttachStream, failed <-chan error) error {
 	sent, term := uint64(0), int64(0)
-	for {
+	beat := time.NewTicker(beatPause)
+	defer beat.Stop()
+	for due := true; ; {
 		h.mutex.Lock()
 		view, version, fence, changed, pause := h.view(sent, time.Now()), h.version, h.fence, h.changed, viewPause(h.attached)
 		h.mutex.Unlock()
@@ -136,13 +167,15 @@
 			return errTermOver
 		}
 		term = fence
-		if len(view.GetReplicas())+len(view.GetRunning())+len(view.GetPacked()) > 0 {
+		if due || len(view.GetReplicas())+len(view.GetRunning())+len(view.GetPacked()) > 0 {
 			if err := stream.Send(view); err != nil {
 				return err
 			}
 		}
-		sent = version
+		sent, due = version, false
 		select {
+		case <-beat.C:
+			due = true
 		case err := <-failed:
 			return err
 		case <-stream.Context().Done():
--- a/loader/follower.go
+++ b/loader/follower.go
@@ -117,11 +117,16 @@
 	f.Log.WithFields(logrus.Fields{logging.Dependency: "order holder", logging.Holder: holder.Daemon, logging.Fence: holder.Fence}).Info(logging.MessageDependencyRegained)
 	f.attached.Store(true)
 	defer f.attached.Store(false)
-	failed := make(chan error, 1)
-	go func() { failed <- f.listen(stream, sent) }()
+	failed := make(chan error, 2)
+	silence := newWatchdog(failed)
+	defer silence.stop()
+	go func() { failed <- f.listen(stream, sent, silence) }()
+	beat := time.NewTicker(beatPause)
+	defer beat.Stop()
 	ticker := time.NewTicker(reportPause)
 	defer ticker.Stop()
 	for {
+		due := false
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -129,11 +134,13 @@
 			return err
 		case <-changed:
 			return errHolderChanged
+		case <-beat.C:
+			due = true
 		case <-f.Demand.Urgent():
 			sleep.For(ctx, urgentPause)
 		case <-ticker.C:
 		}
-		if message := f.message(sent, time.Now()); len(message.GetKeys())+len(message.GetRunning()) > 0 {
+		if message := f.message(sent, time.Now()); due || len(message.GetKeys())+len(message.GetRunning()) > 0 {
 			if err := stream.Send(message); err != nil {
 				return err
 			}
@@ -182,12 +189,13 @@
 }
 
 // listen takes in what the holder tells.
-func (f *Follower) listen(stream rpc.DRPCLoads_AttachClient, sent *reported) error {
+func (f *Follower) listen(stream rpc.DRPCLoads_AttachClient, sent *reported, silence watchdog) error {
 	for {
 		message, err := stream.Recv()
 		if err != nil {
 			return err
 		}
+		silence.heard()
 		view, err := message.Unpack()
 		if err != nil {
 			return err
--- /dev/null
+++ b/loader/silence_test.go
@@ -0,0 +1,52 @@
+package loader
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+
+	"github.com/finchspoke/finchspoke/demand"
+	"github.com/finchspoke/finchspoke/election"
+	"github.com/finchspoke/finchspoke/faultproxy"
+	"github.com/finchspoke/finchspoke/fleet"
+	"github.com/finchspoke/finchspoke/rpc"
+	"github.com/finchspoke/finchspoke/transport"
+)
+
+// Open connections may fall silent for good, without a reset, while new ones work.
+func TestAStreamToTheHolderThatFallsSilentIsReplaced(t *testing.T) {
+	t.Parallel()
+	holder := &Holder{}
+	holder.Prepare()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := transport.NewServer(listener)
+	require.NoError(t, rpc.DRPCRegisterLoads(server.Mux(), holder))
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = server.Serve(ctx) }()
+	proxy, err := faultproxy.New(listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(proxy.Close)
+
+	log, lines := test.NewNullLogger()
+	follower := &Follower{Daemon: "a", Demand: demand.NewTracker(), Fleet: fleet.NewDirectory("z", func() float64 { return 0 }), Holder: holder,
+		Daemons: func(int) {}, Log: log}
+	follower.Prepare()
+	follower.HolderChanged(election.Holder{Daemon: "b", Address: proxy.Address(), Nonce: "n", Fence: 1})
+	go func() { _ = follower.Serve(ctx) }()
+	require.Eventually(t, follower.Attached, time.Second, time.Millisecond)
+	proxy.SilenceOpen()
+	silenced := time.Now()
+	require.Eventually(t, func() bool { return !follower.Attached() }, silentTime+2*time.Second, 5*time.Millisecond)
+	require.Eventually(t, follower.Attached, time.Second, time.Millisecond)
+	require.Less(t, time.Since(silenced), silentTime+2*time.Second)
+	require.Contains(t, lines.AllEntries()[1].Data["cause"], errSilent.Error())
+
+	time.Sleep(silentTime + time.Second)
+	require.True(t, follower.Attached(), "a quiet stream is kept by its beats")
+}
--- a/node/gauges.go
+++ b/node/gauges.go
@@ -17,6 +17,9 @@
 		{"finchspoke_config_version", "Version of the routing table in force; 0 before the first.", func() float64 { return float64(n.routes.Version()) }},
 		{"finchspoke_replicas_known", "Replicas in the registry.", func() float64 { return float64(n.fleet.Len()) }},
 		{"finchspoke_config_age_seconds", "Time since the configuration in force was taken; 0 without one.", n.tableAge},
+		{"finchspoke_config_proof_age_seconds", "Time for which the configuration in force may have been out of date; -1 if it was never proven.", n.proofAge},
+		{"finchspoke_quota_holder_answers", "1 if the holder of tenants' limits answers this daemon.", func() float64 { return truth(n.quotas.Answers()) }},
+		{"finchspoke_quota_credit", "Credit lent ahead to this daemon, of all tenants together, in their units.", func() float64 { return n.quotas.Credit() }},
 		{"finchspoke_daemons_attached", "Daemons attached to the holder of load orders, as it last told.", func() float64 { return float64(n.core.Daemons()) }},
 		{"finchspoke_store_reached", "1 if the key-value service answered last.", func() float64 { return truth(n.mirror.Reached()) }},
 		{"finchspoke_term_fence", "Fence of this daemon's term; 0 if it has none.", func() float64 {
@@ -37,6 +40,15 @@
 	return time.Since(*at).Seconds()
 }
 
+// proofAge returns for how many seconds the configuration may have been out of date.
+func (n *Node) proofAge() float64 {
+	age, known := n.gate.Age()
+	if !known {
+		return -1
+	}
+	return age.Seconds()
+}
+
 func truth(value bool) float64 {
 	if value {
 		return 1
--- a/node/node.go
+++ b/node/node.go
@@ -104,6 +104,7 @@
 	registryLog *registryLog
 	gate        *access.Gate
 	limits      *limiter.Server
+	quotas      *limiter.Client
 	election    *election.Election
 	holder      *loader.Holder
 	frontend    *frontend
@@ -210,9 +211,9 @@
 		n.holder.Wake()
 	})
 	n.follow(adapters)
-	limits := &limiter.Client{Bounds: n.config.Quotas, Holder: n.election.HolderAddress, Log: n.log}
-	limits.Prepare()
-	requests.Limits = limits
+	n.quotas = &limiter.Client{Bounds: n.config.Quotas, Holder: n.election.HolderAddress, Log: n.log}
+	n.quotas.Prepare()
+	requests.Limits = n.quotas
 	n.limits = &limiter.Server{Bounds: n.config.Quotas, Table: n.routes, Term: n.election.Term, First: n.holder.FirstOfAll, Log: n.log}
 	subscriber := &records.Subscriber{Daemon: n.config.ID, Mirror: n.mirror, Source: n.recordSource, Deputy: n.deputySource, Seeds: n.otherSeeds, Log: n.log}
 	n.registerGauges()
@@ -223,7 +224,7 @@
 		n.log.WithField(logging.Cause, event.String()).Warn("supervisor")
 	}})
 	for _, service := range []suture.Service{
-		n.mirror, n.election, n.holder, follower, limits, server, n.frontend, subscriber, &sweeper{node: n},
+		n.mirror, n.election, n.holder, follower, n.quotas, server, n.frontend, subscriber, &sweeper{node: n},
 		&readiness{node: n, path: adapters.ReadyPath, listener: n.listeners.ready},
 	} {
 		n.supervisor.Add(service)
