Where loads are long, one at once from the weight store until more are seen to run at full speed

Cause: four loads of 20 s that began together took 13, 40, 59 and 80 s (the store bears one at full speed here), and kept four replicas from all other orders.

Change: the first guess of how many run at full speed is what keeps none of them longer than 24 s: 1 for loads of 20 s, 4 for those of up to 6 s, as before.

Sites with loads of up to 6 s are not touched by it.

Also: refusals for want of a recent configuration, or of a holder of limits, have kinds of their own; explain losses counts by tenant.

--- a/access/access.go
+++ b/access/access.go
@@ -103,6 +103,6 @@
 	if !known {
 		return failure.New(failure.Unavailable, "come back after the time given", "this daemon knows no configuration yet").WithRetryAfter(comeBack)
 	}
-	return failure.New(failure.Unavailable, "come back after the time given; if it lasts, see whether this daemon reaches the key-value service",
+	return failure.New(failure.ConfigOutdated, "come back after the time given; if it lasts, see whether this daemon reaches the key-value service",
 		"the configuration was last proven %d ms ago, which is too long to judge the request by", age.Milliseconds()).WithRetryAfter(comeBack)
 }
--- a/command/explain_losses.go
+++ b/command/explain_losses.go
@@ -47,6 +47,13 @@
 				route.Pauses.Beside, route.Pauses.Models, route.Pauses.PromptTokens)
 		}
 	}
+	for _, tenant := range losses.Tenants {
+		_, _ = fmt.Fprintf(writer, "tenant %s: %d ended, %d answered, %d refused at its limit", tenant.Name, tenant.Ended, tenant.Answered, tenant.AtLimit)
+		for _, cause := range tenant.Causes {
+			_, _ = fmt.Fprintf(writer, ", %d %s", cause.Requests, cause.Name)
+		}
+		_, _ = fmt.Fprintln(writer)
+	}
 	writeCrowding(writer, losses.Crowding)
 	_, _ = fmt.Fprintf(writer, "from           ended  in time  late  not answered  most for\n")
 	for _, window := range losses.Windows {
--- a/failure/failure.go
+++ b/failure/failure.go
@@ -21,6 +21,8 @@
 	TooLarge          Kind = "too_large"
 	HeadersTooLarge   Kind = "headers_too_large"
 	LimitExceeded     Kind = "limit_exceeded"
+	LimitUnknown      Kind = "limit_unknown"          // nobody tells whether the limit has room
+	ConfigOutdated    Kind = "configuration_outdated" // too old to judge the request by
 	DeadlineTooShort  Kind = "deadline_too_short"
 	DeadlineExceeded  Kind = "deadline_exceeded"
 	NoCapacity        Kind = "no_capacity"
--- a/limiter/client.go
+++ b/limiter/client.go
@@ -119,7 +119,7 @@
 			return nil, atLimit(tenant, answer)
 		}
 		if !c.awaitHolder(ctx, time.Until(deadline)) {
-			return nil, failure.New(failure.Unavailable, "come back after the time given", "no holder tells whether tenant %s is within its limit", tenant.Name).
+			return nil, failure.New(failure.LimitUnknown, "come back after the time given", "no holder tells whether tenant %s is within its limit", tenant.Name).
 				WithRetryAfter(unknownReturn)
 		}
 	}
--- a/loader/holder.go
+++ b/loader/holder.go
@@ -347,15 +347,17 @@
 // snapshot joins what is known into the input of a decision; the mutex is held.
 func (h *Holder) snapshot(now time.Time) loading.Snapshot {
 	snapshot := loading.Snapshot{Now: now, Services: map[string]*routing.Engine{}, Demand: h.demandOf(now)}
-	perSecond := 0.0
+	perSecond, longest := 0.0, time.Duration(0)
 	h.Table.Current().Services(func(service *routing.Service) {
 		if service.Engine != nil {
 			snapshot.Services[service.Name] = service.Engine
 			perSecond = max(perSecond, service.Engine.LoadsPerSecond)
+			longest = max(longest, service.Engine.LongestLoad)
 		}
 	})
 	h.window.Most = int(storeShare * (perSecond*h.Limits.Window.Seconds()*h.Limits.Slack + float64(h.Limits.Extra)))
 	snapshot.StoreLoads = h.window.Allowed(now)
+	h.fetches.Pace.Expect(longest)
 	snapshot.StoreAtOnce = h.fetches.Pace.AtOnce()
 	snapshot.Settled = now.Sub(h.grewAt) > settleTime
 	for _, id := range sortedIDs(h.states) {
--- a/loading/fetch_test.go
+++ b/loading/fetch_test.go
@@ -118,6 +118,11 @@
 func TestTheStorePaceIsLearnedFromHowLongLoadsTake(t *testing.T) {
 	pace := StorePace{}
 	require.Equal(t, firstAtOnce, pace.AtOnce())
+	for load, want := range map[time.Duration]int{4 * second: 4, 6 * second: 4, 10 * second: 2, 20 * second: 1, 60 * second: 1} {
+		long := StorePace{}
+		long.Expect(load)
+		require.Equal(t, want, long.AtOnce(), load)
+	}
 	pace.Ended(6*second, 6*second, firstAtOnce)
 	require.Equal(t, firstAtOnce+1, pace.AtOnce(), "at full speed with as many as allowed: one more")
 	pace.Ended(6*second, 6*second, 1)
--- a/loading/pace.go
+++ b/loading/pace.go
@@ -9,6 +9,11 @@
 	// firstAtOnce is how many loads from the weight store are under way together before
 	// any was seen to end.
 	firstAtOnce = 4
+	// sharedTime bounds firstAtOnce where loads are long: so many of them that each takes no
+	// longer than this if they share a store which bears one at full speed. A replica takes no
+	// other order until its load has ended, and four loads of 20 s that began together kept
+	// four replicas for up to 80 s.
+	sharedTime = 24 * time.Second
 	// fullSpeed is the time that a load from the weight store takes up to which it ran at
 	// full speed, as a share of the catalogue's time.
 	fullSpeed = 1.15
@@ -18,11 +23,18 @@
 // how long they take. Beyond that number all take longer and no more of them end, while
 // each keeps a replica from other orders. The zero value has seen none.
 type StorePace struct {
-	atOnce float64 // zero: firstAtOnce
+	atOnce float64       // zero: none was seen to end
+	load   time.Duration // of the largest model alone; zero: not known
 }
 
+// Expect takes in how long a load from the store takes alone.
+func (p *StorePace) Expect(load time.Duration) { p.load = load }
+
 // AtOnce returns how many loads may be under way together.
 func (p *StorePace) AtOnce() int {
+	if p.atOnce == 0 && p.load > 0 {
+		return max(1, min(firstAtOnce, int(sharedTime/p.load)))
+	}
 	if p.atOnce == 0 {
 		return firstAtOnce
 	}
--- a/logstory/losses.go
+++ b/logstory/losses.go
@@ -28,6 +28,7 @@
 	Ended   int            `json:"ended"`
 	Routes  []RouteLosses  `json:"routes"`  // the most urgent first
 	Windows []WindowLosses `json:"windows"` // in order
+	Tenants []TenantLosses `json:"tenants"` // by name; none where requests carry no keys
 	// Crowding tells on how few replicas and models the late answers were.
 	Crowding Crowding `json:"crowding"`
 }
@@ -43,6 +44,15 @@
 	Pauses      PauseLosses  `json:"pauses"`
 }
 
+// TenantLosses are the requests of one tenant.
+type TenantLosses struct {
+	Name     string       `json:"name"`
+	Ended    int          `json:"ended"`
+	Answered int          `json:"answered"` // whole, in time or late
+	AtLimit  int          `json:"at_limit"` // refused at the tenant's limit
+	Causes   []CauseCount `json:"causes"`   // of the others, the most frequent first
+}
+
 // CauseCount is how many requests were lost to a cause.
 type CauseCount struct {
 	Name     string `json:"name"`
@@ -69,6 +79,7 @@
 // endedRequest is what the line of a request's end tells.
 type endedRequest struct {
 	route, model, replica, outcome, waitReason string
+	tenant                                     string
 	began, ended                               time.Time
 	priority, objective, gap, firstByte, pause int // times in ms
 	waited, promptTokens                       int // ms; tokens
@@ -86,7 +97,7 @@
 func readEnd(line Line) endedRequest {
 	return endedRequest{
 		route: line.text(logging.Route), model: line.text(logging.Model), replica: line.text(logging.Replica), outcome: line.text(logging.Outcome),
-		waitReason: line.text(logging.WaitReason), ended: line.Time,
+		waitReason: line.text(logging.WaitReason), tenant: line.text(logging.Tenant), ended: line.Time,
 		began:    line.Time.Add(-time.Duration(line.number(logging.DurationMs)) * time.Millisecond),
 		priority: line.number(logging.Priority), objective: line.number(logging.ObjectiveMs), gap: line.number(logging.GapTargetMs),
 		firstByte: line.number(logging.FirstByteMs), pause: line.number(logging.LongestPauseMs), waited: line.number(logging.WaitedMs),
@@ -109,7 +120,9 @@
 	}
 	counter := &lossCounter{requests: requests, loads: loads, routes: map[string]*routeCounter{}, windows: map[int]*windowCounter{}, crowding: newCrowdingCounter()}
 	counter.count(window)
-	return counter.losses()
+	made := counter.losses()
+	made.Tenants = tenantLosses(requests)
+	return made
 }
 
 type lossCounter struct {
--- /dev/null
+++ b/logstory/tenants_test.go
@@ -0,0 +1,24 @@
+package logstory
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/finchspoke/finchspoke/failure"
+	"github.com/finchspoke/finchspoke/logging"
+)
+
+func TestRequestsAreCountedByTenant(t *testing.T) {
+	ended := func(tenant string, outcome string) endedRequest {
+		return endedRequest{tenant: tenant, outcome: outcome}
+	}
+	losses := tenantLosses([]endedRequest{
+		ended("dairy", string(failure.LimitExceeded)), ended("brewery", logging.OutcomeAnswered), ended("dairy", string(failure.LimitUnknown)),
+		ended("", logging.OutcomeAnswered), ended("dairy", logging.OutcomeAnswered),
+	})
+	require.Equal(t, []TenantLosses{
+		{Name: "brewery", Ended: 1, Answered: 1, Causes: []CauseCount{}},
+		{Name: "dairy", Ended: 3, Answered: 1, AtLimit: 1, Causes: []CauseCount{{Name: string(failure.LimitUnknown), Requests: 1}}},
+	}, losses)
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -88,6 +88,8 @@
 	MemoryMB       float64 // for weights and adapters together, of one replica
 	AdapterSlots   int     // of one replica
 	LoadsPerSecond float64 // from the weight store, over all replicas
+	// LongestLoad is the time of the longest load of a model from the weight store.
+	LongestLoad time.Duration
 }
 
 // Declares tells whether the catalogue has a model, and the adapter of it if one is
