--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -190,3 +190,59 @@
 	}, 5*time.Second, 20*time.Millisecond)
 	require.Less(t, time.Since(began), 4*time.Second)
 }
+
+// said returns what a server says to a message of a process; the first message of a stream has
+// the fence zero.
+func said(t *testing.T, server *Server, fence int64, message *rpc.QuotaQuestions) *rpc.QuotaAnswers {
+	t.Helper()
+	answers, err := server.take("p", fence, message, time.Now())
+	require.NoError(t, err)
+	return answers
+}
+
+func serverOf(t *testing.T, held *term, tenant *routing.Tenant) *Server {
+	t.Helper()
+	table, err := routing.NewTable(routing.Revision{Version: 1, Tenants: []*routing.Tenant{tenant}})
+	require.NoError(t, err)
+	routes := &routing.Store{}
+	routes.Put(table)
+	log, _ := test.NewNullLogger()
+	return &Server{Bounds: testBounds, Table: routes, Term: held.get, First: func() bool { return true }, Log: log}
+}
+
+func question(cost float64) *rpc.QuotaQuestions {
+	return &rpc.QuotaQuestions{Questions: []*rpc.QuotaQuestion{{Id: 1, Tenant: "brewery", Cost: cost}}}
+}
+
+// Another holder may be there while the lease does not surely hold: only what was lent and
+// called in may be granted.
+func TestAnUnsureHolderCallsCreditInAndGrantsNoMore(t *testing.T) {
+	held := &term{fence: 1, standing: election.Sure}
+	server := serverOf(t, held, brewery(1000))
+	lent := said(t, server, 0, question(100)).GetAnswers()[0].GetAhead()
+	require.Positive(t, lent)
+
+	held.set(1, election.Blind)
+	answers := said(t, server, 1, question(1))
+	require.True(t, answers.GetCallIn())
+	require.False(t, answers.GetAnswers()[0].GetGranted())
+	returned := question(lent)
+	returned.Returned = []*rpc.QuotaCredit{{Tenant: "brewery", Left: lent, ForMs: 1000}}
+	require.True(t, said(t, server, 1, returned).GetAnswers()[0].GetGranted())
+	require.False(t, said(t, server, 1, question(1)).GetAnswers()[0].GetGranted())
+
+	held.set(1, election.Sure)
+	answers = said(t, server, 1, question(1))
+	require.False(t, answers.GetCallIn())
+	require.True(t, answers.GetAnswers()[0].GetGranted())
+}
+
+func TestOnlyTheFirstTermOfAllBeginsWithAFullBucket(t *testing.T) {
+	held := &term{fence: 1, standing: election.Sure}
+	server := serverOf(t, held, brewery(1000))
+	require.True(t, said(t, server, 0, question(100)).GetAnswers()[0].GetGranted())
+	held.set(2, election.Sure)
+	_, err := server.take("p", 1, question(100), time.Now())
+	require.ErrorIs(t, err, errNotHolding, "the stream is of the term before")
+	require.False(t, said(t, server, 0, question(100)).GetAnswers()[0].GetGranted())
+}
