Answers about limits carry their term; a holder under load counts as answering

Found by reading: the fence of a grant was read after its answer, so that after a change of holder in between its refund could have gone to another term's ledger; and a request waited for a moment without any open question to ask a holder that had come back, which under load does not come. A grant found by a process that stood still is given back. The asking is in a file of its own (limiter/admit.go).

--- a/limiter/client.go
+++ b/limiter/client.go
@@ -9,20 +9,14 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/finchspoke/finchspoke/core"
-	"github.com/finchspoke/finchspoke/failure"
 	"github.com/finchspoke/finchspoke/logging"
 	"github.com/finchspoke/finchspoke/quota"
-	"github.com/finchspoke/finchspoke/routing"
 	"github.com/finchspoke/finchspoke/rpc"
 	"github.com/finchspoke/finchspoke/sleep"
 	"github.com/finchspoke/finchspoke/transport"
 )
 
 const (
-	// answerPatience is how long the holder is waited for. It answers within some ms; one that
-	// is slowed by a factor of ten within a few tens.
-	answerPatience = 150 * time.Millisecond
 	// beatPause is the time between messages of a daemon that asks nothing, so that the holder
 	// knows that credit which has lapsed was not used.
 	beatPause = 2 * time.Second
@@ -34,10 +28,6 @@
 	connectTime      = 500 * time.Millisecond
 	// silentTime ends a stream on which questions got no answer for so long.
 	silentTime = time.Second
-	// leastReturn and unknownReturn are advice to callers: the least after a refusal at the
-	// limit, and that where nobody tells whether there is room.
-	leastReturn   = 200 * time.Millisecond
-	unknownReturn = 500 * time.Millisecond
 )
 
 // Client asks the holder for each request of a tenant. It is a suture service.
@@ -50,7 +40,7 @@
 	process string
 	mutex   sync.Mutex
 	account *quota.Account
-	waiting map[uint64]chan quota.Answer // questions whose requests wait
+	waiting map[uint64]chan told // questions whose requests wait
 	outbox  outbox
 	wake    chan struct{} // holds an element while there is something to send
 	// connected is closed while the holder answers; another channel takes its place when it is
@@ -75,171 +65,11 @@
 func (c *Client) Prepare() {
 	c.process = uuid.NewString()
 	c.account = quota.NewAccount(c.Bounds)
-	c.waiting = map[uint64]chan quota.Answer{}
+	c.waiting = map[uint64]chan told{}
 	c.wake = make(chan struct{}, 1)
 	c.connected = make(chan struct{})
 }
 
-// Grant is the permission for one request.
-type Grant struct {
-	client *Client
-	tenant string
-	cost   float64
-	ahead  bool // taken from credit lent ahead
-	fence  int64
-	slot   int64
-}
-
-// unlimited is the permission for a request of a tenant without a limit.
-type unlimited struct{}
-
-// Return implements core.Permit.
-func (unlimited) Return() {}
-
-// Admit implements core.Limits: it asks the holder, uses credit that was lent ahead where the
-// holder does not answer, and waits at most for a time where there is neither.
-func (c *Client) Admit(ctx context.Context, tenant *routing.Tenant, tokens int, most time.Duration) (core.Permit, *failure.Error) {
-	if tenant.Limit.Unlimited() {
-		return unlimited{}, nil
-	}
-	cost := float64(tenant.Cost(tokens))
-	deadline := time.Now().Add(most)
-	for {
-		answer, up := c.ask(ctx, tenant.Name, cost)
-		switch {
-		case up && answer.Granted:
-			return &Grant{client: c, tenant: tenant.Name, cost: cost, fence: c.term(), slot: answer.Slot}, nil
-		case up && !answer.Unknown && !answer.Unsettled:
-			return nil, atLimit(tenant, answer)
-		}
-		if c.useAhead(tenant.Name, cost) {
-			return &Grant{client: c, tenant: tenant.Name, cost: cost, ahead: true}, nil
-		}
-		if up && answer.Unsettled {
-			return nil, atLimit(tenant, answer)
-		}
-		if !c.awaitHolder(ctx, time.Until(deadline)) {
-			return nil, failure.New(failure.LimitUnknown, "come back after the time given", "no holder tells whether tenant %s is within its limit", tenant.Name).
-				WithRetryAfter(unknownReturn)
-		}
-	}
-}
-
-// atLimit is the failure of a request that is not within its tenant's limit, as far as the
-// holder knows.
-func atLimit(tenant *routing.Tenant, answer quota.Answer) *failure.Error {
-	return failure.New(failure.LimitExceeded, "come back after the time given, or ask your operator for a higher limit",
-		"tenant %s is at its limit of %.0f a second", tenant.Name, tenant.Limit.PerSecond).WithRetryAfter(max(leastReturn, answer.RetryIn))
-}
-
-// term returns the fence of the holder that answers.
-func (c *Client) term() int64 {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.fence
-}
-
-// ask asks the holder; up is false if there is none that answers in time.
-func (c *Client) ask(ctx context.Context, tenant string, cost float64) (answer quota.Answer, up bool) {
-	c.mutex.Lock()
-	if !c.isUp || !c.silentSince.IsZero() && time.Since(c.silentSince) > answerPatience {
-		c.mutex.Unlock()
-		return quota.Answer{}, false
-	}
-	now := time.Now()
-	question := c.account.Ask(tenant, cost, now)
-	answered := make(chan quota.Answer, 1)
-	c.waiting[question.ID] = answered
-	c.outbox.questions = append(c.outbox.questions, question)
-	if c.silentSince.IsZero() {
-		c.silentSince = now
-	}
-	lost := c.connected
-	c.mutex.Unlock()
-	c.signal()
-	timer := time.NewTimer(answerPatience)
-	defer timer.Stop()
-	select {
-	case answer = <-answered:
-		// A process that stood still finds an answer from before: it counts for another time.
-		if time.Since(now) <= 2*answerPatience {
-			return answer, true
-		}
-	case <-lost:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	c.abandon(question, answered)
-	return quota.Answer{}, false
-}
-
-// abandon gives back what a question may be granted, or was, whose request waits no longer.
-func (c *Client) abandon(question quota.Ask, answered <-chan quota.Answer) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	delete(c.waiting, question.ID)
-	c.account.Abandon(question.ID)
-	select {
-	case answer := <-answered:
-		if answer.Granted {
-			c.outbox.refunds = append(c.outbox.refunds, quota.Refund{Tenant: question.Tenant, Cost: question.Cost, Slot: answer.Slot})
-		}
-	default:
-	}
-}
-
-// Answers tells whether the holder answers.
-func (c *Client) Answers() bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.answers()
-}
-
-// answers is Answers; the mutex is held.
-func (c *Client) answers() bool { return c.isUp && c.silentSince.IsZero() }
-
-// Credit returns the credit lent ahead that may be used, of all tenants together.
-func (c *Client) Credit() (total float64) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for _, credit := range c.account.Credits(time.Now()) {
-		total += credit.Left
-	}
-	return total
-}
-
-func (c *Client) useAhead(tenant string, cost float64) bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.account.UseAhead(tenant, cost, time.Now())
-}
-
-// awaitHolder waits until the holder answers, at most for a time.
-func (c *Client) awaitHolder(ctx context.Context, most time.Duration) bool {
-	for end := time.Now().Add(most); time.Now().Before(end) && sleep.For(ctx, min(holderCheck, time.Until(end))); {
-		if c.Answers() {
-			return true
-		}
-	}
-	return false
-}
-
-// holderCheck is the time between looks at whether the holder answers.
-const holderCheck = 10 * time.Millisecond
-
-// Return gives back what was granted to a request that did not run.
-func (g *Grant) Return() {
-	c := g.client
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	switch {
-	case g.ahead:
-		c.account.GiveAheadBack(g.tenant, g.cost)
-	case c.isUp && g.fence == c.fence:
-		c.outbox.refunds = append(c.outbox.refunds, quota.Refund{Tenant: g.tenant, Cost: g.cost, Slot: g.slot})
-	}
-}
-
 func (c *Client) signal() {
 	select {
 	case c.wake <- struct{}{}:
@@ -357,7 +187,7 @@
 	c.outbox = outbox{}
 	c.reports = nil
 	message := &rpc.QuotaQuestions{Process: c.process, Used: c.used()}
-	message.Credits = told(c.account.Credits(time.Now()))
+	message.Credits = messageOf(c.account.Credits(time.Now()))
 	c.silentSince = time.Now()
 	return message
 }
@@ -373,12 +203,13 @@
 	for _, refund := range c.outbox.refunds {
 		message.Refunds = append(message.Refunds, &rpc.QuotaRefund{Tenant: refund.Tenant, Cost: refund.Cost, Slot: refund.Slot})
 	}
-	message.Returned = told(c.outbox.returned)
+	message.Returned = messageOf(c.outbox.returned)
 	c.outbox = outbox{}
 	return message
 }
 
-func told(credits []quota.Credit) []*rpc.QuotaCredit {
+// messageOf writes credit as it is told to the holder.
+func messageOf(credits []quota.Credit) []*rpc.QuotaCredit {
 	all := make([]*rpc.QuotaCredit, 0, len(credits))
 	for _, credit := range credits {
 		all = append(all, &rpc.QuotaCredit{Tenant: credit.Tenant, Left: credit.Left, ForMs: credit.For.Milliseconds()})
@@ -421,16 +252,16 @@
 		c.account.Confirmed(c.reports[0])
 		c.reports = c.reports[1:]
 	}
-	for _, told := range message.GetAnswers() {
+	for _, one := range message.GetAnswers() {
 		answer := quota.Answer{
-			ID: told.GetId(), Granted: told.GetGranted(), Unknown: told.GetUnknown(), RetryIn: time.Duration(told.GetRetryMs()) * time.Millisecond,
-			Slot: told.GetSlot(), Renewed: told.GetRenewed(), Ahead: told.GetAhead(), Unsettled: told.GetUnsettled(),
+			ID: one.GetId(), Granted: one.GetGranted(), Unknown: one.GetUnknown(), RetryIn: time.Duration(one.GetRetryMs()) * time.Millisecond,
+			Slot: one.GetSlot(), Renewed: one.GetRenewed(), Ahead: one.GetAhead(), Unsettled: one.GetUnsettled(),
 		}
 		if unused := c.account.Take(answer, now); unused != nil {
 			c.outbox.refunds = append(c.outbox.refunds, *unused)
 		}
 		if waiting := c.waiting[answer.ID]; waiting != nil {
-			waiting <- answer
+			waiting <- told{answer, c.fence}
 			delete(c.waiting, answer.ID)
 		}
 	}
