--- a/records/proof_test.go
+++ b/records/proof_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/finchspoke/finchspoke/faultproxy"
 	"github.com/finchspoke/finchspoke/kv"
 	"github.com/finchspoke/finchspoke/rpc"
 	"github.com/finchspoke/finchspoke/transport"
@@ -140,3 +141,37 @@
 		require.False(t, follower.ProvenAt().After(proven))
 	}
 }
+
+// A stream of records that falls silent for good is given up once nobody vouches, and another
+// one brings the next proof.
+func TestAStreamOfRecordsThatFallsSilentIsReplaced(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	source := mirrorOf(t, newFakeStore())
+	source.replace([]kv.Pair{{Key: "config", Value: []byte("1"), ModRevision: 5}}, 5)
+	server := transport.NewServer(listener)
+	require.NoError(t, rpc.DRPCRegisterRecords(server.Mux(), &Feed{Mirror: source}))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = server.Serve(ctx) }()
+	go func() {
+		for ctx.Err() == nil {
+			source.answered(time.Now(), time.Now())
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	proxy, err := faultproxy.New(listener.Addr().String())
+	require.NoError(t, err)
+	defer proxy.Close()
+	follower := mirrorOf(t, newFakeStore())
+	subscriber := &Subscriber{Daemon: "follower", Mirror: follower, Source: func() (string, bool) { return proxy.Address(), true },
+		Deputy: func() string { return "" }, Seeds: func() []string { return nil }, Log: follower.log}
+	go func() { _ = subscriber.Serve(ctx) }()
+	proven := func() bool {
+		return !follower.ProvenAt().IsZero() && time.Since(follower.ProvenAt()) < 300*time.Millisecond
+	}
+	require.Eventually(t, proven, 2*time.Second, 5*time.Millisecond)
+	proxy.SilenceOpen()
+	require.Eventually(t, func() bool { return !proven() }, time.Second, 5*time.Millisecond)
+	require.Eventually(t, proven, vouchTime+sourcePatience+2*time.Second, 5*time.Millisecond)
+}
