--- a/loading/models.go
+++ b/loading/models.go
@@ -257,7 +257,7 @@
 	// worthUnknown is the worth of the last copy of a model that nobody asked for
 	// yet.
 	worthUnknown = 0.4
-	// worthWaiting is the worth of a copy that requests wait for or run on.
+	// worthInUse is the worth of a copy that requests wait for or run on.
 	worthInUse = 6.0
 	// worthAdapters is the worth of the last copy of a model that has adapters,
 	// since models that are adapted are asked for in many ways.
