--- a/core/core.go
+++ b/core/core.go
@@ -2,160 +2,17 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/finchspoke/finchspoke/callers"
 	"github.com/finchspoke/finchspoke/demand"
 	"github.com/finchspoke/finchspoke/failure"
 	"github.com/finchspoke/finchspoke/fleet"
-	"github.com/finchspoke/finchspoke/routing"
 )
 
-// Call is one request, read whole and checked by a caller interface.
-type Call struct {
-	ID      string
-	Route   *routing.Route
-	Service *routing.Service
-	Target  fleet.Target
-	// Prefix names the shared part of the prompt; empty if there is none.
-	Prefix string
-	// PromptTokens is the length of the prompt; zero if the caller does not say.
-	PromptTokens int
-	// ResumeAfter is the id of the last event that the caller has; empty: none.
-	ResumeAfter string
-	Method      string
-	URI         string // path and query as they came
-	Host        string
-	Header      http.Header // without those of one connection
-	Body        []byte
-	Arrived     time.Time
-	// Deadline is when the caller stops to wait, or the route's time ends.
-	Deadline time.Time
-	Version  int64 // of the routing table
-	// Key is the hash of the caller's key, and Tenant its owner; nil on routes that need
-	// none.
-	Key    *callers.KeyHash
-	Tenant *routing.Tenant
-	// Tokens are those of the prompt and the most that may be generated together; zero if
-	// the caller does not say.
-	Tokens int
-}
-
-// Priority returns how urgent the call is; 0 is the most urgent.
-func (c *Call) Priority() int {
-	if c.Tenant != nil && c.Tenant.Priority != nil {
-		return *c.Tenant.Priority
-	}
-	return c.Route.Priority
-}
-
-// tenant names the tenant that the call belongs to; empty without one.
-func (c *Call) tenant() string {
-	if c.Tenant == nil {
-		return ""
-	}
-	return c.Tenant.Name
-}
-
-// key names what the call needs loaded.
-func (c *Call) key() demand.Key { return demand.Key{Service: c.Service.Name, Target: c.Target} }
-
-// Caller is the caller's side of a call, made by a caller interface.
-type Caller interface {
-	// Begin sends the head of a replica's answer. length is that of the whole body,
-	// or negative.
-	Begin(status int, header http.Header, length int64)
-	// Write sends a part of the body. Its error says that the caller is gone.
-	Write(data []byte) error
-	// Flush sends what was written on its way.
-	Flush() error
-}
-
-// Disposition is what a replica's answer says of the request.
-type Disposition uint8
-
-// The dispositions.
-const (
-	Ran          Disposition = iota // it ran, well or not
-	Rejected                        // the replica did not run it, for now
-	WrongReplica                    // the replica is another, or lacks the target
-	Unsound                         // the answer cannot be relied on
-)
-
-// Reply is the head of a replica's answer.
-type Reply struct {
-	Status      int
-	Header      http.Header // without those of one connection
-	Length      int64       // of the body; negative if not known
-	Disposition Disposition
-	Body        Body
-}
-
-// Body is the body of a reply; io.EOF says that it is whole.
-type Body interface {
-	Read(data []byte) (int, error)
-	Buffered() int // bytes that can be read without waiting
-	Close() error
-}
-
-// Dispatch is a call on its way to one replica.
-type Dispatch struct {
-	Call        *Call
-	ReplicaID   string
-	Address     string
-	Left        time.Duration // until the call's deadline
-	ResumeAfter string
-}
-
-// Driver speaks the replicas' protocol.
-type Driver interface {
-	// Send sends a dispatch and returns the head of the answer. An error is a
-	// *SendError.
-	Send(ctx context.Context, dispatch Dispatch) (*Reply, error)
-}
-
-// SendError is a dispatch that got no answer.
-type SendError struct {
-	Written bool // the replica may have read the request
-	Cause   error
-}
-
-// Error returns the cause.
-func (e *SendError) Error() string { return e.Cause.Error() }
-
-// Unwrap returns the cause.
-func (e *SendError) Unwrap() error { return e.Cause }
-
-// Gate tells whose keys are, and whether that is known well enough for a dispatch.
-type Gate interface {
-	// Owner returns the tenant that holds a key at this moment, or why a request with it
-	// must not go out.
-	Owner(key callers.KeyHash) (*routing.Tenant, *failure.Error)
-}
-
-// Limits keeps tenants within what they may use.
-type Limits interface {
-	// Admit tells whether a request with so many tokens (zero: it does not say) is within its
-	// tenant's limit, waiting at most for a time where nobody can tell at once.
-	Admit(ctx context.Context, tenant *routing.Tenant, tokens int, most time.Duration) (Permit, *failure.Error)
-}
-
-// Permit is the permission for one request.
-type Permit interface {
-	// Return gives it back: the request did not run.
-	Return()
-}
-
-// limitWaitShare is the part of its objective that a call waits where nobody can tell whether
-// it is within its tenant's limit: the next holder may be there by then, and a refusal up to a
-// quarter of the objective leaves its caller the time to be served elsewhere.
-const limitWaitShare = 5
-
 // RetryPolicy bounds the retries of each service.
 type RetryPolicy struct {
 	Share   float64 // of the requests
@@ -326,25 +183,6 @@
 	return failed, running.began
 }
 
-// admit leads a call that is within its tenant's limit. One that did not run does not count
-// toward it.
-func (c *Core) admit(ctx context.Context, running *run) *failure.Error {
-	if c.Limits != nil && running.Tenant != nil {
-		permit, failed := c.Limits.Admit(ctx, running.Tenant, running.Tokens, running.Route.Objective/limitWaitShare)
-		if failed != nil {
-			return failed
-		}
-		defer func() {
-			if running.life.Execution() == failure.NotRun {
-				permit.Return()
-			}
-		}()
-	}
-	c.Demand.Arrive(running.key())
-	c.budget(running.Service.Name).Earn()
-	return c.lead(ctx, running)
-}
-
 // undeclaredPause is the advice to callers that name a model which the table lacks: a
 // newer table may be on its way.
 const undeclaredPause = time.Second
@@ -387,23 +225,6 @@
 	}
 }
 
-// pass tells whether the call's key is still good. It is asked right before each dispatch,
-// the first and any further one: the key may have been taken away while the call waited.
-func (c *Core) pass(ctx context.Context, running *run) *failure.Error {
-	if running.Key == nil {
-		return nil
-	}
-	tenant, failed := c.Gate.Owner(*running.Key)
-	if failed == nil {
-		running.Tenant = tenant
-		return nil
-	}
-	if running.life.MayHaveRun() {
-		return c.ended(ctx, running, failure.OutcomeUnknown, failed)
-	}
-	return failed
-}
-
 // spender returns how a retry is paid for: what never reached a replica is free.
 func (c *Core) spender(running *run, outcome dispatchOutcome) func() bool {
 	if outcome.result == NotWritten {
