--- a/records/pauses.go
+++ b/records/pauses.go
@@ -19,9 +19,11 @@
 // where none does.
 func (m *Mirror) restWhileVouched(ctx context.Context) bool {
 	m.mutex.Lock()
-	left := time.Until(m.vouched.Add(vouchTime))
+	now := time.Now()
+	vouchedFor := m.vouched.Add(vouchTime).Sub(now)
+	left := min(vouchedFor, m.proofLeft(now))
 	if left <= 0 || m.leading {
-		if !m.vouched.IsZero() {
+		if (vouchedFor <= 0 || m.leading) && !m.vouched.IsZero() {
 			m.vouched = time.Time{}
 			m.log.WithFields(logrus.Fields{logging.Dependency: dependencyPeer, logging.Revision: m.revision}).Info(logging.MessageDependencyLost)
 		}
--- a/records/records.go
+++ b/records/records.go
@@ -122,9 +122,6 @@
 
 // Serve implements suture.Service.
 func (m *Mirror) Serve(ctx context.Context) error {
-	if m.proofLimit > 0 {
-		go m.keepProven(ctx)
-	}
 	pause := pauseFirst
 	whole := false // the list is known, and only changes are asked for
 	for ctx.Err() == nil {
@@ -132,6 +129,9 @@
 			whole, pause = true, pauseFirst
 			continue
 		}
+		if m.vouchedFor(time.Now()) > 0 && m.prove(ctx) {
+			continue
+		}
 		err := m.follow(ctx, &whole)
 		switch {
 		case ctx.Err() != nil:
@@ -184,7 +184,7 @@
 		return nil
 	}
 	sent := time.Now()
-	events, revision, err := m.store.Changes(ctx, m.prefix, m.Revision(), watchWait)
+	events, revision, err := m.store.Changes(ctx, m.prefix, m.Revision(), m.wait(sent))
 	if err != nil {
 		return err
 	}
@@ -199,7 +199,7 @@
 func (m *Mirror) answered(at, sent time.Time) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.contact, m.provenHere = at, later(m.provenHere, sent)
+	m.contact, m.provenHere = at, sent
 	m.regain()
 	m.notify()
 }
