Log lines name a request over all its attempts

Lines of requests now carry a fingerprint: the hash of method, host, path, caller and body. A caller is the hash of its key or, where there are no keys, its address.

No logic hangs on it yet.

--- a/core/call.go
+++ b/core/call.go
@@ -8,6 +8,7 @@
 	"github.com/finchspoke/finchspoke/callers"
 	"github.com/finchspoke/finchspoke/demand"
 	"github.com/finchspoke/finchspoke/fleet"
+	"github.com/finchspoke/finchspoke/quarantine"
 	"github.com/finchspoke/finchspoke/routing"
 )
 
@@ -28,6 +29,8 @@
 	Host        string
 	Header      http.Header // without those of one connection
 	Body        []byte
+	// Fingerprint names the request over all its attempts.
+	Fingerprint quarantine.Fingerprint
 	Arrived     time.Time
 	// Deadline is when the caller stops to wait, or the route's time ends.
 	Deadline time.Time
--- a/core/log.go
+++ b/core/log.go
@@ -12,7 +12,7 @@
 
 func (c *Core) entry(running *run) logrus.FieldLogger {
 	return c.Log.WithFields(logrus.Fields{
-		logging.RequestID: running.ID, logging.Route: running.Route.Name, logging.Service: running.Service.Name,
+		logging.RequestID: running.ID, logging.Fingerprint: running.Fingerprint.String(), logging.Route: running.Route.Name, logging.Service: running.Service.Name,
 		logging.Model: running.Target.Model, logging.Adapter: running.Target.Adapter, logging.Tenant: running.tenant(),
 	})
 }
--- a/logging/fields.go
+++ b/logging/fields.go
@@ -4,6 +4,7 @@
 // on them. docs/OPERATIONS.md describes each.
 const (
 	RequestID      = "request_id"
+	Fingerprint    = "fingerprint"
 	Route          = "route"
 	Service        = "service"
 	Model          = "model"
--- /dev/null
+++ b/quarantine/fingerprint_test.go
@@ -0,0 +1,26 @@
+package quarantine
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestAFingerprintIsThatOfAllAttemptsAndOfNoOtherRequest(t *testing.T) {
+	first := Identity{Method: "POST", Host: "shop.example", URI: "/live/1?a=2", Caller: "10.0.0.1", Body: []byte("draw")}
+	require.Equal(t, first.Fingerprint(), first.Fingerprint())
+	require.Len(t, first.Fingerprint().String(), 2*FingerprintBytes)
+	for name, change := range map[string]func(*Identity){
+		"method": func(i *Identity) { i.Method = "GET" },
+		"host":   func(i *Identity) { i.Host = "other.example" },
+		"path":   func(i *Identity) { i.URI = "/live/2?a=2" },
+		"query":  func(i *Identity) { i.URI = "/live/1?a=3" },
+		"caller": func(i *Identity) { i.Caller = "10.0.0.2" },
+		"body":   func(i *Identity) { i.Body = []byte("drawn") },
+		"border": func(i *Identity) { i.Caller, i.Body = "10.0.0.1d", []byte("raw") },
+	} {
+		other := first
+		change(&other)
+		require.NotEqual(t, first.Fingerprint(), other.Fingerprint(), name)
+	}
+}
