Requests under which three replicas ended are withheld by all daemons

Cause: what may be sent again was decided within one attempt at one daemon, by what that attempt had met. Nothing knew that the attempts of a caller, and of several daemons, were one request; so the count of replicas that it ended grew without bound.

Ruled out: only the retries within an attempt (a bound on these leaves the callers own attempts: the record accuses dispatches of three daemons under as many ids); the replicas themselves (in the failing test nothing else is wrong with them).

Change: package quarantine. A dispatch whose connection broke asks whether the replica's process is gone (connection refused, or another process there: the replicas' own report, one question for all that were there). If so, the daemon accuses the requests that it had there, and writes one record of them to the platform's service, which all daemons follow already. Three replicas ended under one fingerprint: no daemon sends it to a replica, and it is refused at once, not run. A whole answer clears it. Records outlive all daemons; the holder of load orders deletes old ones.

--- a/core/core.go
+++ b/core/core.go
@@ -36,6 +36,8 @@
 	Retries RetryPolicy
 	Gate    Gate
 	Limits  Limits // nil: none are kept
+	// Quarantine knows under which requests replicas ended; nil: none are withheld.
+	Quarantine Quarantine
 	// OrdersGiven tells whether this daemon is attached to a holder of load orders; nil: never.
 	OrdersGiven func() bool
 	Metrics     *Metrics
@@ -177,6 +179,9 @@
 		life: &Lifecycle{Repeatable: call.Route.Repeatable(), Resumable: call.Route.Resumable, MaxRuns: max(1, call.Route.Attempts), Deadline: call.Deadline},
 	}
 	if failed = undeclared(call); failed == nil {
+		failed = c.withheld(running)
+	}
+	if failed == nil {
 		failed = c.admit(ctx, running)
 	}
 	c.logEnd(running, failed)
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -54,6 +54,7 @@
 		running.tried = append(running.tried, pick.ID)
 	}
 	pick.Release(outcome.health, running.Target, time.Now())
+	c.tellQuarantine(try, running, pick, outcome)
 	return outcome
 }
 
--- a/core/wait.go
+++ b/core/wait.go
@@ -148,6 +148,9 @@
 	}()
 	began := time.Now()
 	for {
+		if failed := c.withheld(running); failed != nil {
+			return nil, failed
+		}
 		changed := c.Fleet.Changed()
 		now := time.Now()
 		ask.Patience = patience(running.Call).Sub(now)
--- a/failure/failure.go
+++ b/failure/failure.go
@@ -26,6 +26,7 @@
 	DeadlineTooShort  Kind = "deadline_too_short"
 	DeadlineExceeded  Kind = "deadline_exceeded"
 	NoCapacity        Kind = "no_capacity"
+	Quarantined       Kind = "quarantined" // replicas ended while they had the request
 	CallerLeft        Kind = "caller_left"
 	AnswerBroken      Kind = "answer_broken"
 	OutcomeUnknown    Kind = "outcome_unknown"
--- a/logging/fields.go
+++ b/logging/fields.go
@@ -53,4 +53,5 @@
 	PromptTokens   = "prompt_tokens"
 	WaitReason     = "wait_reason"
 	FailedStatus   = "failed_status"
+	Ends           = "ends"
 )
--- a/logging/messages.go
+++ b/logging/messages.go
@@ -14,6 +14,8 @@
 	MessageLoadOrder          = "load order"
 	MessageReplicaHeard       = "replica state heard"
 	MessageLedgerBegun        = "ledger of tenants' limits begun"
+	MessageReplicaEndedUnder  = "replica ended under a request"
+	MessageRequestCleared     = "request served whole after replicas had ended"
 	MessageDependencyLost     = "dependency lost"
 	MessageDependencyRegained = "dependency regained"
 )
--- a/node/follow.go
+++ b/node/follow.go
@@ -21,6 +21,7 @@
 	})
 	n.mirror.Handle(adapters.ReplicaPrefix, func(event kv.Event) { n.takeReplica(adapters, event) })
 	n.mirror.Handle(n.config.TermKey, n.election.Observe)
+	n.mirror.Handle(n.config.EndsPrefix, n.quarantine.Observe)
 	n.mirror.Urgent(n.config.TermKey)
 	n.mirror.Notable(func(before, after kv.Pair) bool { return notable(adapters, before, after) })
 	n.mirror.Loaded(func() {
--- a/node/gauges.go
+++ b/node/gauges.go
@@ -20,6 +20,14 @@
 		{"finchspoke_config_proof_age_seconds", "Time for which the configuration in force may have been out of date; -1 if it was never proven.", n.proofAge},
 		{"finchspoke_quota_holder_answers", "1 if the holder of tenants' limits answers this daemon.", func() float64 { return truth(n.quotas.Answers()) }},
 		{"finchspoke_quota_credit", "Credit lent ahead to this daemon, of all tenants together, in their units.", func() float64 { return n.quotas.Credit() }},
+		{"finchspoke_quarantine_named", "Requests known to have been at a replica that ended.", func() float64 {
+			named, _, _ := n.quarantine.Counts()
+			return float64(named)
+		}},
+		{"finchspoke_quarantine_withheld", "Requests that are withheld from replicas.", func() float64 {
+			_, withheld, _ := n.quarantine.Counts()
+			return float64(withheld)
+		}},
 		{"finchspoke_daemons_attached", "Daemons attached to the holder of load orders, as it last told.", func() float64 { return float64(n.core.Daemons()) }},
 		{"finchspoke_store_reached", "1 if the key-value service answered last.", func() float64 { return truth(n.mirror.Reached()) }},
 		{"finchspoke_term_fence", "Fence of this daemon's term; 0 if it has none.", func() float64 {
--- a/node/node.go
+++ b/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/finchspoke/finchspoke/limiter"
 	"github.com/finchspoke/finchspoke/loader"
 	"github.com/finchspoke/finchspoke/logging"
+	"github.com/finchspoke/finchspoke/quarantine"
 	"github.com/finchspoke/finchspoke/quota"
 	"github.com/finchspoke/finchspoke/records"
 	"github.com/finchspoke/finchspoke/routing"
@@ -61,6 +62,8 @@
 	// Quotas bounds how closely tenants' limits are kept.
 	Quotas      quota.Bounds
 	RecordsRoot string // prefix of the records that are followed
+	// EndsPrefix is that of the records of replicas that ended while they had requests.
+	EndsPrefix string
 }
 
 // MetricsOn gives metrics a port on the peer address's IP, unless the settings name an
@@ -83,8 +86,10 @@
 	// TableKey is the record of the routing table; ReadTable reads it.
 	TableKey  string
 	ReadTable func(kv.Pair) (routing.Revision, error)
-	// Driver speaks the replicas' protocol for requests, Replicas that for orders.
+	// Driver speaks the replicas' protocol for requests, Replicas that for orders; Prober asks
+	// whether they run.
 	Driver   func(*upstream.Pool) core.Driver
+	Prober   func(*upstream.Pool) quarantine.Prober
 	Replicas func(*upstream.Pool) loader.Replicas
 	// Callers serves the caller interface; ReadyPath is where readiness is asked.
 	Callers   func(*routing.Store, *access.Gate, *core.Core) http.Handler
@@ -105,6 +110,7 @@
 	gate        *access.Gate
 	limits      *limiter.Server
 	quotas      *limiter.Client
+	quarantine  *quarantine.Guard
 	election    *election.Election
 	holder      *loader.Holder
 	frontend    *frontend
@@ -210,6 +216,12 @@
 		n.mirror.Lead(holder.Daemon == n.config.ID)
 		n.holder.Wake()
 	})
+	n.quarantine = &quarantine.Guard{
+		Prefix: n.config.EndsPrefix, Store: adapters.Store, Prober: adapters.Prober(n.pool), Leaves: n.leaves, Leading: n.mirror.Leading,
+		Now: time.Now, Metrics: quarantine.NewMetrics(n.metrics), Log: n.log,
+	}
+	n.quarantine.Prepare()
+	requests.Quarantine = n.quarantine
 	n.follow(adapters)
 	n.quotas = &limiter.Client{Bounds: n.config.Quotas, Holder: n.election.HolderAddress, Log: n.log}
 	n.quotas.Prepare()
@@ -224,7 +236,7 @@
 		n.log.WithField(logging.Cause, event.String()).Warn("supervisor")
 	}})
 	for _, service := range []suture.Service{
-		n.mirror, n.election, n.holder, follower, n.quotas, server, n.frontend, subscriber, &sweeper{node: n},
+		n.mirror, n.election, n.holder, follower, n.quotas, n.quarantine, server, n.frontend, subscriber, &sweeper{node: n},
 		&readiness{node: n, path: adapters.ReadyPath, listener: n.listeners.ready},
 	} {
 		n.supervisor.Add(service)
@@ -257,6 +269,13 @@
 	n.log.WithField(logging.Outcome, "seeds taken").Info("settings reloaded")
 }
 
+// leaves tells whether a replica was going to end anyway: it says so, or the registry has it no
+// more.
+func (n *Node) leaves(replica string) bool {
+	entry, listed := n.fleet.Entry(replica)
+	return !listed || entry.Draining
+}
+
 // ready tells whether the node should get callers.
 func (n *Node) ready() bool {
 	return !n.frontend.stopping() && n.gate.Open() && n.fleet.Len() > 0
--- /dev/null
+++ b/quarantine/guard.go
@@ -0,0 +1,221 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/finchspoke/finchspoke/failure"
+	"github.com/finchspoke/finchspoke/kv"
+	"github.com/finchspoke/finchspoke/logging"
+)
+
+// Liveness is what a probe says of a replica's process.
+type Liveness uint8
+
+// The answers of a probe.
+const (
+	// Unknown: nothing answered in time. A cut link looks like this, so it accuses nobody.
+	Unknown Liveness = iota
+	Running
+	// Ended: nothing listens at the address any more, or another process does.
+	Ended
+)
+
+// String returns the answer's name in logs.
+func (l Liveness) String() string { return [...]string{"unknown", "running", "ended"}[l] }
+
+// Prober finds out whether a replica's process still runs.
+type Prober interface {
+	Probe(ctx context.Context, replica, address string) Liveness
+}
+
+const (
+	// probeTime bounds a probe. A process that has ended is noticed within one round trip; the
+	// caller of a request that is retried elsewhere waits no longer than this for it.
+	probeTime = 300 * time.Millisecond
+	// mostInReport bounds the fingerprints of one report: 16 KB in a record, which each daemon
+	// gets once.
+	mostInReport = 512
+)
+
+// Guard is a daemon's part of the quarantine. It finds out which replicas ended while they
+// had a request, tells all daemons by reports in the platform's key-value service, and says
+// which requests are withheld. It is safe for concurrent use, and a suture service.
+//
+// Reports go through the key-value service and not from daemon to daemon: they outlive all
+// daemons, and reach those that are cut off from the one that saw the end.
+type Guard struct {
+	// Prefix is that of the reports' records.
+	Prefix string
+	Store  kv.Store
+	Prober Prober
+	// Leaves tells whether a replica was going to end anyway.
+	Leaves func(replica string) bool
+	// Leading tells whether this daemon forgets old records for all.
+	Leading func() bool
+	Now     func() time.Time
+	Metrics *Metrics
+	Log     logrus.FieldLogger
+
+	mutex   sync.Mutex
+	ledger  *ledger
+	key     string // of the report that is being filled
+	filling Report
+	filled  chan struct{} // holds an element while the report is not empty
+	probes  map[string]*probe
+}
+
+// probe is one question about a replica, shared by all that wait for its answer.
+type probe struct {
+	done   chan struct{}
+	answer Liveness
+}
+
+// Prepare makes the guard ready for use.
+func (g *Guard) Prepare() {
+	g.ledger, g.filled, g.probes = newLedger(), make(chan struct{}, 1), map[string]*probe{}
+	g.key = g.newKey()
+}
+
+// newKey returns the key of a record that no other daemon writes.
+func (g *Guard) newKey() string { return g.Prefix + uuid.NewString() }
+
+// Withheld returns why a request must not go to a replica; nil if it may.
+func (g *Guard) Withheld(request Fingerprint) *failure.Error {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	found := g.ledger.against(request)
+	if !found.Withheld() {
+		return nil
+	}
+	g.Metrics.refused.Inc()
+	return failure.New(failure.Quarantined, "send another request; this one is tried again after the time given",
+		"%d replicas ended while they had this request: %s", len(found.Replicas), strings.Join(found.Replicas, ", ")).
+		WithRetryAfter(max(time.Second, found.Until.Sub(g.Now())))
+}
+
+// Broke takes in that the connection to a replica broke while it had a request. It returns
+// once it is known whether the replica has ended, or the time for that is over: the request
+// may be withheld from then on, and must not go to another replica before.
+func (g *Guard) Broke(ctx context.Context, replica, address string, request Fingerprint) {
+	if g.Leaves(replica) {
+		return
+	}
+	if g.probe(ctx, replica, address) == Ended {
+		g.accuse(replica, request)
+	}
+}
+
+// probe asks whether a replica still runs, once for all that ask at a time.
+func (g *Guard) probe(ctx context.Context, replica, address string) Liveness {
+	g.mutex.Lock()
+	known := g.probes[replica]
+	if known == nil {
+		known = &probe{done: make(chan struct{})}
+		g.probes[replica] = known
+		go g.ask(known, replica, address)
+	}
+	g.mutex.Unlock()
+	select {
+	case <-known.done:
+		return known.answer
+	case <-ctx.Done():
+		return Unknown
+	}
+}
+
+func (g *Guard) ask(asked *probe, replica, address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
+	defer cancel()
+	asked.answer = g.Prober.Probe(ctx, replica, address)
+	g.Metrics.probes.WithLabelValues(asked.answer.String()).Inc()
+	g.mutex.Lock()
+	delete(g.probes, replica)
+	g.mutex.Unlock()
+	close(asked.done)
+}
+
+// accuse notes that a replica ended while it had a request.
+func (g *Guard) accuse(replica string, request Fingerprint) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if !g.room() {
+		return
+	}
+	g.filling.addEnd(replica, request)
+	g.fill()
+	found := g.ledger.against(request)
+	g.Log.WithFields(logrus.Fields{
+		logging.Fingerprint: request.String(), logging.Replica: replica, logging.Ends: len(found.Replicas),
+		logging.Outcome: map[bool]string{true: "withheld", false: "may go on"}[found.Withheld()],
+	}).Warn(logging.MessageReplicaEndedUnder)
+}
+
+// Served takes in that a replica served a request whole. Daemons are told only where one more
+// end would have it withheld: each word of it is a call to the key-value service.
+func (g *Guard) Served(request Fingerprint) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.ledger.named[request] == nil {
+		return
+	}
+	if len(g.ledger.against(request).Replicas) < EndsAllowed-1 || !g.room() {
+		return
+	}
+	g.filling.Served = append(g.filling.Served, request[:])
+	g.fill()
+	g.Log.WithField(logging.Fingerprint, request.String()).Info(logging.MessageRequestCleared)
+}
+
+// room tells whether the report that is being filled takes another fingerprint; the mutex is
+// held. While the key-value service is away one report holds all that is seen.
+func (g *Guard) room() bool {
+	if g.filling.size() < mostInReport {
+		return true
+	}
+	g.Metrics.leftOut.Inc()
+	return false
+}
+
+// fill takes the report that is being filled into account, and has it written; the mutex is
+// held.
+func (g *Guard) fill() {
+	g.ledger.put(g.key, g.filling.clone(), unpublished, g.Now())
+	select {
+	case g.filled <- struct{}{}:
+	default:
+	}
+}
+
+// Observe takes in a change of a report's record.
+func (g *Guard) Observe(event kv.Event) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if event.Deleted {
+		g.ledger.remove(event.Pair.Key)
+		return
+	}
+	report, err := ParseReport(event.Pair.Value)
+	if err != nil {
+		g.Log.WithFields(logrus.Fields{logging.Cause: err.Error(), logging.Revision: event.Pair.ModRevision}).Warn("report of replicas that ended not used")
+		return
+	}
+	g.ledger.put(event.Pair.Key, report, event.Pair.ModRevision, g.Now())
+}
+
+// Counts returns how many requests are named in reports, how many of them are withheld, and
+// how many reports there are.
+func (g *Guard) Counts() (named, withheld, reports int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return len(g.ledger.named), g.ledger.withheld(), len(g.ledger.reports)
+}
+
+// String names the service in the supervisor's events.
+func (g *Guard) String() string { return fmt.Sprintf("quarantine of %s", g.Prefix) }
--- /dev/null
+++ b/quarantine/guard_test.go
@@ -0,0 +1,246 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/finchspoke/finchspoke/failure"
+	"github.com/finchspoke/finchspoke/kv"
+)
+
+// answers is a prober that answers as a test says, each replica after some time.
+type answers struct {
+	mutex  sync.Mutex
+	is     map[string]Liveness
+	takes  time.Duration
+	probed int
+}
+
+func (a *answers) Probe(ctx context.Context, replica, _ string) Liveness {
+	a.mutex.Lock()
+	a.probed++
+	answer, takes := a.is[replica], a.takes
+	a.mutex.Unlock()
+	select {
+	case <-ctx.Done():
+		return Unknown
+	case <-time.After(takes):
+		return answer
+	}
+}
+
+// service keeps records for guards, and fails as a test says.
+type service struct {
+	kv.Store
+	mutex    sync.Mutex
+	guards   []*Guard
+	records  map[string][]byte
+	revision int64
+	fail     []error // of the next writes; the writes take effect if the error is uncertain
+}
+
+func (s *service) Commit(_ context.Context, txn kv.Txn) (kv.TxnResult, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var failed error
+	if len(s.fail) > 0 {
+		failed, s.fail = s.fail[0], s.fail[1:]
+	}
+	if failed == kv.ErrUnavailable {
+		return kv.TxnResult{}, failed
+	}
+	for _, condition := range txn.Conditions {
+		if s.records[condition.Key] != nil {
+			return kv.TxnResult{}, nil
+		}
+	}
+	s.revision++
+	for _, put := range txn.Puts {
+		s.records[put.Key] = put.Value
+		s.tell(kv.Event{Pair: kv.Pair{Key: put.Key, Value: put.Value, ModRevision: s.revision}})
+	}
+	for _, key := range txn.Deletes {
+		delete(s.records, key)
+		s.tell(kv.Event{Pair: kv.Pair{Key: key, ModRevision: s.revision}, Deleted: true})
+	}
+	return kv.TxnResult{Succeeded: true, Revision: s.revision}, failed
+}
+
+// tell passes a change on to all daemons, as their mirrors do.
+func (s *service) tell(event kv.Event) {
+	for _, guard := range s.guards {
+		guard.Observe(event)
+	}
+}
+
+// fleetOf returns guards of some daemons over one service; each runs until the test ends.
+func fleetOf(t *testing.T, daemons int, prober Prober) (*service, []*Guard) {
+	t.Helper()
+	shared := &service{records: map[string][]byte{}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for number := range daemons {
+		guard := &Guard{
+			Prefix: "ends/", Store: shared, Prober: prober, Leaves: func(replica string) bool { return strings.HasPrefix(replica, "leaving") },
+			Leading: func() bool { return number == 0 }, Now: time.Now, Metrics: NewMetrics(prometheus.NewRegistry()), Log: log,
+		}
+		guard.Prepare()
+		shared.guards = append(shared.guards, guard)
+		go func() { _ = guard.Serve(t.Context()) }()
+	}
+	return shared, shared.guards
+}
+
+func TestAllDaemonsWithholdWhatOthersSawReplicasEndUnder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prober := &answers{is: map[string]Liveness{"r0": Ended, "r1": Ended, "r2": Ended}, takes: time.Millisecond}
+		_, guards := fleetOf(t, 3, prober)
+		for number, guard := range guards {
+			require.Nil(t, guard.Withheld(named(1)))
+			guard.Broke(t.Context(), fmt.Sprintf("r%d", number), "address", named(1))
+		}
+		time.Sleep(2 * gatherTime)
+		for _, guard := range guards {
+			failed := guard.Withheld(named(1))
+			require.NotNil(t, failed)
+			require.Equal(t, failure.Quarantined, failed.Kind)
+			require.Equal(t, failure.NotRun, failed.Execution)
+			require.ErrorContains(t, failed, "r0, r1, r2")
+			require.Greater(t, failed.RetryAfter, withheldTime-time.Minute)
+			require.Nil(t, guard.Withheld(named(2)))
+		}
+	})
+}
+
+func TestADaemonWithholdsByItsOwnEyesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared, guards := fleetOf(t, 1, &answers{is: map[string]Liveness{"r0": Ended, "r1": Ended, "r2": Ended}})
+		shared.fail = []error{kv.ErrUnavailable, kv.ErrUnavailable, kv.ErrUncertain, kv.ErrUnavailable}
+		for number := range EndsAllowed {
+			guards[0].Broke(t.Context(), fmt.Sprintf("r%d", number), "address", named(1))
+		}
+		require.NotNil(t, guards[0].Withheld(named(1)), "before the service has it")
+		time.Sleep(10 * time.Second)
+		require.NotEmpty(t, shared.records, "written once the service answers")
+		_, withheld, _ := guards[0].Counts()
+		require.Equal(t, 1, withheld)
+	})
+}
+
+func TestABrokenConnectionAccusesNobodyWhereTheReplicaMayRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prober := &answers{is: map[string]Liveness{"runs": Running, "cut": Unknown, "leaving": Ended}}
+		shared, guards := fleetOf(t, 1, prober)
+		for range 2 * EndsAllowed {
+			for _, replica := range []string{"runs", "cut", "leaving"} {
+				guards[0].Broke(t.Context(), replica, "address", named(1))
+			}
+		}
+		prober.takes = time.Hour
+		began := time.Now()
+		guards[0].Broke(t.Context(), "silent", "address", named(1))
+		require.Equal(t, probeTime, time.Since(began), "who waits for an answer waits no longer")
+		time.Sleep(time.Second)
+		require.Empty(t, shared.records)
+		require.Nil(t, guards[0].Withheld(named(1)))
+	})
+}
+
+func TestAllThatAReplicaHadAskForItTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prober := &answers{is: map[string]Liveness{"r0": Ended}, takes: time.Millisecond}
+		shared, guards := fleetOf(t, 1, prober)
+		const requests = 20
+		var broken sync.WaitGroup
+		for number := range requests {
+			broken.Add(1)
+			go func() {
+				defer broken.Done()
+				guards[0].Broke(t.Context(), "r0", "address", named(number))
+			}()
+		}
+		broken.Wait()
+		time.Sleep(2 * gatherTime)
+		require.Equal(t, 1, prober.probed)
+		require.Len(t, shared.records, 1, "one call to the service")
+		total, withheld, _ := guards[0].Counts()
+		require.Equal(t, requests, total)
+		require.Zero(t, withheld)
+	})
+}
+
+func TestARequestThatIsServedWholeBetweenEndsIsNotWithheld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := map[string]Liveness{}
+		for number := range 20 {
+			is[fmt.Sprintf("r%d", number)] = Ended
+		}
+		shared, guards := fleetOf(t, 2, &answers{is: is})
+		guards[1].Served(named(1))
+		for number := range 20 {
+			guards[number%2].Broke(t.Context(), fmt.Sprintf("r%d", number), "address", named(1))
+			time.Sleep(time.Second)
+			guards[(number+1)%2].Served(named(1))
+			time.Sleep(time.Second)
+		}
+		require.Nil(t, guards[0].Withheld(named(1)))
+		require.Nil(t, guards[1].Withheld(named(1)))
+		require.LessOrEqual(t, len(shared.records), 30, "a word of it only where the next end would withhold it")
+	})
+}
+
+// While the service is away a daemon must neither grow nor call without end.
+func TestAnOutageOfTheServiceIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared, guards := fleetOf(t, 1, &answers{is: map[string]Liveness{"r0": Ended}})
+		const calls = 10
+		for range calls {
+			shared.fail = append(shared.fail, kv.ErrUnavailable)
+		}
+		for number := range 3 * mostInReport {
+			guards[0].Broke(t.Context(), "r0", "address", named(number))
+			if number == 0 {
+				time.Sleep(2 * gatherTime) // the first report is on its way
+			}
+		}
+		total, _, reports := guards[0].Counts()
+		require.LessOrEqual(t, total, mostInReport+1)
+		require.Equal(t, 2, reports)
+		time.Sleep(calls * pauseLongest)
+		require.Len(t, shared.records, 2)
+	})
+}
+
+func TestOldRecordsAreDeletedByTheLeaderAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared, guards := fleetOf(t, 2, &answers{is: map[string]Liveness{"r0": Ended}})
+		guards[1].Broke(t.Context(), "r0", "address", named(1))
+		time.Sleep(suspectTime - time.Minute)
+		require.Len(t, shared.records, 1)
+		time.Sleep(time.Minute + 2*sweepPause)
+		require.Empty(t, shared.records)
+		for _, guard := range guards {
+			total, _, reports := guard.Counts()
+			require.Zero(t, total+reports)
+		}
+	})
+}
+
+func TestARecordThatCannotBeReadChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, guards := fleetOf(t, 1, &answers{})
+		guards[0].Observe(kv.Event{Pair: kv.Pair{Key: "ends/x", Value: []byte("{"), ModRevision: 3}})
+		_, _, reports := guards[0].Counts()
+		require.Zero(t, reports)
+	})
+}
