--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -135,6 +135,8 @@
 	defer cancel()
 	asked.answer = g.Prober.Probe(ctx, replica, address)
 	g.Metrics.probes.WithLabelValues(asked.answer.String()).Inc()
+	g.Log.WithFields(logrus.Fields{logging.Replica: replica, logging.Address: address, logging.Outcome: asked.answer.String()}).
+		Info(logging.MessageReplicaProbed)
 	g.mutex.Lock()
 	delete(g.probes, replica)
 	g.mutex.Unlock()
