A request is told by its tenant and content, also one that was given up

Two causes of the rule that broke again:

The address of a caller was taken for the caller. Attempts come through the platform at daemons of all zones, from several addresses. A request is now told by method, host, path, tenant (where requests show keys: a tenant's keys change) and body, or by its query where it has no body.

Ends under requests that were given up were seen by nobody. What was given up at a replica is now remembered for a second: if the replica has ended by then, or another daemon saw it end, that counts against it. One question a replica and second at most.

And a refusal by a replica (status 300 and up) is no longer taken for a proof that it runs the request.

--- a/core/quarantine.go
+++ b/core/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/finchspoke/finchspoke/failure"
 	"github.com/finchspoke/finchspoke/fleet"
@@ -15,6 +16,8 @@
 	// Broke takes in that the connection to a replica broke while it had a request. It returns
 	// once the request may be withheld for that.
 	Broke(ctx context.Context, replica, address string, request quarantine.Fingerprint)
+	// Left takes in that a dispatch was given up while the replica had the request.
+	Left(replica, address string, request quarantine.Fingerprint)
 	// Served takes in that a replica served a request whole.
 	Served(request quarantine.Fingerprint)
 }
@@ -36,9 +39,12 @@
 func (c *Core) tellQuarantine(try context.Context, running *run, pick *fleet.Pick, outcome dispatchOutcome) {
 	switch {
 	case c.Quarantine == nil:
-	case outcome.result == Answered:
+	case outcome.result == Answered && outcome.status < http.StatusMultipleChoices:
 		c.Quarantine.Served(running.Fingerprint)
-	case outcome.result != NotWritten && outcome.health == fleet.Unreachable && try.Err() == nil:
+	case outcome.result != Lost && outcome.result != Broken:
+	case try.Err() != nil || outcome.health == fleet.Answered: // by the caller, or by us
+		c.Quarantine.Left(pick.ID, pick.Address, running.Fingerprint)
+	case outcome.health == fleet.Unreachable:
 		c.Quarantine.Broke(try, pick.ID, pick.Address, running.Fingerprint)
 	}
 }
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -22,16 +22,21 @@
 type Identity struct {
 	Method string
 	Host   string
-	URI    string // path and query
-	Caller string // the hash of its key or, where there are no keys, its address without port
+	Path   string
+	Query  string // told apart only where there is no body: what is asked for is then in it
+	Caller string // the tenant that sends it; empty where requests show no keys
 	Body   []byte
 }
 
 // Fingerprint returns the fingerprint of all attempts with this identity.
 func (i Identity) Fingerprint() Fingerprint {
+	content := i.Body
+	if len(content) == 0 {
+		content = []byte(i.Query)
+	}
 	sum := sha256.New()
 	var length [8]byte
-	for _, part := range [][]byte{[]byte(i.Method), []byte(i.Host), []byte(i.URI), []byte(i.Caller), i.Body} {
+	for _, part := range [][]byte{[]byte(i.Method), []byte(i.Host), []byte(i.Path), []byte(i.Caller), content} {
 		// The length keeps two parts from reading like two others.
 		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
 		_, _ = sum.Write(length[:]) // a hash never fails
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -69,6 +69,7 @@
 	filling Report
 	filled  chan struct{} // holds an element while the report is not empty
 	probes  map[string]*probe
+	left    departures
 }
 
 // probe is one question about a replica, shared by all that wait for its answer.
@@ -80,6 +81,7 @@
 // Prepare makes the guard ready for use.
 func (g *Guard) Prepare() {
 	g.ledger, g.filled, g.probes = newLedger(), make(chan struct{}, 1), map[string]*probe{}
+	g.left = departures{}
 	g.key = g.newKey()
 }
 
@@ -108,6 +110,48 @@
 		return
 	}
 	if g.probe(ctx, replica, address) == Ended {
+		g.ended(replica, request)
+	}
+}
+
+// Left takes in that a dispatch was given up while the replica had the request: its caller left,
+// or its time was over. A replica begins to run, or goes on with, some that were given up, and
+// nothing of its end is then heard on their connections.
+func (g *Guard) Left(replica, address string, request Fingerprint) {
+	if g.Leaves(replica) {
+		return
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.left.add(replica, request, g.Now()) {
+		g.checkLater(replica, address)
+	}
+}
+
+func (g *Guard) checkLater(replica, address string) {
+	time.AfterFunc(leftTime, func() { g.checkLeft(replica, address) })
+}
+
+// checkLeft finds out whether a replica has ended since requests there were given up.
+func (g *Guard) checkLeft(replica, address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
+	defer cancel()
+	if !g.Leaves(replica) && g.probe(ctx, replica, address) == Ended {
+		g.ended(replica)
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.left.keep(replica, g.Now()) {
+		g.checkLater(replica, address)
+	}
+}
+
+// ended accuses requests that a replica had when it ended, and those that were given up there
+// shortly before.
+func (g *Guard) ended(replica string, requests ...Fingerprint) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for _, request := range append(requests, g.left.take(replica, g.Now())...) {
 		g.accuse(replica, request)
 	}
 }
@@ -143,10 +187,8 @@
 	close(asked.done)
 }
 
-// accuse notes that a replica ended while it had a request.
+// accuse notes that a replica ended while it had a request; the mutex is held.
 func (g *Guard) accuse(replica string, request Fingerprint) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
 	if !g.room() {
 		return
 	}
@@ -209,6 +251,11 @@
 		return
 	}
 	g.ledger.put(event.Pair.Key, report, event.Pair.ModRevision, g.Now())
+	for _, end := range report.Ends {
+		for _, request := range g.left.take(end.Replica, g.Now()) {
+			g.accuse(end.Replica, request)
+		}
+	}
 }
 
 // Counts returns how many requests are named in reports, how many of them are withheld, and
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -244,3 +244,62 @@
 		require.Zero(t, reports)
 	})
 }
+
+// A replica may begin to run what its caller has given up, and end under it; nobody's connection
+// tells.
+func TestAnEndCountsAgainstWhatWasGivenUpShortlyBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prober := &answers{is: map[string]Liveness{"r0": Ended, "r1": Ended, "r2": Ended, "runs": Running}}
+		_, guards := fleetOf(t, 2, prober)
+		for _, replica := range []string{"r0", "r1"} { // nobody else had a request there
+			guards[0].Left(replica, "address", named(1))
+		}
+		guards[0].Left("runs", "address", named(1))
+		time.Sleep(leftTime / 2)
+		guards[0].Left("runs", "address", named(2))
+		guards[0].Left("r2", "address", named(1))
+		guards[1].Broke(t.Context(), "r2", "address", named(3)) // the other daemon saw it end
+		time.Sleep(2 * leftTime)
+		for _, guard := range guards {
+			require.NotNil(t, guard.Withheld(named(1)))
+			require.Nil(t, guard.Withheld(named(2)))
+			require.Nil(t, guard.Withheld(named(3)))
+		}
+		require.Empty(t, guards[0].left)
+	})
+}
+
+func TestAnEndDoesNotCountAgainstWhatWasGivenUpLongBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prober := &answers{is: map[string]Liveness{"r0": Running}}
+		shared, guards := fleetOf(t, 1, prober)
+		guards[0].Left("r0", "address", named(1))
+		time.Sleep(leftTime - time.Millisecond)
+		guards[0].Left("r0", "address", named(2))
+		time.Sleep(2 * time.Millisecond)
+		prober.mutex.Lock()
+		prober.is["r0"] = Ended
+		prober.mutex.Unlock()
+		guards[0].Broke(t.Context(), "r0", "address", named(3))
+		time.Sleep(2 * gatherTime)
+		require.Len(t, shared.records, 1)
+		total, _, _ := guards[0].Counts()
+		require.Equal(t, 2, total, "the two that it had lately")
+		time.Sleep(3 * leftTime)
+		require.Empty(t, guards[0].left)
+	})
+}
+
+func TestWhatIsRememberedOfRequestsGivenUpIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, guards := fleetOf(t, 1, &answers{is: map[string]Liveness{"r0": Running}})
+		for number := range 2 * mostLeft {
+			guards[0].Left(fmt.Sprintf("r%d", number%7), "address", named(number))
+		}
+		kept := 0
+		for _, some := range guards[0].left {
+			kept += len(some)
+		}
+		require.Equal(t, mostLeft, kept)
+	})
+}
