An adapter on its way to a replica is not ordered there again

Traced in the holder's lines: one adapter was ordered 12 times within 10 ms from one replica, each order accepted. Cause: an adapter with more demand than its copies are meant for (3 a second) was given to the best holder of its model, and one on which it was already on its way was not left out.

Ruled out: that places were exceeded in truth. The stand-in counted the repeated orders as further adapters.

The test of the decision failed before and passes now.

--- a/loading/adapters.go
+++ b/loading/adapters.go
@@ -96,9 +96,12 @@
 			continue
 		}
 		replica := candidate.replica
-		if unloading(replica, target.Model) || replica.Holdings.Has(target) || adaptersComing(replica) >= mostAdaptersComing {
+		if unloading(replica, target.Model) || adaptersComing(replica) >= mostAdaptersComing {
 			continue
 		}
+		if replica.Holdings.Has(target) || replica.underWay(target) != nil {
+			continue // further copies belong on other replicas
+		}
 		// Full replicas are equal; among the others the emptiest is best, so that
 		// adapters spread. Hashing keeps an adapter where it was before.
 		used := min(adaptersOn(replica), p.engine.AdapterSlots)
--- a/loading/loading_test.go
+++ b/loading/loading_test.go
@@ -396,3 +396,19 @@
 	require.Equal(t, 2, copies(0), "a quarter of the places of each")
 	require.Equal(t, 1, copies(10*24))
 }
+
+// An adapter with more demand than its copies are meant for is not ordered again where it is on
+// its way.
+func TestAnAdapterOnItsWayIsNotOrderedAgain(t *testing.T) {
+	holder := replica("r1", "m0")
+	target := fleet.Target{Model: "m0", Adapter: "a1"}
+	holder.UnderWay = []UnderWay{{Order: Order{ReplicaID: "r1", Verb: Load, Target: target, Takes: adapterTime}, Since: start}}
+	asked := map[demand.Key]Demand{key("m0", "a1"): {PerSecond: 3 * adapterRatePerCopy, Waiting: 4, LastUsed: start}}
+	ordersOf := func(replicas ...*Replica) []Order {
+		return slices.DeleteFunc(decideOnDemand(snapshot(asked, replicas...)), func(order Order) bool { return order.Target != target })
+	}
+	require.Empty(t, ordersOf(holder))
+	orders := ordersOf(holder, replica("r2", "m0"))
+	require.Len(t, orders, 1)
+	require.Equal(t, "r2", orders[0].ReplicaID)
+}
