Leases, proofs of age and credit count the time that a machine was suspended

Cause: these count by Go's monotonic clock, which stands still while a machine is suspended. A daemon that wakes after seconds took an old configuration for recent (requests with keys that were taken away run), used credit that its holder counted as lapsed, vouched for old records, and held a lease that was over.

Change: package boottime reads CLOCK_BOOTTIME; the mirror, the gate of keys, the election, the holder of limits and its clients take their time from it.

Ruled out: the time of day, which jumps. Read again and left, since standing still is the safe side there: the window of loads, the pause before a new term's first orders, the times in the quarantine.

--- a/election/election.go
+++ b/election/election.go
@@ -77,6 +77,8 @@
 	Delay time.Duration
 	// Written is called after this daemon has written the record; nil: nothing is.
 	Written func()
+	// Now is the clock of leases; nil: time.Now.
+	Now func() time.Time
 }
 
 // Election campaigns for the term and keeps it. It is a suture service.
@@ -123,7 +125,11 @@
 
 // New returns an election that has not been told of any record.
 func New(config Config, store kv.LeaseStore, log logrus.FieldLogger) *Election {
-	return &Election{Config: config, store: store, log: log, now: time.Now, wake: make(chan struct{}, 1)}
+	now := config.Now
+	if now == nil {
+		now = time.Now
+	}
+	return &Election{Config: config, store: store, log: log, now: now, wake: make(chan struct{}, 1)}
 }
 
 // Listen calls listener, one call at a time, whenever the holder's record changes;
--- a/limiter/admit.go
+++ b/limiter/admit.go
@@ -88,7 +88,7 @@
 		c.mutex.Unlock()
 		return told{}, false
 	}
-	now := time.Now()
+	now := c.Now()
 	question := c.account.Ask(tenant, cost, now)
 	answered := make(chan told, 1)
 	c.waiting[question.ID] = answered
@@ -104,7 +104,7 @@
 	select {
 	case answer = <-answered:
 		// A process that stood still finds an answer from before: it counts for another time.
-		if time.Since(now) <= 2*answerPatience {
+		if c.Now().Sub(now) <= 2*answerPatience {
 			return answer, true
 		}
 		c.giveBack(question, answer)
@@ -147,14 +147,14 @@
 // answers is Answers; the mutex is held. Under load there is always a question without an
 // answer yet.
 func (c *Client) answers() bool {
-	return c.isUp && (c.silentSince.IsZero() || time.Since(c.silentSince) <= answerPatience)
+	return c.isUp && (c.silentSince.IsZero() || c.Now().Sub(c.silentSince) <= answerPatience)
 }
 
 // Credit returns the credit lent ahead that may be used, of all tenants together.
 func (c *Client) Credit() (total float64) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for _, credit := range c.account.Credits(time.Now()) {
+	for _, credit := range c.account.Credits(c.Now()) {
 		total += credit.Left
 	}
 	return total
@@ -163,7 +163,7 @@
 func (c *Client) useAhead(tenant string, cost float64) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.account.UseAhead(tenant, cost, time.Now())
+	return c.account.UseAhead(tenant, cost, c.Now())
 }
 
 // awaitHolder waits until the holder answers, at most for a time.
--- a/limiter/client.go
+++ b/limiter/client.go
@@ -35,7 +35,9 @@
 	Bounds quota.Bounds
 	// Holder returns the address of the holder; empty: none is known.
 	Holder func() string
-	Log    logrus.FieldLogger
+	// Now is the clock of credit; nil: time.Now.
+	Now func() time.Time
+	Log logrus.FieldLogger
 
 	process string
 	mutex   sync.Mutex
@@ -62,6 +64,9 @@
 
 // Prepare makes the client ready for use.
 func (c *Client) Prepare() {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
 	c.process = uuid.NewString()
 	c.account = quota.NewAccount(c.Bounds)
 	c.waiting = map[uint64]chan told{}
@@ -172,7 +177,7 @@
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if !c.silentSince.IsZero() && time.Since(c.silentSince) > silentTime {
+	if !c.silentSince.IsZero() && c.Now().Sub(c.silentSince) > silentTime {
 		return errSilent
 	}
 	return nil
@@ -186,8 +191,8 @@
 	c.outbox = outbox{}
 	c.reports = nil
 	message := &rpc.QuotaQuestions{Process: c.process, Used: c.used()}
-	message.Credits = messageOf(c.account.Credits(time.Now()))
-	c.silentSince = time.Now()
+	message.Credits = messageOf(c.account.Credits(c.Now()))
+	c.silentSince = c.Now()
 	return message
 }
 
@@ -234,7 +239,7 @@
 		if err != nil {
 			return err
 		}
-		c.take(message, time.Now())
+		c.take(message, c.Now())
 	}
 }
 
--- a/limiter/server.go
+++ b/limiter/server.go
@@ -26,7 +26,9 @@
 	Term func() (fence int64, standing election.Standing)
 	// First tells that no daemon can have held the term before.
 	First func() bool
-	Log   logrus.FieldLogger
+	// Now is the clock of credit and limits; nil: time.Now.
+	Now func() time.Time
+	Log logrus.FieldLogger
 
 	mutex   sync.Mutex
 	ledger  *quota.Ledger
@@ -48,7 +50,7 @@
 		if process == "" {
 			process = message.GetProcess()
 		}
-		answers, err := s.take(process, fence, message, time.Now())
+		answers, err := s.take(process, fence, message, s.now())
 		if err != nil {
 			return err
 		}
@@ -59,6 +61,13 @@
 	}
 }
 
+func (s *Server) now() time.Time {
+	if s.Now == nil {
+		return time.Now()
+	}
+	return s.Now()
+}
+
 // take takes in a message of a process and answers its questions; fence is that of the term
 // in which the stream began, zero for its first message.
 func (s *Server) take(process string, fence int64, message *rpc.QuotaQuestions, now time.Time) (*rpc.QuotaAnswers, error) {
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/finchspoke/finchspoke/access"
+	"github.com/finchspoke/finchspoke/boottime"
 	"github.com/finchspoke/finchspoke/core"
 	"github.com/finchspoke/finchspoke/demand"
 	"github.com/finchspoke/finchspoke/election"
@@ -187,7 +188,8 @@
 	requests.Prepare()
 	n.core = requests
 	n.mirror = records.NewMirror(adapters.Store, n.config.RecordsRoot, n.log)
-	n.gate = &access.Gate{Table: n.routes, ProvenAt: n.mirror.ProvenAt, Bound: n.config.Configurations, Now: time.Now}
+	n.mirror.Clock(boottime.Now)
+	n.gate = &access.Gate{Table: n.routes, ProvenAt: n.mirror.ProvenAt, Bound: n.config.Configurations, Now: boottime.Now}
 	requests.Gate = n.gate
 	if n.config.Configurations.Strict {
 		n.mirror.LimitProof(adapters.TableKey, time.Duration(proofShare*float64(n.config.Configurations.MaxAge)))
@@ -196,7 +198,7 @@
 	n.election = election.New(election.Config{
 		Key: n.config.TermKey, Daemon: n.config.ID, Address: n.config.PeerAddress, TTL: n.config.LeaseTime,
 		Informed: func() bool { return n.holder.Informed() }, Delay: n.config.TermDelay,
-		Written: n.mirror.Hurry, // other daemons hear of it from this one
+		Now: boottime.Now, Written: n.mirror.Hurry, // other daemons hear of it from this one
 	}, adapters.Store, n.log)
 	n.holder = &loader.Holder{
 		Daemon: n.config.ID, Fleet: n.fleet, Table: n.routes, Replicas: adapters.Replicas(n.pool), Election: n.election,
@@ -223,10 +225,10 @@
 	n.quarantine.Prepare()
 	requests.Quarantine = n.quarantine
 	n.follow(adapters)
-	n.quotas = &limiter.Client{Bounds: n.config.Quotas, Holder: n.election.HolderAddress, Log: n.log}
+	n.quotas = &limiter.Client{Bounds: n.config.Quotas, Holder: n.election.HolderAddress, Now: boottime.Now, Log: n.log}
 	n.quotas.Prepare()
 	requests.Limits = n.quotas
-	n.limits = &limiter.Server{Bounds: n.config.Quotas, Table: n.routes, Term: n.election.Term, First: n.holder.FirstOfAll, Log: n.log}
+	n.limits = &limiter.Server{Bounds: n.config.Quotas, Table: n.routes, Term: n.election.Term, First: n.holder.FirstOfAll, Now: boottime.Now, Log: n.log}
 	subscriber := &records.Subscriber{Daemon: n.config.ID, Mirror: n.mirror, Source: n.recordSource, Deputy: n.deputySource, Seeds: n.otherSeeds, Log: n.log}
 	n.registerGauges()
 	n.frontend = newFrontend(n.listeners.callers, adapters.Callers(n.routes, n.gate, requests), n.routes)
--- a/records/feed.go
+++ b/records/feed.go
@@ -55,7 +55,7 @@
 		if update.Whole && first && !request.GetWhole() {
 			return errBehind
 		}
-		message := f.message(known, update, time.Now())
+		message := f.message(known, update, f.Mirror.now())
 		message.Question = asked
 		if err := stream.Send(message); err != nil {
 			return err
@@ -165,7 +165,7 @@
 	defer func() { _ = stream.Close() }()
 	defer m.listen(false)
 	var open questions
-	first := &rpc.FollowRecords{DaemonId: daemonID, KnownRevision: m.Revision(), Whole: !m.answeredLately(), Question: open.next(time.Now())}
+	first := &rpc.FollowRecords{DaemonId: daemonID, KnownRevision: m.Revision(), Whole: !m.answeredLately(), Question: open.next(m.now())}
 	if err := stream.Send(first); err != nil {
 		return err
 	}
@@ -176,12 +176,12 @@
 		}
 		m.listen(true)
 		asked, _ := open.answered(message.GetQuestion())
-		update, err := updateOf(message, time.Now(), asked)
+		update, err := updateOf(message, m.now(), asked)
 		if err != nil {
 			return err
 		}
 		m.Take(update)
-		if err := stream.Send(&rpc.FollowRecords{Question: open.next(time.Now())}); err != nil {
+		if err := stream.Send(&rpc.FollowRecords{Question: open.next(m.now())}); err != nil {
 			return err
 		}
 	}
--- a/records/pauses.go
+++ b/records/pauses.go
@@ -19,7 +19,7 @@
 // where none does.
 func (m *Mirror) restWhileVouched(ctx context.Context) bool {
 	m.mutex.Lock()
-	now := time.Now()
+	now := m.now()
 	vouchedFor := m.vouched.Add(vouchTime).Sub(now)
 	left := min(vouchedFor, m.proofLeft(now))
 	if left <= 0 || m.leading {
--- a/records/proof.go
+++ b/records/proof.go
@@ -36,7 +36,7 @@
 // changes asked for, 300 daemons would take the heartbeats of 3,000 replicas from the service
 // whenever the peer's own calls had become slow.
 func (m *Mirror) prove(ctx context.Context) bool {
-	sent := time.Now()
+	sent := m.now()
 	events, _, err := m.store.Changes(ctx, m.proofKey, m.Revision(), soonWait)
 	switch {
 	case err != nil:
--- a/records/proof_test.go
+++ b/records/proof_test.go
@@ -185,3 +185,20 @@
 	require.Eventually(t, func() bool { return !proven() }, time.Second, 5*time.Millisecond)
 	require.Eventually(t, proven, vouchTime+sourcePatience+2*time.Second, 5*time.Millisecond)
 }
+
+// While the machine was suspended the service and its peers went on.
+func TestWhatWasHeardGrowsOldWhileTheMachineIsSuspended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mirror := mirrorOf(t, newFakeStore())
+		suspended := time.Duration(0)
+		mirror.Clock(func() time.Time { return time.Now().Add(suspended) })
+		heard := mirror.now()
+		mirror.answered(heard, heard)
+		mirror.Take(Update{Revision: 1, Contact: heard, Proven: heard})
+		require.True(t, mirror.InContact())
+		suspended = vouchTime
+		require.False(t, mirror.InContact())
+		require.False(t, mirror.answeredLately())
+		require.Equal(t, vouchTime, mirror.now().Sub(mirror.ProvenAt()))
+	})
+}
--- a/records/records.go
+++ b/records/records.go
@@ -59,6 +59,7 @@
 	store  kv.ChangeStore
 	prefix string
 	log    logrus.FieldLogger
+	now    func() time.Time
 
 	// proofKey is the record that proofs are about, and proofLimit the age of the newest proof from which this daemon asks the service
 	// itself, whoever vouches; zero: none.
@@ -99,9 +100,12 @@
 
 // NewMirror returns a mirror of the records under a prefix.
 func NewMirror(store kv.ChangeStore, prefix string, log logrus.FieldLogger) *Mirror {
-	return &Mirror{store: store, prefix: prefix, log: log, pairs: map[string]kv.Pair{}, changed: make(chan struct{}), lead: make(chan struct{}, 1), hurried: make(chan struct{}, 1)}
+	return &Mirror{store: store, prefix: prefix, log: log, now: time.Now, pairs: map[string]kv.Pair{}, changed: make(chan struct{}), lead: make(chan struct{}, 1), hurried: make(chan struct{}, 1)}
 }
 
+// Clock replaces the clock by which answers and proofs grow old. It must be called before Serve.
+func (m *Mirror) Clock(now func() time.Time) { m.now = now }
+
 // Handle calls handle for each change under a prefix. All calls come one after the
 // other. It must be called before Serve.
 func (m *Mirror) Handle(prefix string, handle Handler) {
@@ -129,7 +133,7 @@
 			whole, pause = true, pauseFirst
 			continue
 		}
-		if m.vouchedFor(time.Now()) > 0 && m.prove(ctx) {
+		if m.vouchedFor(m.now()) > 0 && m.prove(ctx) {
 			continue
 		}
 		err := m.follow(ctx, &whole)
@@ -173,7 +177,7 @@
 // follow lists the records, unless they are known, or asks once for their changes.
 func (m *Mirror) follow(ctx context.Context, whole *bool) error {
 	if !*whole {
-		sent := time.Now()
+		sent := m.now()
 		pairs, revision, err := m.store.List(ctx, m.prefix)
 		if err != nil {
 			return err
@@ -183,13 +187,13 @@
 		*whole = true
 		return nil
 	}
-	sent := time.Now()
+	sent := m.now()
 	events, revision, err := m.store.Changes(ctx, m.prefix, m.Revision(), m.wait(sent))
 	if err != nil {
 		return err
 	}
 	m.apply(events, revision)
-	m.answered(time.Now(), sent)
+	m.answered(m.now(), sent)
 	m.gather(ctx, events)
 	return nil
 }
@@ -387,15 +391,15 @@
 func (m *Mirror) answeredLately() bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return lately(m.contact)
+	return m.lately(m.contact)
 }
 
 // lately tells whether an answer of the service still counts.
-func lately(at time.Time) bool { return time.Since(at) < vouchTime }
+func (m *Mirror) lately(at time.Time) bool { return m.now().Sub(at) < vouchTime }
 
 // InContact tells whether the service answered lately, here or to the peer that vouches.
 func (m *Mirror) InContact() bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return lately(m.contact) || lately(m.vouched)
+	return m.lately(m.contact) || m.lately(m.vouched)
 }
