One way of stopping for both caller interfaces

node/frontend.go, with the connections that tell whether they rest and the wait for the backlog, becomes package frontend; gateway uses it in place of net/http's Shutdown, which drops requests that it reads afterwards. transport keeps drpc alone. A stop logs what is left as each of its phases begins.

Tests moved as they were, with the new names.

--- a/node/backlog.go
+++ b/frontend/backlog.go
@@ -1,4 +1,4 @@
-package node
+package frontend
 
 import (
 	"context"
--- a/node/backlog_test.go
+++ b/frontend/backlog_test.go
@@ -1,4 +1,4 @@
-package node
+package frontend
 
 import (
 	"fmt"
@@ -9,9 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
-
-	"github.com/finchspoke/finchspoke/routing"
 )
 
 // slowListener accepts each connection some time after it came.
@@ -34,15 +33,21 @@
 	return l.TCPListener.Close()
 }
 
+// quiet are options that log nothing.
+func quiet() Options {
+	log, _ := test.NewNullLogger()
+	return Options{Log: log}
+}
+
 // servedBy serves a listener's callers until the test ends; served tells whether a request
 // came to its handler.
-func servedBy(t *testing.T, listener net.Listener) (front *frontend, served *atomic.Bool) {
+func servedBy(t *testing.T, listener net.Listener) (front *Server, served *atomic.Bool) {
 	served = &atomic.Bool{}
-	front = newFrontend(listener, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+	front = New(listener, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		served.Store(true)
 		_, _ = fmt.Fprint(writer, "whole")
-	}), &routing.Store{})
-	front.turnAway = 0
+	}), quiet())
+	front.TurnAway = 0
 	go func() { _ = front.Serve(t.Context()) }()
 	return front, served
 }
@@ -79,7 +84,7 @@
 	ask(t, conn)
 	require.Eventually(t, func() bool { return hasBacklog(plain) }, time.Second, time.Millisecond)
 
-	require.NoError(t, front.drain(t.Context()))
+	require.NoError(t, front.Drain(t.Context()))
 	require.Contains(t, readAnswer(t, conn), "whole")
 }
 
@@ -120,7 +125,7 @@
 	conn := dialTo(t, plain)
 	ask(t, conn)
 	require.Eventually(t, func() bool { return !hasBacklog(plain) }, time.Second, time.Millisecond)
-	require.NoError(t, front.drain(t.Context()))
+	require.NoError(t, front.Drain(t.Context()))
 	require.True(t, served.Load(), "the stop ended before the request was served")
 }
 
@@ -132,7 +137,7 @@
 	conn := dialTo(t, listener)
 	require.Eventually(t, func() bool { return front.closeQuiet(time.Now()) }, time.Second, time.Millisecond)
 	drained := make(chan error, 1)
-	go func() { drained <- front.drain(t.Context()) }()
+	go func() { drained <- front.Drain(t.Context()) }()
 	require.Eventually(t, func() bool { // its listener is closed
 		other, err := net.Dial("tcp", listener.Addr().String())
 		if err == nil {
@@ -163,7 +168,7 @@
 	require.NoError(t, err)
 	begun, release := make(chan struct{}), make(chan struct{})
 	served, again := &atomic.Bool{}, atomic.Bool{}
-	front := newFrontend(listener, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+	front := New(listener, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		served.Store(true)
 		if again.Swap(true) {
 			return
@@ -173,16 +178,16 @@
 		close(begun)
 		<-release
 		_, _ = fmt.Fprint(writer, "whole")
-	}), &routing.Store{})
-	front.turnAway = 100 * time.Millisecond
+	}), quiet())
+	front.TurnAway = 100 * time.Millisecond
 	go func() { _ = front.Serve(t.Context()) }()
 	conn := dialTo(t, listener)
 	ask(t, conn)
 	<-begun
 	drained := make(chan error, 1)
-	go func() { drained <- front.drain(t.Context()) }()
-	require.Eventually(t, front.stopping, time.Second, time.Millisecond)
-	time.Sleep(front.turnAway / 4)
+	go func() { drained <- front.Drain(t.Context()) }()
+	require.Eventually(t, front.Stopping, time.Second, time.Millisecond)
+	time.Sleep(front.TurnAway / 4)
 	close(release) // the connection rests from now on
 	require.NoError(t, <-drained)
 	require.False(t, askLate(conn, served), "passed on at the very end of the stop")
@@ -203,6 +208,6 @@
 		}
 		return len(front.conns) == 1
 	}, time.Second, time.Millisecond)
-	require.NoError(t, front.drain(t.Context()))
+	require.NoError(t, front.Drain(t.Context()))
 	require.False(t, askLate(conn, served))
 }
--- a/node/callerconn.go
+++ b/frontend/conn.go
@@ -1,4 +1,4 @@
-package node
+package frontend
 
 import (
 	"context"
@@ -43,6 +43,13 @@
 	c.reading = false
 }
 
+// isReading tells whether the connection holds a request without a whole answer.
+func (c *callerConn) isReading() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.reading
+}
+
 // closeIdle closes the connection if it rests, and tells whether it is closed.
 func (c *callerConn) closeIdle() (closed bool) {
 	c.mutex.Lock()
@@ -67,12 +74,13 @@
 // callerListener makes callers' connections.
 type callerListener struct {
 	net.Listener
-	once  sync.Once
-	ended chan struct{} // closed when no connection is accepted any more
+	waiting net.Listener // whose backlog holds the connections that wait to be accepted
+	once    sync.Once
+	ended   chan struct{} // closed when no connection is accepted any more
 }
 
-func newCallerListener(listener net.Listener) *callerListener {
-	return &callerListener{Listener: listener, ended: make(chan struct{})}
+func newCallerListener(waiting, accepting net.Listener) *callerListener {
+	return &callerListener{Listener: accepting, waiting: waiting, ended: make(chan struct{})}
 }
 
 // Accept implements net.Listener. net/http notes each connection before it asks for the
@@ -95,12 +103,12 @@
 
 // serving notes the ends of requests; while the daemon leaves, answers say
 // that the connection closes.
-func (f *frontend) serving(next http.Handler) http.Handler {
+func (s *Server) serving(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if conn, known := request.Context().Value(connKey{}).(*callerConn); known {
 			defer conn.rest()
 		}
-		next.ServeHTTP(&leavingWriter{ResponseWriter: writer, front: f}, request)
+		next.ServeHTTP(&leavingWriter{ResponseWriter: writer, front: s}, request)
 	})
 }
 
@@ -108,7 +116,7 @@
 // leaves at that moment.
 type leavingWriter struct {
 	http.ResponseWriter
-	front *frontend
+	front *Server
 	begun bool
 }
 
@@ -125,7 +133,7 @@
 }
 
 func (w *leavingWriter) begin() {
-	if !w.begun && w.front.stopping() {
+	if !w.begun && w.front.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	w.begun = true
--- a/node/frontend_test.go
+++ b/frontend/frontend_test.go
@@ -1,4 +1,4 @@
-package node
+package frontend
 
 import (
 	"bufio"
@@ -11,8 +11,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"github.com/finchspoke/finchspoke/routing"
 )
 
 // hookedListener calls hook when so many bursts of bytes were read, before net/http
@@ -57,7 +55,7 @@
 			_, _ = fmt.Fprint(writer, "whole")
 		}
 	})
-	front := newFrontend(listener, answer, &routing.Store{})
+	front := New(listener, answer, quiet())
 	// What a planned stop does first.
 	listener.hook = func() {
 		front.leaving.Store(true)
@@ -117,12 +115,12 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	begun, release := make(chan struct{}), make(chan struct{})
-	front := newFrontend(listener, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+	front := New(listener, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		close(begun)
 		<-release
 		_, _ = fmt.Fprint(writer, "whole")
-	}), &routing.Store{})
-	front.turnAway = 10 * time.Millisecond
+	}), quiet())
+	front.TurnAway = 10 * time.Millisecond
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	go func() { _ = front.Serve(ctx) }()
@@ -137,7 +135,7 @@
 	}()
 	<-begun
 	drained := make(chan error, 1)
-	go func() { drained <- front.drain(ctx) }()
+	go func() { drained <- front.Drain(ctx) }()
 	require.Eventually(t, func() bool {
 		conn, err := net.Dial("tcp", listener.Addr().String())
 		if err == nil {
--- a/transport/callers.go
+++ b/frontend/serve.go
@@ -1,4 +1,4 @@
-package transport
+package frontend
 
 import (
 	"context"
@@ -8,10 +8,10 @@
 	"github.com/pkg/errors"
 )
 
-// ServeCallers serves callers over HTTP until ctx ends, and then at once no longer. A
+// serve serves callers over HTTP until ctx ends, and then at once no longer. A
 // server that was shut down before, or whose listener was closed, as a planned stop does,
 // rests until then.
-func ServeCallers(ctx context.Context, server *http.Server, listener net.Listener) error {
+func serve(ctx context.Context, server *http.Server, listener net.Listener) error {
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	select {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -17,15 +17,14 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/net/netutil"
 
 	"github.com/finchspoke/finchspoke/core"
 	"github.com/finchspoke/finchspoke/engine"
 	"github.com/finchspoke/finchspoke/failure"
+	"github.com/finchspoke/finchspoke/frontend"
 	"github.com/finchspoke/finchspoke/group"
 	"github.com/finchspoke/finchspoke/home"
 	"github.com/finchspoke/finchspoke/settings"
-	"github.com/finchspoke/finchspoke/transport"
 )
 
 const (
@@ -55,8 +54,7 @@
 type Server struct {
 	Dependencies
 	homes      *home.Client
-	listener   net.Listener
-	http       *http.Server
+	frontend   *frontend.Server
 	metrics    *metrics
 	budget     *core.RetryBudget
 	lastEnded  endedRing
@@ -67,7 +65,6 @@
 func New(dependencies Dependencies, homes *home.Client, listener net.Listener) *Server {
 	server := &Server{
 		Dependencies: dependencies, homes: homes, metrics: newMetrics(dependencies.Registerer), budget: &core.RetryBudget{Share: retryShare, Reserve: retryReserve},
-		listener: netutil.LimitListener(listener, dependencies.MaxConnections),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+engine.PathChat, server.serveCall(engine.PathChat))
@@ -75,9 +72,10 @@
 	mux.HandleFunc("GET /v1/models", server.serveModels)
 	mux.HandleFunc("GET /v1/models/{model}", server.serveModel)
 	mux.HandleFunc("/", server.serveUnknown)
-	server.http = &http.Server{
-		Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	server.frontend = frontend.New(listener, mux, frontend.Options{
+		ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, MaxConnections: dependencies.MaxConnections,
+		IdleTime: func() time.Duration { return idleTimeout }, Log: dependencies.Log,
+	})
 	return server
 }
 
@@ -87,12 +85,12 @@
 // Serve implements suture.Service. It leaves requests running when ctx ends;
 // Drain is what waits for them.
 func (s *Server) Serve(ctx context.Context) error {
-	return transport.ServeCallers(ctx, s.http, s.listener)
+	return s.frontend.Serve(ctx)
 }
 
-// Drain takes no new connections and waits for the requests that run.
+// Drain takes no new connections, serves what was sent, and waits for the requests that run.
 func (s *Server) Drain(ctx context.Context) error {
-	if err := s.http.Shutdown(ctx); err != nil {
+	if err := s.frontend.Drain(ctx); err != nil {
 		return errors.Wrap(err, "requests still run")
 	}
 	finished := make(chan struct{})
--- a/logging/fields.go
+++ b/logging/fields.go
@@ -54,4 +54,7 @@
 	WaitReason     = "wait_reason"
 	FailedStatus   = "failed_status"
 	Ends           = "ends"
+	Phase          = "phase"
+	Connections    = "connections"
+	Requests       = "requests"
 )
--- a/logging/messages.go
+++ b/logging/messages.go
@@ -14,6 +14,7 @@
 	MessageLoadOrder          = "load order"
 	MessageReplicaHeard       = "replica state heard"
 	MessageLedgerBegun        = "ledger of tenants' limits begun"
+	MessageStopPhase          = "planned stop goes on"
 	MessageReplicaProbed      = "replica asked whether it runs"
 	MessageReplicaEndedUnder  = "replica ended under a request"
 	MessageRequestCleared     = "request served whole after replicas had ended"
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/finchspoke/finchspoke/election"
 	"github.com/finchspoke/finchspoke/failure"
 	"github.com/finchspoke/finchspoke/fleet"
+	"github.com/finchspoke/finchspoke/frontend"
 	"github.com/finchspoke/finchspoke/kv"
 	"github.com/finchspoke/finchspoke/limiter"
 	"github.com/finchspoke/finchspoke/loader"
@@ -114,7 +115,7 @@
 	quarantine  *quarantine.Guard
 	election    *election.Election
 	holder      *loader.Holder
-	frontend    *frontend
+	frontend    *frontend.Server
 	pool        *upstream.Pool
 	listeners   listeners
 	supervisor  *suture.Supervisor
@@ -231,7 +232,9 @@
 	n.limits = &limiter.Server{Bounds: n.config.Quotas, Table: n.routes, Term: n.election.Term, First: n.holder.FirstOfAll, Now: boottime.Now, Log: n.log}
 	subscriber := &records.Subscriber{Daemon: n.config.ID, Mirror: n.mirror, Source: n.recordSource, Deputy: n.deputySource, Seeds: n.otherSeeds, Log: n.log}
 	n.registerGauges()
-	n.frontend = newFrontend(n.listeners.callers, adapters.Callers(n.routes, n.gate, requests), n.routes)
+	n.frontend = frontend.New(n.listeners.callers, adapters.Callers(n.routes, n.gate, requests), frontend.Options{
+		ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTime: n.idleTime, TurnAway: turnAway, Log: n.log,
+	})
 	server := transport.NewServer(n.listeners.peers)
 	n.register(server)
 	n.supervisor = suture.New("finchspoke", suture.Spec{EventHook: func(event suture.Event) {
@@ -278,12 +281,27 @@
 	return !listed || entry.Draining
 }
 
+// idleTime returns how long callers' connections may rest by the table; zero without one.
+func (n *Node) idleTime() time.Duration {
+	if table := n.routes.Current(); table != nil {
+		return table.Limits.IdleTimeout
+	}
+	return 0
+}
+
 // ready tells whether the node should get callers.
 func (n *Node) ready() bool {
-	return !n.frontend.stopping() && n.gate.Open() && n.fleet.Len() > 0
+	return !n.frontend.Stopping() && n.gate.Open() && n.fleet.Len() > 0
 }
 
 const (
+	// maxHeaderBytes bounds what is read of a caller's headers; the table's own limit is
+	// applied by the caller interface.
+	maxHeaderBytes    = 1 << 20
+	readHeaderTimeout = 10 * time.Second
+	// turnAway is how long a stopping daemon goes on to take new connections, for
+	// the entry to notice that it is not ready.
+	turnAway = 3 * time.Second
 	// stopMargin is kept from the time that a planned stop may take.
 	stopMargin = 600 * time.Millisecond
 	// lastAnswers is the time for the final answers of calls that still run then.
@@ -323,7 +341,7 @@
 	resigning, done := context.WithTimeout(ctx, resignTime)
 	defer done()
 	go n.election.Resign(resigning, n.holder.Handover)
-	if err := n.frontend.drain(ctx); err != nil {
+	if err := n.frontend.Drain(ctx); err != nil {
 		n.log.WithField(logging.Cause, err.Error()).Warn("requests were still running at the end of the stop")
 	}
 	return nil
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -1,5 +1,4 @@
-// Package transport carries drpc between daemons over TCP, and serves callers over
-// HTTP.
+// Package transport carries drpc between daemons over TCP.
 package transport
 
 import (
