A stopping daemon takes only what it should finish

Cause: a stream whose head went out before the stop can't say that its connection closes. A caller that used the connection again at once was read and served like any other, however little was left of the time to stop; nothing compared the two.

Change: while a daemon stops it refuses, not run, what usually takes longer than what is left (moving mean and one mean deviation of the route's calls), and everything once callers have had 3 s to go elsewhere.

--- a/core/core.go
+++ b/core/core.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -47,10 +48,13 @@
 	daemons int                     // that share the reserve of retries; zero if not known
 	budgets map[string]*RetryBudget // by service
 
-	stopOnce sync.Once
-	stopping chan struct{}   // closed when a planned stop begins
-	ending   context.Context // ends when calls must have ended
-	end      context.CancelCauseFunc
+	times runTimes // of calls that were answered whole
+
+	stopOnce  sync.Once
+	stopping  chan struct{}             // closed when a planned stop begins
+	stopTimes atomic.Pointer[StopTimes] // nil until then
+	ending    context.Context           // ends when calls must have ended
+	end       context.CancelCauseFunc
 }
 
 // errStopped ends calls that a planned stop leaves no more time.
@@ -62,12 +66,13 @@
 	c.ending, c.end = context.WithCancelCause(context.Background())
 }
 
-// Stop begins a planned stop: calls that wait for a load are refused, and those
-// that still run at a moment get their final answer then.
-func (c *Core) Stop(endBy time.Time) {
+// Stop begins a planned stop: calls that wait for a load are refused, so are those that come and
+// would not be finished, and those that still run in the end get their final answer.
+func (c *Core) Stop(times StopTimes) {
 	c.stopOnce.Do(func() {
+		c.stopTimes.Store(&times)
 		close(c.stopping)
-		time.AfterFunc(time.Until(endBy), func() { c.end(errStopped) })
+		time.AfterFunc(time.Until(times.EndBy), func() { c.end(errStopped) })
 	})
 }
 
@@ -178,16 +183,28 @@
 		Call: call, caller: caller, lastEvent: call.ResumeAfter,
 		life: &Lifecycle{Repeatable: call.Route.Repeatable(), Resumable: call.Route.Resumable, MaxRuns: max(1, call.Route.Attempts), Deadline: call.Deadline},
 	}
-	if failed = undeclared(call); failed == nil {
-		failed = c.withheld(running)
-	}
+	failed = c.judge(running)
 	if failed == nil {
 		failed = c.admit(ctx, running)
 	}
+	if failed == nil && running.failedStatus == 0 {
+		c.times.ran(call.Route.Name, time.Since(call.Arrived))
+	}
 	c.logEnd(running, failed)
 	return failed, running.began
 }
 
+// judge refuses a call that is known not to be servable.
+func (c *Core) judge(running *run) *failure.Error {
+	if failed := undeclared(running.Call); failed != nil {
+		return failed
+	}
+	if failed := c.withheld(running); failed != nil {
+		return failed
+	}
+	return c.stopRefusal(running.Call)
+}
+
 // undeclaredPause is the advice to callers that name a model which the table lacks: a
 // newer table may be on its way.
 const undeclaredPause = time.Second
--- a/node/node.go
+++ b/node/node.go
@@ -336,7 +336,8 @@
 func (n *Node) leave() error {
 	n.log.Info("planned stop begins")
 	ctx, cancel := context.WithTimeout(context.Background(), n.config.StopTime-stopMargin)
-	n.core.Stop(time.Now().Add(n.config.StopTime - stopMargin - lastAnswers))
+	now := time.Now()
+	n.core.Stop(core.StopTimes{TakeUntil: now.Add(turnAway), EndBy: now.Add(n.config.StopTime - stopMargin - lastAnswers)})
 	defer cancel()
 	resigning, done := context.WithTimeout(ctx, resignTime)
 	defer done()
