--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -46,6 +46,7 @@
 	guards   []*Guard
 	records  map[string][]byte
 	revision int64
+	deletes  int     // calls that delete
 	fail     []error // of the next writes; the writes take effect if the error is uncertain
 }
 
@@ -69,6 +70,9 @@
 		s.records[put.Key] = put.Value
 		s.tell(kv.Event{Pair: kv.Pair{Key: put.Key, Value: put.Value, ModRevision: s.revision}})
 	}
+	if len(txn.Deletes) > 0 {
+		s.deletes++
+	}
 	for _, key := range txn.Deletes {
 		delete(s.records, key)
 		s.tell(kv.Event{Pair: kv.Pair{Key: key, ModRevision: s.revision}, Deleted: true})
@@ -229,6 +233,7 @@
 		require.Len(t, shared.records, 1)
 		time.Sleep(time.Minute + 2*sweepPause)
 		require.Empty(t, shared.records)
+		require.Equal(t, 1, shared.deletes)
 		for _, guard := range guards {
 			total, _, reports := guard.Counts()
 			require.Zero(t, total+reports)
@@ -236,6 +241,18 @@
 	})
 }
 
+func TestWithoutALeaderOldRecordsStayAndCountNoMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared, guards := fleetOf(t, 1, &answers{is: map[string]Liveness{"r0": Ended}})
+		guards[0].Leading = func() bool { return false }
+		guards[0].Broke(t.Context(), "r0", "address", named(1))
+		time.Sleep(suspectTime + 2*sweepPause)
+		require.Len(t, shared.records, 1)
+		total, _, _ := guards[0].Counts()
+		require.Zero(t, total)
+	})
+}
+
 func TestARecordThatCannotBeReadChangesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, guards := fleetOf(t, 1, &answers{})
@@ -303,3 +320,27 @@
 		require.Equal(t, mostLeft, kept)
 	})
 }
+
+// A daemon that cannot reach a replica hears of its end from others alone.
+func TestWhatOthersSawEndCountsAgainstWhatWasGivenUpHere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, guards := fleetOf(t, 2, &answers{is: map[string]Liveness{"r0": Ended}})
+		guards[0].Prober = &answers{is: map[string]Liveness{"r0": Unknown}}
+		guards[0].Left("r0", "address", named(1))
+		time.Sleep(leftTime / 2)
+		guards[1].Broke(t.Context(), "r0", "address", named(2))
+		time.Sleep(2 * leftTime)
+		for _, guard := range guards {
+			total, _, _ := guard.Counts()
+			require.Equal(t, 2, total)
+		}
+	})
+}
+
+func TestOnlyWhatWasGivenUpLatelyIsTaken(t *testing.T) {
+	left := departures{}
+	require.True(t, left.add("r0", named(1), start))
+	require.False(t, left.add("r0", named(2), start.Add(leftTime)))
+	require.Equal(t, []Fingerprint{named(2)}, left.take("r0", start.Add(leftTime+time.Millisecond)))
+	require.Empty(t, left)
+}
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -153,15 +154,21 @@
 // BenchmarkLedger measures what a full ledger costs: the time of the question that is asked
 // before each dispatch, and the memory.
 func BenchmarkLedger(b *testing.B) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
 	l := newLedger()
 	for number := range mostReports {
 		ends := map[string][]int{"r" + fmt.Sprint(number): {number, number + 1, number + 2, number + 3, 0}}
 		l.put(fmt.Sprint(number), reportOf(ends), int64(number), start)
 	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
 	b.Run("not named", func(b *testing.B) {
 		for b.Loop() {
 			l.against(named(-1))
 		}
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "bytes-full")
 	})
 	b.Run("named by all", func(b *testing.B) {
 		for b.Loop() {
--- a/records/proof_test.go
+++ b/records/proof_test.go
@@ -199,6 +199,7 @@
 		suspended = vouchTime
 		require.False(t, mirror.InContact())
 		require.False(t, mirror.answeredLately())
+		require.False(t, mirror.restWhileVouched(t.Context()), "nobody vouches any more")
 		require.Equal(t, vouchTime, mirror.now().Sub(mirror.ProvenAt()))
 	})
 }
