The holder of limits is waited for by how long its answers take

Cause of a part of the open finding at 300 daemons: the holder's answers about limits come late there, and who waited 150 ms refused what had room. The patience is now the mean of its answers and four mean deviations, 150 to 600 ms; one estimator (package estimate) serves this and the time that calls take.

--- a/core/finish.go
+++ b/core/finish.go
@@ -1,48 +1,38 @@
 package core
 
 import (
-	"math"
 	"sync"
 	"time"
 
+	"github.com/finchspoke/finchspoke/estimate"
 	"github.com/finchspoke/finchspoke/failure"
 )
 
-const (
-	// meanWeight and deviationWeight are those of TCP's retransmission timer (RFC 6298).
-	meanWeight      = 1.0 / 8
-	deviationWeight = 1.0 / 4
-	// deviations are allowed for beyond the mean. With four, as that timer has, a stop refused
-	// 28 to 151 requests that it would have finished, on days of 12 and 18 stops; with one, 0
-	// to 8 (docs/design/stops.md).
-	deviations = 1
-)
+// finishDeviations are allowed for beyond the mean. With four, as TCP's retransmission timer has,
+// a stop refused 28 to 151 requests that it would have finished, on days of 12 and 18 stops; with
+// one, 0 to 8 (docs/design/stops.md).
+const finishDeviations = 1
 
 // runTimes learn how long the calls of each route take, from their arrival to the end of their
 // answers. They are safe for concurrent use.
 type runTimes struct {
 	mutex  sync.Mutex
-	routes map[string]*runTime
+	routes map[string]*estimate.Moving
 }
 
-// runTime is a moving mean with its mean deviation, in seconds.
-type runTime struct{ mean, deviation float64 }
-
 // ran takes in a call that was answered whole.
 func (r *runTimes) ran(route string, took time.Duration) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.routes == nil {
-		r.routes = map[string]*runTime{}
+		r.routes = map[string]*estimate.Moving{}
 	}
-	seconds := took.Seconds()
 	known := r.routes[route]
 	if known == nil {
-		r.routes[route] = &runTime{mean: seconds, deviation: seconds / 2}
-		return
+		known = &estimate.Moving{}
+		r.routes[route] = known
 	}
-	known.deviation += deviationWeight * (math.Abs(seconds-known.mean) - known.deviation)
-	known.mean += meanWeight * (seconds - known.mean)
+	known.Add(took)
 }
 
 // usual returns how long most calls of a route take, as far as was seen; zero if none was.
@@ -53,7 +43,7 @@
 	if seen == nil {
 		return 0
 	}
-	return time.Duration((seen.mean + deviations*seen.deviation) * float64(time.Second))
+	return seen.Bound(finishDeviations)
 }
 
 // StopTimes bound what a stopping daemon takes.
--- a/limiter/admit.go
+++ b/limiter/admit.go
@@ -12,9 +12,14 @@
 )
 
 const (
-	// answerPatience is how long the holder is waited for. It answers within some ms; one that
-	// is slowed by a factor of ten within a few tens.
-	answerPatience = 150 * time.Millisecond
+	// leastPatience is how long the holder is waited for at least. It answers within some ms; one
+	// that is slowed by a factor of ten within a few tens.
+	leastPatience = 150 * time.Millisecond
+	// mostPatience bounds what its answers have the holder waited for: at 300 daemons they come
+	// late, and a refusal costs a caller more than a wait.
+	mostPatience = 600 * time.Millisecond
+	// patienceDeviations are allowed for beyond the mean, as TCP's retransmission timer does.
+	patienceDeviations = 4
 	// holderCheck is the time between looks at whether the holder answers.
 	holderCheck = 10 * time.Millisecond
 	// leastReturn and unknownReturn are advice to callers: the least after a refusal at the
@@ -97,14 +102,16 @@
 		c.silentSince = now
 	}
 	lost := c.connected
+	patience := c.patience()
+	c.asked[question.ID] = now
 	c.mutex.Unlock()
 	c.signal()
-	timer := time.NewTimer(answerPatience)
+	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	select {
 	case answer = <-answered:
 		// A process that stood still finds an answer from before: it counts for another time.
-		if c.Now().Sub(now) <= 2*answerPatience {
+		if c.Now().Sub(now) <= 2*patience {
 			return answer, true
 		}
 		c.giveBack(question, answer)
@@ -147,7 +154,13 @@
 // answers is Answers; the mutex is held. Under load there is always a question without an
 // answer yet.
 func (c *Client) answers() bool {
-	return c.isUp && (c.silentSince.IsZero() || c.Now().Sub(c.silentSince) <= answerPatience)
+	return c.isUp && (c.silentSince.IsZero() || c.Now().Sub(c.silentSince) <= c.patience())
+}
+
+// patience returns how long the holder is waited for, by how long its answers took lately; the
+// mutex is held.
+func (c *Client) patience() time.Duration {
+	return min(mostPatience, max(leastPatience, c.answerTimes.Bound(patienceDeviations)))
 }
 
 // Credit returns the credit lent ahead that may be used, of all tenants together.
