Revert "The holder of limits is waited for by how long its answers take" (the limiter's part)

The time is lost elsewhere: for two seconds after it begins, the holder itself answers late. The estimator stays, for what a stop can finish.

--- a/limiter/admit.go
+++ b/limiter/admit.go
@@ -12,14 +12,9 @@
 )
 
 const (
-	// leastPatience is how long the holder is waited for at least. It answers within some ms; one
-	// that is slowed by a factor of ten within a few tens.
-	leastPatience = 150 * time.Millisecond
-	// mostPatience bounds what its answers have the holder waited for: at 300 daemons they come
-	// late, and a refusal costs a caller more than a wait.
-	mostPatience = 600 * time.Millisecond
-	// patienceDeviations are allowed for beyond the mean, as TCP's retransmission timer does.
-	patienceDeviations = 4
+	// answerPatience is how long the holder is waited for. It answers within some ms; one that
+	// is slowed by a factor of ten within a few tens.
+	answerPatience = 150 * time.Millisecond
 	// holderCheck is the time between looks at whether the holder answers.
 	holderCheck = 10 * time.Millisecond
 	// leastReturn and unknownReturn are advice to callers: the least after a refusal at the
@@ -102,16 +97,14 @@
 		c.silentSince = now
 	}
 	lost := c.connected
-	patience := c.patience()
-	c.asked[question.ID] = now
 	c.mutex.Unlock()
 	c.signal()
-	timer := time.NewTimer(patience)
+	timer := time.NewTimer(answerPatience)
 	defer timer.Stop()
 	select {
 	case answer = <-answered:
 		// A process that stood still finds an answer from before: it counts for another time.
-		if c.Now().Sub(now) <= 2*patience {
+		if c.Now().Sub(now) <= 2*answerPatience {
 			return answer, true
 		}
 		c.giveBack(question, answer)
@@ -154,13 +147,7 @@
 // answers is Answers; the mutex is held. Under load there is always a question without an
 // answer yet.
 func (c *Client) answers() bool {
-	return c.isUp && (c.silentSince.IsZero() || c.Now().Sub(c.silentSince) <= c.patience())
-}
-
-// patience returns how long the holder is waited for, by how long its answers took lately; the
-// mutex is held.
-func (c *Client) patience() time.Duration {
-	return min(mostPatience, max(leastPatience, c.answerTimes.Bound(patienceDeviations)))
+	return c.isUp && (c.silentSince.IsZero() || c.Now().Sub(c.silentSince) <= answerPatience)
 }
 
 // Credit returns the credit lent ahead that may be used, of all tenants together.
--- a/limiter/client.go
+++ b/limiter/client.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/finchspoke/finchspoke/estimate"
 	"github.com/finchspoke/finchspoke/logging"
 	"github.com/finchspoke/finchspoke/quota"
 	"github.com/finchspoke/finchspoke/rpc"
@@ -44,12 +43,8 @@
 	mutex   sync.Mutex
 	account *quota.Account
 	waiting map[uint64]chan told // questions whose requests wait
-	// asked is when each question was sent that has no answer yet, also of those whose requests
-	// wait no longer: late answers have the holder waited for longer.
-	asked       map[uint64]time.Time
-	answerTimes estimate.Moving
-	outbox      outbox
-	wake        chan struct{} // holds an element while there is something to send
+	outbox  outbox
+	wake    chan struct{} // holds an element while there is something to send
 	// connected is closed when the holder is lost; another channel then takes its place.
 	connected chan struct{}
 	isUp      bool
@@ -74,7 +69,7 @@
 	}
 	c.process = uuid.NewString()
 	c.account = quota.NewAccount(c.Bounds)
-	c.waiting, c.asked = map[uint64]chan told{}, map[uint64]time.Time{}
+	c.waiting = map[uint64]chan told{}
 	c.wake = make(chan struct{}, 1)
 	c.connected = make(chan struct{})
 }
@@ -266,7 +261,6 @@
 			ID: one.GetId(), Granted: one.GetGranted(), Unknown: one.GetUnknown(), RetryIn: time.Duration(one.GetRetryMs()) * time.Millisecond,
 			Slot: one.GetSlot(), Renewed: one.GetRenewed(), Ahead: one.GetAhead(), Unsettled: one.GetUnsettled(),
 		}
-		c.learn(answer.ID, now)
 		if unused := c.account.Take(answer, now); unused != nil {
 			c.outbox.refunds = append(c.outbox.refunds, *unused)
 		}
@@ -288,19 +282,6 @@
 	}
 }
 
-// learn takes in how long an answer took; the mutex is held. One that waited for a process which
-// stood still says nothing of the holder.
-func (c *Client) learn(question uint64, now time.Time) {
-	sent, known := c.asked[question]
-	if !known {
-		return
-	}
-	delete(c.asked, question)
-	if took := now.Sub(sent); took <= 2*mostPatience {
-		c.answerTimes.Add(took)
-	}
-}
-
 // down notes that the holder is lost: what waits for it uses credit, or waits for the next. It
 // tells whether the holder had answered.
 func (c *Client) down() (answered bool) {
@@ -311,7 +292,6 @@
 	close(c.connected)
 	c.connected = make(chan struct{})
 	clear(c.waiting)
-	clear(c.asked)
 	c.account.Disconnected()
 	return answered
 }
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -246,27 +246,3 @@
 	require.ErrorIs(t, err, errNotHolding, "the stream is of the term before")
 	require.False(t, said(t, server, 0, question(100)).GetAnswers()[0].GetGranted())
 }
-
-// A holder under load answers late; who did not wait for it would refuse what has room.
-func TestAHolderThatAnswersLateIsWaitedForLonger(t *testing.T) {
-	_, address := holderOf(t)
-	client := clientOf(t, address)
-	require.Equal(t, leastPatience, client.patience())
-	start := time.Now()
-	late := func(question uint64, took time.Duration) {
-		client.asked[question] = start
-		client.learn(question, start.Add(took))
-	}
-	for question := range uint64(20) {
-		late(question, 250*time.Millisecond)
-	}
-	require.InDelta(t, 0.25, client.patience().Seconds(), 0.02)
-	for question := range uint64(20) {
-		late(question, time.Second)
-	}
-	require.Equal(t, mostPatience, client.patience())
-	client = clientOf(t, address)
-	late(1, 8*time.Second)
-	require.Equal(t, leastPatience, client.patience(), "this process stood still")
-	require.Empty(t, client.asked)
-}
