Tests of the quarantine read what they share under its mutex

The race detector found test code that read a fake's records beside the guards. The package itself had none; frontend, core, limiter, records, node, loader: none.

--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,6 +41,20 @@
 	}
 }
 
+// asked returns how often it was asked.
+func (a *answers) asked() int {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.probed
+}
+
+// set changes the answer for a replica, and how long answers take.
+func (a *answers) set(replica string, answer Liveness, takes time.Duration) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.is[replica], a.takes = answer, takes
+}
+
 // service keeps records for guards, and fails as a test says.
 type service struct {
 	kv.Store
@@ -46,7 +62,8 @@
 	guards   []*Guard
 	records  map[string][]byte
 	revision int64
-	deletes  int     // calls that delete
+	deletes  int // calls that delete
+	noLeader atomic.Bool
 	fail     []error // of the next writes; the writes take effect if the error is uncertain
 }
 
@@ -80,6 +97,36 @@
 	return kv.TxnResult{Succeeded: true, Revision: s.revision}, failed
 }
 
+// kept returns the records, and how many calls deleted any.
+func (s *service) kept() (records map[string][]byte, deletes int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return maps.Clone(s.records), s.deletes
+}
+
+// recordCount returns how many records there are.
+func (s *service) recordCount() int {
+	records, _ := s.kept()
+	return len(records)
+}
+
+// failNext has the next writes fail so.
+func (s *service) failNext(errs ...error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.fail = append(s.fail, errs...)
+}
+
+// leftCount returns how many requests a guard remembers that were given up.
+func leftCount(g *Guard) (count int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for _, some := range g.left {
+		count += len(some)
+	}
+	return count
+}
+
 // tell passes a change on to all daemons, as their mirrors do.
 func (s *service) tell(event kv.Event) {
 	for _, guard := range s.guards {
@@ -96,7 +143,7 @@
 	for number := range daemons {
 		guard := &Guard{
 			Prefix: "ends/", Store: shared, Prober: prober, Leaves: func(replica string) bool { return strings.HasPrefix(replica, "leaving") },
-			Leading: func() bool { return number == 0 }, Now: time.Now, Metrics: NewMetrics(prometheus.NewRegistry()), Log: log,
+			Leading: func() bool { return number == 0 && !shared.noLeader.Load() }, Now: time.Now, Metrics: NewMetrics(prometheus.NewRegistry()), Log: log,
 		}
 		guard.Prepare()
 		shared.guards = append(shared.guards, guard)
@@ -129,13 +176,13 @@
 func TestADaemonWithholdsByItsOwnEyesAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		shared, guards := fleetOf(t, 1, &answers{is: map[string]Liveness{"r0": Ended, "r1": Ended, "r2": Ended}})
-		shared.fail = []error{kv.ErrUnavailable, kv.ErrUnavailable, kv.ErrUncertain, kv.ErrUnavailable}
+		shared.failNext(kv.ErrUnavailable, kv.ErrUnavailable, kv.ErrUncertain, kv.ErrUnavailable)
 		for number := range EndsAllowed {
 			guards[0].Broke(t.Context(), fmt.Sprintf("r%d", number), "address", named(1))
 		}
 		require.NotNil(t, guards[0].Withheld(named(1)), "before the service has it")
 		time.Sleep(10 * time.Second)
-		require.NotEmpty(t, shared.records, "written once the service answers")
+		require.NotZero(t, shared.recordCount(), "written once the service answers")
 		_, withheld, _ := guards[0].Counts()
 		require.Equal(t, 1, withheld)
 	})
@@ -150,12 +197,12 @@
 				guards[0].Broke(t.Context(), replica, "address", named(1))
 			}
 		}
-		prober.takes = time.Hour
+		prober.set("silent", Ended, time.Hour)
 		began := time.Now()
 		guards[0].Broke(t.Context(), "silent", "address", named(1))
 		require.Equal(t, probeTime, time.Since(began), "who waits for an answer waits no longer")
 		time.Sleep(time.Second)
-		require.Empty(t, shared.records)
+		require.Zero(t, shared.recordCount())
 		require.Nil(t, guards[0].Withheld(named(1)))
 	})
 }
@@ -175,8 +222,8 @@
 		}
 		broken.Wait()
 		time.Sleep(2 * gatherTime)
-		require.Equal(t, 1, prober.probed)
-		require.Len(t, shared.records, 1, "one call to the service")
+		require.Equal(t, 1, prober.asked())
+		require.Equal(t, 1, shared.recordCount(), "one call to the service")
 		total, withheld, _ := guards[0].Counts()
 		require.Equal(t, requests, total)
 		require.Zero(t, withheld)
@@ -199,7 +246,7 @@
 		}
 		require.Nil(t, guards[0].Withheld(named(1)))
 		require.Nil(t, guards[1].Withheld(named(1)))
-		require.LessOrEqual(t, len(shared.records), 30, "a word of it only where the next end would withhold it")
+		require.LessOrEqual(t, shared.recordCount(), 30, "a word of it only where the next end would withhold it")
 	})
 }
 
@@ -209,7 +256,7 @@
 		shared, guards := fleetOf(t, 1, &answers{is: map[string]Liveness{"r0": Ended}})
 		const calls = 10
 		for range calls {
-			shared.fail = append(shared.fail, kv.ErrUnavailable)
+			shared.failNext(kv.ErrUnavailable)
 		}
 		for number := range 3 * mostInReport {
 			guards[0].Broke(t.Context(), "r0", "address", named(number))
@@ -221,7 +268,7 @@
 		require.LessOrEqual(t, total, mostInReport+1)
 		require.Equal(t, 2, reports)
 		time.Sleep(calls * pauseLongest)
-		require.Len(t, shared.records, 2)
+		require.Equal(t, 2, shared.recordCount())
 	})
 }
 
@@ -230,10 +277,11 @@
 		shared, guards := fleetOf(t, 2, &answers{is: map[string]Liveness{"r0": Ended}})
 		guards[1].Broke(t.Context(), "r0", "address", named(1))
 		time.Sleep(suspectTime - time.Minute)
-		require.Len(t, shared.records, 1)
+		require.Equal(t, 1, shared.recordCount())
 		time.Sleep(time.Minute + 2*sweepPause)
-		require.Empty(t, shared.records)
-		require.Equal(t, 1, shared.deletes)
+		require.Zero(t, shared.recordCount())
+		_, deletes := shared.kept()
+		require.Equal(t, 1, deletes)
 		for _, guard := range guards {
 			total, _, reports := guard.Counts()
 			require.Zero(t, total+reports)
@@ -244,10 +292,10 @@
 func TestWithoutALeaderOldRecordsStayAndCountNoMore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		shared, guards := fleetOf(t, 1, &answers{is: map[string]Liveness{"r0": Ended}})
-		guards[0].Leading = func() bool { return false }
+		shared.noLeader.Store(true)
 		guards[0].Broke(t.Context(), "r0", "address", named(1))
 		time.Sleep(suspectTime + 2*sweepPause)
-		require.Len(t, shared.records, 1)
+		require.Equal(t, 1, shared.recordCount())
 		total, _, _ := guards[0].Counts()
 		require.Zero(t, total)
 	})
@@ -282,7 +330,7 @@
 			require.Nil(t, guard.Withheld(named(2)))
 			require.Nil(t, guard.Withheld(named(3)))
 		}
-		require.Empty(t, guards[0].left)
+		require.Zero(t, leftCount(guards[0]))
 	})
 }
 
@@ -294,16 +342,14 @@
 		time.Sleep(leftTime - time.Millisecond)
 		guards[0].Left("r0", "address", named(2))
 		time.Sleep(2 * time.Millisecond)
-		prober.mutex.Lock()
-		prober.is["r0"] = Ended
-		prober.mutex.Unlock()
+		prober.set("r0", Ended, 0)
 		guards[0].Broke(t.Context(), "r0", "address", named(3))
 		time.Sleep(2 * gatherTime)
-		require.Len(t, shared.records, 1)
+		require.Equal(t, 1, shared.recordCount())
 		total, _, _ := guards[0].Counts()
 		require.Equal(t, 2, total, "the two that it had lately")
 		time.Sleep(3 * leftTime)
-		require.Empty(t, guards[0].left)
+		require.Zero(t, leftCount(guards[0]))
 	})
 }
 
@@ -313,11 +359,7 @@
 		for number := range 2 * mostLeft {
 			guards[0].Left(fmt.Sprintf("r%d", number%7), "address", named(number))
 		}
-		kept := 0
-		for _, some := range guards[0].left {
-			kept += len(some)
-		}
-		require.Equal(t, mostLeft, kept)
+		require.Equal(t, mostLeft, leftCount(guards[0]))
 	})
 }
 
