What was given up is checked before its time is over

Found by reading: a replica was asked a second after a request was given up there, and what was given up more than a second before the answer did not count any more, so that the answer always came too late; only other daemons' words counted. The test's probe took no time. It now takes as long as a probe may, failed on the code before and passes: the question is asked after 0.7 s.

--- a/quarantine/departures.go
+++ b/quarantine/departures.go
@@ -10,6 +10,9 @@
 	// there. Replicas ended 0.20 to 0.35 s after it (four ends of one played day, two of them
 	// seen by nobody whose connection was still open); the rest is margin.
 	leftTime = time.Second
+	// checkAfter is when a replica is asked whether it has ended since: the answer still comes
+	// within leftTime.
+	checkAfter = leftTime - probeTime
 	// mostLeft bounds the requests that are remembered so: 64 KB a daemon.
 	mostLeft = 2048
 )
@@ -48,9 +51,9 @@
 	return requests
 }
 
-// keep forgets what is older than leftTime, and tells whether anything is left of a replica.
-func (d departures) keep(replica string, now time.Time) bool {
-	recent := slices.DeleteFunc(d[replica], func(one departure) bool { return now.Sub(one.at) >= leftTime })
+// keep forgets what was checked at a moment, and tells whether anything is left of a replica.
+func (d departures) keep(replica string, checked time.Time) bool {
+	recent := slices.DeleteFunc(d[replica], func(one departure) bool { return checked.Sub(one.at) >= checkAfter })
 	if len(recent) == 0 {
 		delete(d, replica)
 		return false
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -129,11 +129,12 @@
 }
 
 func (g *Guard) checkLater(replica, address string) {
-	time.AfterFunc(leftTime, func() { g.checkLeft(replica, address) })
+	time.AfterFunc(checkAfter, func() { g.checkLeft(replica, address) })
 }
 
 // checkLeft finds out whether a replica has ended since requests there were given up.
 func (g *Guard) checkLeft(replica, address string) {
+	began := g.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
 	defer cancel()
 	if !g.Leaves(replica) && g.probe(ctx, replica, address) == Ended {
@@ -141,7 +142,7 @@
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if g.left.keep(replica, g.Now()) {
+	if g.left.keep(replica, began) {
 		g.checkLater(replica, address)
 	}
 }
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -314,7 +314,8 @@
 // tells.
 func TestAnEndCountsAgainstWhatWasGivenUpShortlyBefore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		prober := &answers{is: map[string]Liveness{"r0": Ended, "r1": Ended, "r2": Ended, "runs": Running}}
+		// As long as a probe may take.
+		prober := &answers{is: map[string]Liveness{"r0": Ended, "r1": Ended, "r2": Ended, "runs": Running}, takes: probeTime - time.Millisecond}
 		_, guards := fleetOf(t, 2, prober)
 		for _, replica := range []string{"r0", "r1"} { // nobody else had a request there
 			guards[0].Left(replica, "address", named(1))
@@ -340,7 +341,7 @@
 		shared, guards := fleetOf(t, 1, prober)
 		guards[0].Left("r0", "address", named(1))
 		time.Sleep(leftTime - time.Millisecond)
-		guards[0].Left("r0", "address", named(2))
+		guards[0].Left("r0", "address", named(2)) // the first was checked, and is forgotten
 		time.Sleep(2 * time.Millisecond)
 		prober.set("r0", Ended, 0)
 		guards[0].Broke(t.Context(), "r0", "address", named(3))
