The first list of records is used as its parts come

Cause, from the lines of a deployment of our own with 301 daemons and 2,997 replicas, all daemons killed: each lists the whole registry, they share the service's link, and no daemon knows a route until the last part of its list has come, 5 s after its start. Records come in the order of their keys, so that the first part holds the quarantine, the term and the configuration.

Change: of its first list a daemon uses each part as it comes; the part with the configuration proves it from when that part was asked for. The whole list still says what is gone, and only it counts as known by revision.

--- a/kv/lease.go
+++ b/kv/lease.go
@@ -19,6 +19,14 @@
 	EndLease(ctx context.Context, lease LeaseID) error
 }
 
+// PageLister is a Store that tells the parts of a list as they come.
+type PageLister interface {
+	Store
+	// ListPages is List. It calls came with each part, read by a call of its own that was sent
+	// after came had returned for the part before.
+	ListPages(ctx context.Context, prefix string, came func(page []Pair)) ([]Pair, int64, error)
+}
+
 // ChangeStore is a LeaseStore that is asked for changes again and again, in place of
 // one watch.
 type ChangeStore interface {
--- a/kv/metered.go
+++ b/kv/metered.go
@@ -45,6 +45,21 @@
 	return pairs, revision, err
 }
 
+// ListPages implements PageLister; a store that lists at once tells one part.
+func (m *Metered) ListPages(ctx context.Context, prefix string, came func(page []Pair)) ([]Pair, int64, error) {
+	lister, can := m.ChangeStore.(PageLister)
+	if !can {
+		pairs, revision, err := m.List(ctx, prefix)
+		if err == nil {
+			came(pairs)
+		}
+		return pairs, revision, err
+	}
+	pairs, revision, err := lister.ListPages(ctx, prefix, came)
+	m.count("list", err)
+	return pairs, revision, err
+}
+
 // Changes implements ChangeStore.
 func (m *Metered) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error) {
 	events, revision, err := m.ChangeStore.Changes(ctx, prefix, after, wait)
--- a/records/records.go
+++ b/records/records.go
@@ -178,7 +178,7 @@
 func (m *Mirror) follow(ctx context.Context, whole *bool) error {
 	if !*whole {
 		sent := m.now()
-		pairs, revision, err := m.store.List(ctx, m.prefix)
+		pairs, revision, err := m.list(ctx)
 		if err != nil {
 			return err
 		}
--- a/records/records_test.go
+++ b/records/records_test.go
@@ -156,7 +156,7 @@
 }
 
 // mirrorOf returns a mirror that does not follow its store yet.
-func mirrorOf(t *testing.T, store *fakeStore) *Mirror {
+func mirrorOf(t *testing.T, store kv.ChangeStore) *Mirror {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(t.Output())
