A test of proofs had its source answer once only

Traced: a word of the source that crosses the follower's next question answers none and proves nothing, by design; the service answers a source again each 0.7 s, the test let it answer once.

--- a/records/proof_test.go
+++ b/records/proof_test.go
@@ -151,8 +151,12 @@
 	require.True(t, follower.ProvenAt().IsZero(), "the source has heard nothing itself")
 	for range 3 {
 		proven := time.Now()
-		source.answered(proven, proven)
-		require.Eventually(t, func() bool { return !follower.ProvenAt().IsZero() }, time.Second, time.Millisecond)
+		// The service answers again and again: a word that crosses the follower's next question
+		// answers none, and the next word does.
+		require.Eventually(t, func() bool {
+			source.answered(time.Now(), proven)
+			return !follower.ProvenAt().IsZero()
+		}, time.Second, time.Millisecond)
 		source.answered(time.Now(), proven)
 		require.False(t, follower.ProvenAt().After(proven))
 	}
