--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -10,8 +10,9 @@
 const (
 	// EndsAllowed is how many replicas may end while they have a request before it is
 	// withheld. By the users' rules a request that crashed three may reach replicas three
-	// times more at most, by daemons that could know. With two, more of the requests that
-	// merely ran beside are withheld: docs/design/quarantine.md has the figures.
+	// times more at most, by daemons that could know. Two would save one replica a request and
+	// withheld no other in any run; where replicas end one after the other for another cause,
+	// what ran beside meets two ends more easily (docs/design/quarantine.md).
 	EndsAllowed = 3
 	// withheldTime is how long the ends under a request that is withheld are remembered. It
 	// then costs at most three replicas an hour.
