Events of the OpenAI interface are sent on their way behind the frontend

Found by reading the change: since both caller interfaces stop in one way, what answers are written to is wrapped, and the gateway asked the writer itself whether it flushes. It did not any more, so that the events of a stream came with its end. No test had shown it. The platform's interface did so already.

--- a/gateway/sink.go
+++ b/gateway/sink.go
@@ -10,13 +10,13 @@
 // sink is where an answer goes: to the caller, and for a keyed request also into
 // a record that outlives the caller.
 type sink struct {
-	mutex     sync.Mutex
-	writer    http.ResponseWriter
-	flusher   http.Flusher
-	requestID string
-	detached  bool // the caller is answered otherwise or gone
-	began     bool // the head was written
-	record    *recorded
+	mutex      sync.Mutex
+	writer     http.ResponseWriter
+	controller *http.ResponseController // reaches through what wraps the writer
+	requestID  string
+	detached   bool // the caller is answered otherwise or gone
+	began      bool // the head was written
+	record     *recorded
 }
 
 // recorded is a copy of an answer.
@@ -27,8 +27,7 @@
 }
 
 func newSink(writer http.ResponseWriter, requestID string, record bool) *sink {
-	created := &sink{writer: writer, requestID: requestID}
-	created.flusher, _ = writer.(http.Flusher)
+	created := &sink{writer: writer, controller: http.NewResponseController(writer), requestID: requestID}
 	if record {
 		created.record = &recorded{}
 	}
@@ -74,8 +73,8 @@
 func (s *sink) flush() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if !s.detached && s.flusher != nil {
-		s.flusher.Flush()
+	if !s.detached {
+		_ = s.controller.Flush() // the caller may be gone, or the writer not one that gathers
 	}
 }
 
@@ -94,7 +93,5 @@
 	}
 	event := append([]byte("data: "), errorText(err, s.requestID)...)
 	_, _ = s.writer.Write(append(event, "\n\n"...)) // the caller may be gone
-	if s.flusher != nil {
-		s.flusher.Flush()
-	}
+	_ = s.controller.Flush()                        // as above
 }
