--- a/limiter/client.go
+++ b/limiter/client.go
@@ -35,6 +35,9 @@
 	Bounds quota.Bounds
 	// Holder returns the address of the holder; empty: none is known.
 	Holder func() string
+	// Needed tells whether a tenant has a limit; nil: one has. Where none has, a thousand daemons
+	// need no stream to the holder.
+	Needed func() bool
 	// Now is the clock of credit; nil: time.Now.
 	Now func() time.Time
 	Log logrus.FieldLogger
@@ -88,7 +91,7 @@
 func (c *Client) Serve(ctx context.Context) error {
 	pause := connectPause
 	for ctx.Err() == nil {
-		if address := c.Holder(); address != "" {
+		if address := c.Holder(); address != "" && (c.Needed == nil || c.Needed()) {
 			answered, err := c.borrow(ctx, address)
 			if answered {
 				pause = connectPause
--- a/node/node.go
+++ b/node/node.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -231,7 +232,7 @@
 	n.quarantine.Prepare()
 	requests.Quarantine = n.quarantine
 	n.follow(adapters)
-	n.quotas = &limiter.Client{Bounds: n.config.Quotas, Holder: n.election.HolderAddress, Now: boottime.Now, Log: n.log}
+	n.quotas = &limiter.Client{Bounds: n.config.Quotas, Holder: n.election.HolderAddress, Needed: n.limitsTenants, Now: boottime.Now, Log: n.log}
 	n.quotas.Prepare()
 	requests.Limits = n.quotas
 	n.limits = &limiter.Server{Bounds: n.config.Quotas, Table: n.routes, Term: n.election.Term, First: n.holder.FirstOfAll, Now: boottime.Now, Log: n.log}
@@ -294,6 +295,12 @@
 	return 0
 }
 
+// limitsTenants tells whether a tenant of the table has a limit.
+func (n *Node) limitsTenants() bool {
+	table := n.routes.Current()
+	return table != nil && slices.ContainsFunc(table.Tenants(), func(one *routing.Tenant) bool { return !one.Limit.Unlimited() })
+}
+
 // ready tells whether the node should get callers.
 func (n *Node) ready() bool {
 	return !n.frontend.Stopping() && n.gate.Open() && n.replicas.ready()
