Directories pass records on, and a daemon that starts reads no replicas where there are too many

The holder that was cut named new directories as its daemons left. After all lost power at 25.5 s (back at 27.1) the median daemon read its first list at 30.3 s: two parts of it for each of 985 are some 500 MB on the store's link, and campaigns got no answer in it; a term began at 33.0 s only.

Daemons that ask directories for replicas listen to the same directory for records, which passes the holder's word on, marked as second-hand, and once at most; when the holder falls silent the ten directories ask the store and the others notice nothing. A holder names directories only while its term is sure, once most daemons have attached, and not a single one that is ready. The record finchspoke/fleet-size says whether there are many replicas: it is read first, with the term. A directory that is about to know all makes others wait instead of sending them away. A load that is 2 s overdue is not expected any more: requests waited for one up to 8 s, and were refused then.

--- a/command/node.go
+++ b/command/node.go
@@ -29,6 +29,7 @@
 		return err
 	}
 	config.MetricsOn(c.MetricsPort)
+	config.BoundMemory()
 	if c.KnownByAll > 0 {
 		config.KnownByAll = c.KnownByAll
 	}
--- a/core/wait.go
+++ b/core/wait.go
@@ -168,7 +168,7 @@
 			running.waited += now.Sub(began)
 			return pick, nil
 		}
-		expected, known := c.Fleet.Expected(running.Service.Name, missing(running.Target, miss))
+		expected, known := c.Fleet.Expected(running.Service.Name, missing(running.Target, miss), now)
 		var guess loadEstimate
 		if !known { // looking at all replicas is not needed where the holder told
 			guess = c.estimateLoad(running.Call, miss, now)
--- a/discovery/client.go
+++ b/discovery/client.go
@@ -26,6 +26,8 @@
 	// tried. A request that waits for word waits two seconds at most.
 	connectTime  = 400 * time.Millisecond
 	connectPause = 50 * time.Millisecond
+	// connectPauseMost bounds the pause, which doubles with each try in vain.
+	connectPauseMost = 400 * time.Millisecond
 	// silentTime is how long a directory may say nothing: it says something each second.
 	silentTime = 2500 * time.Millisecond
 	// staleTime is the age of a directory's knowledge from which another is asked, which may know
@@ -66,6 +68,7 @@
 	switched  chan struct{} // closed when enabled changes
 	connected atomic.Bool   // a directory has answered since this client was enabled
 	round     int
+	current   string    // address of the directory that answers; empty: none does
 	staleAt   time.Time // when a directory was last left since its knowledge was old
 }
 
@@ -115,11 +118,25 @@
 	return known.told
 }
 
+// Current returns the address of the directory that answers this daemon; empty: none does.
+func (c *Client) Current() string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.current
+}
+
+func (c *Client) setCurrent(address string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.current = address
+}
+
 // String names the service in the supervisor's events.
 func (c *Client) String() string { return "discovery-client" }
 
 // Serve implements suture.Service.
 func (c *Client) Serve(ctx context.Context) error {
+	pause := connectPause
 	for ctx.Err() == nil {
 		enabled, switched := c.state()
 		if !enabled {
@@ -134,12 +151,16 @@
 			sleep.For(ctx, connectPause)
 			continue
 		}
+		began := time.Now()
 		err := c.subscribe(ctx, address, switched)
 		if ctx.Err() != nil {
 			break
 		}
+		if pause = min(2*pause, connectPauseMost); time.Since(began) > silentTime {
+			pause = connectPause
+		}
 		c.Log.WithFields(logrus.Fields{logging.Dependency: dependency, logging.Address: address, logging.Cause: err.Error()}).Info(logging.MessageDependencyLost)
-		sleep.For(ctx, connectPause)
+		sleep.For(ctx, pause)
 	}
 	return ctx.Err()
 }
@@ -187,6 +208,7 @@
 	cancel()
 	_ = conn.Close()
 	listening.Wait()
+	c.setCurrent("")
 	return err
 }
 
@@ -275,6 +297,7 @@
 		}
 		if first {
 			c.connected.Store(true)
+			c.setCurrent(address)
 			c.Log.WithFields(logrus.Fields{logging.Dependency: dependency, logging.Address: address}).Info(logging.MessageDependencyRegained)
 		}
 		c.take(message, named)
--- a/discovery/server.go
+++ b/discovery/server.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"context"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,6 +28,8 @@
 	Fleet *fleet.Directory
 	// KnowsAll tells whether the directory of this daemon holds all replicas.
 	KnowsAll func() bool
+	// WillKnow tells whether it is to hold them, and their records are being read.
+	WillKnow func() bool
 	// ContactAge returns how long ago the key-value service surely answered whoever follows it.
 	ContactAge func() (age time.Duration, known bool)
 	// Now is the clock by which what is known of replicas grows old.
@@ -51,10 +54,10 @@
 	if err != nil {
 		return err
 	}
-	if !s.KnowsAll() {
+	if !s.awaitAll(stream.Context()) {
 		return errNotAll
 	}
-	served := newSubscriber(s.Fleet, s.hub, first.GetZone())
+	served := newSubscriber(s.Fleet, s.hub, first.GetDaemonId(), first.GetZone())
 	defer served.end()
 	asked, failed := make(chan *rpc.Interest), make(chan error, 1)
 	go func() { failed <- hear(stream, asked) }()
@@ -87,6 +90,24 @@
 	}
 }
 
+const (
+	// allTime is how long a daemon that is about to know all replicas keeps others waiting: less than
+	// they wait for a word. A thousand that came again each 50 ms cost a new holder more than the list.
+	allTime = 2 * time.Second
+	allPoll = 20 * time.Millisecond
+)
+
+// awaitAll waits until this daemon knows all replicas, if it soon will.
+func (s *Server) awaitAll(ctx context.Context) bool {
+	until := s.Now().Add(allTime)
+	for !s.KnowsAll() && s.WillKnow() && s.Now().Before(until) {
+		if !sleep.For(ctx, allPoll) {
+			return false
+		}
+	}
+	return s.KnowsAll()
+}
+
 // hear passes on what the daemon asks for until the stream breaks.
 func hear(stream rpc.DRPCDiscovery_SubscribeStream, asked chan<- *rpc.Interest) error {
 	for {
--- a/discovery/subscriber.go
+++ b/discovery/subscriber.go
@@ -18,6 +18,7 @@
 type subscriber struct {
 	fleet     *fleet.Directory
 	hub       *hub
+	daemon    string
 	zone      string
 	wake      chan struct{}
 	pending   pending
@@ -31,9 +32,9 @@
 	lacks    []Key // what replicas may gain that matters
 }
 
-func newSubscriber(known *fleet.Directory, hub *hub, zone string) *subscriber {
+func newSubscriber(known *fleet.Directory, hub *hub, daemon, zone string) *subscriber {
 	return &subscriber{
-		fleet: known, hub: hub, zone: zone, wake: make(chan struct{}, 1), pending: newPending(),
+		fleet: known, hub: hub, daemon: daemon, zone: zone, wake: make(chan struct{}, 1), pending: newPending(),
 		interests: map[Key]*interest{}, told: map[string]map[Key]struct{}{},
 	}
 }
@@ -124,7 +125,7 @@
 	if known == nil {
 		return // dropped meanwhile
 	}
-	chosen, serving := s.fleet.Share(key.Service, key.Target, s.zone, shareMost, now)
+	chosen, serving := s.fleet.Share(key.Service, key.Target, s.daemon, s.zone, shareMost, now)
 	for _, replica := range known.replicas {
 		if !slices.Contains(chosen, replica) {
 			s.release(replica, key, update)
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -72,6 +72,9 @@
 	costNotOwner     = 0.5 // another replica has the prompt's prefix
 	costFailureShare = 12.0
 	costTie          = 0.5
+	// costConnect is the cost of a replica to which this daemon has no open connection. Where a daemon
+	// has a request in some seconds, nearly each would open one.
+	costConnect = 0.4
 	// costPerToken is the cost of each token of a prompt that is being read: reading holds
 	// up all that runs beside it.
 	costPerToken = 1.0 / 50
@@ -191,6 +194,9 @@
 	if candidate.Zone != d.zone {
 		cost += costOtherZone
 	}
+	if d.connected != nil && !d.connected(candidate.Address) {
+		cost += costConnect
+	}
 	if owner != nil && candidate != owner {
 		cost += costNotOwner
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -114,6 +114,8 @@
 	// interest says of which targets this daemon is told; nil: of all.
 	interest Interest
 	observer Observer
+	// connected tells whether a connection to an address rests here; nil: none does.
+	connected func(address string) bool
 	// othersAt is when other daemons' requests were last told.
 	othersAt time.Time
 	// wordPause is the mean time between two words of them.
@@ -133,6 +135,10 @@
 	}
 }
 
+// Connected makes the choice of a replica prefer those to whose addresses a connection rests here.
+// It must be called before the directory is used.
+func (d *Directory) Connected(connected func(address string) bool) { d.connected = connected }
+
 // Put takes in the registry's word on a replica.
 func (d *Directory) Put(entry Entry, now time.Time) {
 	d.mutex.Lock()
@@ -212,16 +218,21 @@
 	return replica.inflight + replica.others
 }
 
+// overdueTime is how long after its time a load is still expected. Replicas' reports, and the word of
+// them, are up to some 0.8 s late; what is later was lost with those who could tell of it. Requests
+// waited to their deadlines for such a load, 8 s and more, and were refused then.
+const overdueTime = 2 * time.Second
+
 // Expected returns when a target will first be loaded on a replica of a service, if
 // a load of it is known to be under way.
-func (d *Directory) Expected(service string, target Target) (at time.Time, known bool) {
+func (d *Directory) Expected(service string, target Target, now time.Time) (at time.Time, known bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	for _, member := range d.index(service).loaders[target.Model] {
 		if member.Draining {
 			continue
 		}
-		if ready, loading := member.confirmed.Loading[target]; loading && (!known || ready.Before(at)) {
+		if ready, loading := member.confirmed.Loading[target]; loading && now.Sub(ready) < overdueTime && (!known || ready.Before(at)) {
 			at, known = ready, true
 		}
 	}
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -20,13 +20,17 @@
 )
 
 // Share returns the replicas that a daemon in a zone is told of for a target, and how many of them
-// serve it, at most so many. All daemons of a zone are told of the same ones, so that prompts with
-// a part in common meet.
-func (d *Directory) Share(service string, target Target, zone string, most int, now time.Time) (ids []string, serving int) {
+// serve it, at most so many. All daemons of a zone are told of the same ones for a model, so that
+// prompts with a part in common meet. Of a service without models each daemon is told of others, so
+// that all replicas get their part.
+func (d *Directory) Share(service string, target Target, daemon, zone string, most int, now time.Time) (ids []string, serving int) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	index := d.index(service)
-	share := shareOf{zone: zone, fleet: d, now: now}
+	share := shareOf{zone: zone, key: zone, fleet: d, now: now}
+	if target.Model == "" {
+		share.key = daemon
+	}
 	holders := index.holding(target.Model)
 	serves := func(one *Replica) bool { return one.holds(target, now) }
 	ids = share.best(holders, serves, most)
@@ -85,6 +89,7 @@
 // shareOf picks replicas for the daemons of a zone.
 type shareOf struct {
 	zone  string
+	key   string // by which replicas that are alike are ordered
 	fleet *Directory
 	now   time.Time
 }
@@ -104,7 +109,7 @@
 		if one.Draining || !fits(one) {
 			continue
 		}
-		found = append(found, ranked{id: id, isCrowded: s.isCrowded(one), isFar: one.Zone != s.zone, score: rendezvous.Score(s.zone, id)})
+		found = append(found, ranked{id: id, isCrowded: s.isCrowded(one), isFar: one.Zone != s.zone, score: rendezvous.Score(s.key, id)})
 	}
 	slices.SortFunc(found, func(a, b ranked) int {
 		return cmp.Or(compareFlags(a.isCrowded, b.isCrowded), compareFlags(a.isFar, b.isFar), cmp.Compare(b.score, a.score))
--- a/loader/directories.go
+++ b/loader/directories.go
@@ -20,9 +20,13 @@
 	daemonsPerDirectory = 8
 	// directoriesPause is the time between looks whether the list is to change.
 	directoriesPause = 250 * time.Millisecond
-	// adoptTime is how old a term is before directories are named: until then those that the last
-	// holder named attach, and go on.
+	// adoptTime is how old a term is at least before directories are named, and adoptMost how old at
+	// most: until then daemons attach, and the directories of the last holder go on.
 	adoptTime = time.Second
+	adoptMost = 4 * time.Second
+	// readyTime is how long directories that are named have to learn of all replicas before those
+	// that are ready are asked alone: a single one would get the streams of all.
+	readyTime = 3 * time.Second
 )
 
 // directories are the daemons that know all replicas for the others. The list is empty where every
@@ -33,6 +37,7 @@
 	version   uint64
 	changed   chan struct{} // closed at the next version, or term
 	lookedAt  time.Time
+	chosenAt  time.Time // when the daemons were last chosen
 }
 
 func newDirectories(version uint64) directories {
@@ -48,7 +53,7 @@
 // refreshDirectories names directories where there are too many replicas for every daemon to know
 // them; the mutex is held.
 func (h *Holder) refreshDirectories(now time.Time) {
-	if h.TooLarge == nil || now.Sub(h.directories.lookedAt) < directoriesPause || now.Sub(h.yields.began) < adoptTime {
+	if h.TooLarge == nil || now.Sub(h.directories.lookedAt) < directoriesPause || !h.mostAttached(now) {
 		return
 	}
 	h.directories.lookedAt = now
@@ -66,6 +71,12 @@
 		addresses = []string{h.Address}
 	}
 	slices.Sort(addresses)
+	if !sameSet(chosen, h.directories.chosen) {
+		h.directories.chosenAt = now
+	}
+	if 2*len(addresses) < len(chosen) && now.Sub(h.directories.chosenAt) < readyTime {
+		addresses = h.directories.addresses
+	}
 	if slices.Equal(addresses, h.directories.addresses) && sameSet(chosen, h.directories.chosen) {
 		return
 	}
@@ -88,6 +99,16 @@
 	return true
 }
 
+// mostAttached tells whether the term is old enough for directories to be named: most of the daemons
+// that the last holder had have attached. The mutex is held.
+func (h *Holder) mostAttached(now time.Time) bool {
+	age := now.Sub(h.yields.began)
+	if age < adoptTime || age >= adoptMost || h.Expected == nil {
+		return age >= adoptTime
+	}
+	return 2*h.attached >= h.Expected()
+}
+
 // isDecided tells whether the list was made in this term.
 func (d *directories) isDecided() bool { return !d.lookedAt.IsZero() }
 
--- a/loader/holder.go
+++ b/loader/holder.go
@@ -113,6 +113,8 @@
 	// KnowsReplicas whether this one does; nil: never, and always.
 	TooLarge      func() bool
 	KnowsReplicas func() bool
+	// Expected returns how many daemons were attached to the last holder; nil: not known.
+	Expected func() int
 	// TermDelay is how long this daemon waits before it campaigns for the term: the stronger
 	// its machine, the shorter.
 	TermDelay time.Duration
@@ -237,7 +239,9 @@
 	if fence == 0 || h.Table.Current() == nil {
 		return
 	}
-	h.refreshDirectories(now)
+	if standing == election.Sure {
+		h.refreshDirectories(now)
+	}
 	if h.KnowsReplicas != nil && !h.KnowsReplicas() {
 		return // their records are being read
 	}
--- a/node/follow.go
+++ b/node/follow.go
@@ -24,8 +24,9 @@
 	n.mirror.Handle(n.config.TermKey, n.election.Observe)
 	n.mirror.Handle(n.config.EndsPrefix, n.quarantine.Observe)
 	n.mirror.Urgent(n.config.TermKey)
-	n.mirror.Bulk(adapters.ReplicaPrefix, cmp.Or(n.config.KnownByAll, KnownByAll), n.replicas.changed)
+	n.mirror.Bulk(adapters.ReplicaPrefix, cmp.Or(n.config.KnownByAll, KnownByAll), n.config.SizeKey, n.replicas.changed)
 	n.mirror.LoneTime(n.replicas.loneTime)
+	n.mirror.Peers(n.listensToPeers)
 	n.mirror.Notable(func(before, after kv.Pair) bool { return notable(adapters, before, after) })
 	n.mirror.Loaded(func() {
 		if _, held := n.mirror.Get(n.config.TermKey); !held {
@@ -86,9 +87,12 @@
 	return earlierErr != nil || laterErr != nil || !earlier.SameButLoaded(later)
 }
 
-// recordSource returns the daemon that passes the platform's records on to all: the
-// holder of load orders.
+// recordSource returns the daemon that passes the platform's records on to this one: the
+// holder of load orders, or the directory that this daemon asks for replicas.
 func (n *Node) recordSource() (address string, other bool) {
+	if address = n.replicas.directory(); address != "" {
+		return address, true
+	}
 	address = n.election.HolderAddress()
 	return address, address != n.config.PeerAddress
 }
@@ -103,6 +107,16 @@
 	return seeds[0]
 }
 
+// listensToPeers tells whether this daemon asks a peer for records now: the holder of load orders, or
+// the deputy.
+func (n *Node) listensToPeers() bool {
+	address, other := n.recordSource()
+	if address == "" {
+		return n.deputySource() != ""
+	}
+	return other
+}
+
 // otherSeeds lists the seeds that are other daemons.
 func (n *Node) otherSeeds() []string {
 	return slices.DeleteFunc(slices.Clone(*n.seeds.Load()), func(seed string) bool { return seed == n.config.PeerAddress })
--- a/node/node.go
+++ b/node/node.go
@@ -57,14 +57,18 @@
 	TermKey   string
 	LeaseTime time.Duration
 	// TermDelay is how much later than others this daemon campaigns for the term.
-	TermDelay  time.Duration
-	Retries    core.RetryPolicy
-	LoadLimits loader.Limits
+	TermDelay time.Duration
+	// MemoryBytes is how much memory the process may have; zero: no bound is known.
+	MemoryBytes int64
+	Retries     core.RetryPolicy
+	LoadLimits  loader.Limits
 	// Configurations bounds how old the configuration may be that requests are judged by.
 	Configurations access.Bound
 	// Quotas bounds how closely tenants' limits are kept.
 	Quotas      quota.Bounds
 	RecordsRoot string // prefix of the records that are followed
+	// SizeKey is the record that says whether there are more replicas than every daemon knows.
+	SizeKey string
 	// KnownByAll is up to how many replicas every daemon knows them all; zero: KnownByAll of this
 	// package.
 	KnownByAll int
@@ -186,6 +190,7 @@
 	})
 	n.metrics.MustRegister(opened)
 	n.pool = upstream.NewPool(opened.Inc)
+	n.fleet.Connected(n.pool.Rests)
 	tracker := demand.NewTracker()
 	requests := &core.Core{
 		Fleet: n.fleet, Demand: tracker, Driver: adapters.Driver(n.pool), Retries: n.config.Retries,
@@ -210,6 +215,7 @@
 		Daemon: n.config.ID, Fleet: n.fleet, Table: n.routes, Replicas: adapters.Replicas(n.pool), Election: n.election,
 		Limits: n.config.LoadLimits, Metrics: loader.NewMetrics(n.metrics), Log: n.log, FirstStart: n.config.FirstStart,
 		TermDelay: n.config.TermDelay, Address: n.config.PeerAddress, TooLarge: n.mirror.TooLarge, KnowsReplicas: func() bool { return n.replicas.all() },
+		Expected: requests.Daemons,
 	}
 	n.holder.Prepare()
 	n.replicas = newReplicaKnowledge(n)
--- a/node/replicas.go
+++ b/node/replicas.go
@@ -44,7 +44,7 @@
 	k := &replicaKnowledge{node: n, lone: loneTime + time.Duration(rand.Float64()*float64(loneSpread))}
 	k.client = &discovery.Client{Daemon: n.config.ID, Zone: n.config.Zone, Fleet: n.fleet, Directories: k.directories, Log: n.log}
 	k.client.Prepare()
-	k.server = &discovery.Server{Fleet: n.fleet, KnowsAll: k.whole.Load, ContactAge: n.mirror.ContactAge, Now: time.Now}
+	k.server = &discovery.Server{Fleet: n.fleet, KnowsAll: k.whole.Load, WillKnow: n.mirror.WantsAll, ContactAge: n.mirror.ContactAge, Now: time.Now}
 	k.server.Prepare()
 	return k
 }
@@ -97,6 +97,21 @@
 	return known
 }
 
+// directory returns the address of the directory that this daemon asks; empty: it knows all replicas
+// itself, or is asking none yet.
+func (k *replicaKnowledge) directory() string {
+	if !k.node.mirror.WithoutBulk() || k.node.mirror.Leading() {
+		return ""
+	}
+	current := k.client.Current()
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if !slices.Contains(k.addresses, current) {
+		return "" // the holder, until it names some
+	}
+	return current
+}
+
 // loneTime returns how long after the last word of a peer this daemon asks the key-value service
 // itself. Where no directory is named, nobody else may be asking it.
 func (k *replicaKnowledge) loneTime() time.Duration {
@@ -114,7 +129,11 @@
 	k.mutex.Lock()
 	peers := slices.Clone(k.addresses)
 	k.mutex.Unlock()
-	for _, seed := range k.node.otherSeeds() {
+	others := k.node.otherSeeds()
+	if holder := k.node.election.HolderAddress(); holder != "" {
+		others = append([]string{holder}, others...)
+	}
+	for _, seed := range others {
 		if !slices.Contains(peers, seed) {
 			peers = append(peers, seed)
 		}
--- a/records/bulk.go
+++ b/records/bulk.go
@@ -14,11 +14,12 @@
 // (package discovery) for the replicas that its callers need: at 985 daemons and 10,000 replicas
 // each daemon's own copy was 25 of its 36 MB, and one daemon had 300,000 records a second to send.
 
-// Bulk names the prefix of the bulk, and up to how many of its records every daemon knows. changed
-// is called whenever this daemon begins to do without them, or knows them all again, before the
-// records are handled. It must be called before Serve.
-func (m *Mirror) Bulk(prefix string, most int, changed func(without bool)) {
-	m.bulk, m.bulkMost, m.bulkChanged = prefix, most, changed
+// Bulk names the prefix of the bulk, up to how many of its records every daemon knows, and the record
+// that says whether there are more; empty: none does. changed is called whenever this daemon begins to
+// do without them, or knows them all again, before the records are handled. It must be called before
+// Serve.
+func (m *Mirror) Bulk(prefix string, most int, sizeKey string, changed func(without bool)) {
+	m.bulk, m.bulkMost, m.sizeKey, m.bulkChanged = prefix, most, sizeKey, changed
 }
 
 // WantBulk tells whether this daemon is to know the bulk however large it is.
@@ -31,8 +32,8 @@
 // needsBulk tells whether this daemon is to know the bulk however large it is; the mutex is held.
 func (m *Mirror) needsBulk() bool { return m.bulkWanted || m.leading }
 
-// wantsAll tells whether this daemon is to know the bulk however large it is.
-func (m *Mirror) wantsAll() bool {
+// WantsAll tells whether this daemon is to know all records however many they are.
+func (m *Mirror) WantsAll() bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	return m.needsBulk()
--- a/records/feed.go
+++ b/records/feed.go
@@ -125,7 +125,7 @@
 
 // message makes the message of an update.
 func (f *Feed) message(update Update, now time.Time) *rpc.RecordsUpdate {
-	message := &rpc.RecordsUpdate{Revision: update.Revision, Whole: update.Whole, WithoutReplicas: update.WithoutBulk, ContactAgeMs: never, ProvenAgeMs: never}
+	message := &rpc.RecordsUpdate{Revision: update.Revision, Whole: update.Whole, WithoutReplicas: update.WithoutBulk, SecondHand: update.SecondHand, ContactAgeMs: never, ProvenAgeMs: never}
 	if !update.Contact.IsZero() {
 		message.ContactAgeMs = max(0, now.Sub(update.Contact).Milliseconds())
 	}
@@ -177,7 +177,7 @@
 	if err != nil {
 		return Update{}, err
 	}
-	update := Update{Revision: message.GetRevision(), Whole: message.GetWhole(), WithoutBulk: message.GetWithoutReplicas()}
+	update := Update{Revision: message.GetRevision(), Whole: message.GetWhole(), WithoutBulk: message.GetWithoutReplicas(), SecondHand: message.GetSecondHand()}
 	if age := message.GetContactAgeMs(); age >= 0 {
 		update.Contact = now.Add(-time.Duration(age) * time.Millisecond)
 	}
@@ -206,7 +206,7 @@
 	defer func() { _ = stream.Close() }()
 	defer m.listen(false)
 	var open questions
-	first := &rpc.FollowRecords{DaemonId: daemonID, KnownRevision: m.Revision(), Whole: !m.answeredLately(), Question: open.next(m.now()), All: m.wantsAll()}
+	first := &rpc.FollowRecords{DaemonId: daemonID, KnownRevision: m.Revision(), Whole: !m.answeredLately(), Question: open.next(m.now()), All: m.WantsAll()}
 	if m.lacksBulk() {
 		first.KnownRevision, first.Whole = 0, true
 	}
@@ -225,7 +225,7 @@
 			return err
 		}
 		m.Take(update)
-		if err := stream.Send(&rpc.FollowRecords{Question: open.next(m.now()), All: m.wantsAll()}); err != nil {
+		if err := stream.Send(&rpc.FollowRecords{Question: open.next(m.now()), All: m.WantsAll()}); err != nil {
 			return err
 		}
 	}
--- a/records/list.go
+++ b/records/list.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/finchspoke/finchspoke/kv"
+	"github.com/finchspoke/finchspoke/logging"
 	"github.com/finchspoke/finchspoke/sleep"
 )
 
@@ -26,6 +28,11 @@
 // 3,000 records at once wait five seconds for the last of them, and one for the first. Where the
 // bulk proves too large, it is left out.
 func (m *Mirror) list(ctx context.Context) ([]kv.Pair, int64, error) {
+	if m.Revision() == 0 && m.sizeKey != "" {
+		if err := m.readSize(ctx); err != nil {
+			return nil, 0, err
+		}
+	}
 	if m.WithoutBulk() && !m.lacksBulk() {
 		return m.listOthers(ctx)
 	}
@@ -62,6 +69,64 @@
 	return !slices.ContainsFunc(m.handlers, func(one subscription) bool { return one.prefix > m.bulk })
 }
 
+// readSize reads, before the first list, whether the daemon that last followed the service for all
+// found the bulk too large, with the records beside that one. A thousand daemons that start at once and
+// read a part of the bulk each share the service's link for seconds, and none of them needs it.
+func (m *Mirror) readSize(ctx context.Context) error {
+	sent := m.now()
+	pairs, _, err := m.store.List(ctx, rootOf(m.sizeKey))
+	if err != nil {
+		return err
+	}
+	m.preview(pairs, sent)
+	m.mutex.Lock()
+	known, needs := m.pairs[m.sizeKey], m.needsBulk()
+	m.mutex.Unlock()
+	if string(known.Value) == sizeLarge && !needs {
+		m.turn.Lock()
+		m.narrow()
+		m.turn.Unlock()
+	}
+	return nil
+}
+
+// rootOf returns the first part of a key, up to its slash.
+func rootOf(key string) string {
+	root, _, isParted := strings.Cut(key, "/")
+	if !isParted {
+		return key
+	}
+	return root + "/"
+}
+
+// Values of the record of the bulk's size.
+const (
+	sizeLarge = "large"
+	sizeSmall = "small"
+)
+
+// recordSize writes whether the bulk is too large, where this daemon follows the service for all and
+// the record says otherwise. No record says that it is not.
+func (m *Mirror) recordSize(ctx context.Context) {
+	m.mutex.Lock()
+	known, found := m.pairs[m.sizeKey]
+	due := m.sizeKey != "" && m.leading && !m.without && m.tooLarge != (found && string(known.Value) == sizeLarge)
+	value := sizeSmall
+	if m.tooLarge {
+		value = sizeLarge
+	}
+	m.mutex.Unlock()
+	if !due {
+		return
+	}
+	_, err := m.store.Commit(ctx, kv.Txn{
+		Conditions: []kv.Condition{{Key: m.sizeKey, ModRevision: known.ModRevision}}, Puts: []kv.Put{{Key: m.sizeKey, Value: []byte(value)}},
+	})
+	if err != nil { // it is tried again with the next answer of the service
+		m.log.WithField(logging.Cause, err.Error()).Info("whether there are many replicas is not recorded")
+	}
+}
+
 // goesOn tells whether the next part of the first list is read, after so many.
 func (m *Mirror) goesOn(ctx context.Context, pages int) bool {
 	if pages >= pagesAtOnce {
@@ -92,11 +157,8 @@
 func (m *Mirror) listOthers(ctx context.Context) ([]kv.Pair, int64, error) {
 	var all []kv.Pair
 	earliest := int64(0)
-	for _, known := range m.handlers {
-		if m.inBulk(known.prefix) {
-			continue
-		}
-		pairs, revision, err := m.store.List(ctx, known.prefix)
+	for _, root := range m.otherRoots() {
+		pairs, revision, err := m.store.List(ctx, root)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -108,6 +170,17 @@
 	return all, earliest, nil
 }
 
+// otherRoots lists the first parts of the keys that are not of the bulk.
+func (m *Mirror) otherRoots() []string {
+	var roots []string
+	for _, known := range m.handlers {
+		if root := rootOf(known.prefix); !m.inBulk(known.prefix) && !slices.Contains(roots, root) {
+			roots = append(roots, root)
+		}
+	}
+	return roots
+}
+
 // preview takes in a part of the first list, read by a call that was sent at a moment. What is
 // known by it serves; the whole list then says what is gone.
 func (m *Mirror) preview(page []kv.Pair, sent time.Time) {
--- a/records/pauses.go
+++ b/records/pauses.go
@@ -9,6 +9,7 @@
 
 	"github.com/finchspoke/finchspoke/kv"
 	"github.com/finchspoke/finchspoke/logging"
+	"github.com/finchspoke/finchspoke/sleep"
 )
 
 // Urgent names the record whose changes are not gathered with others. It must be called
@@ -41,6 +42,27 @@
 	return true
 }
 
+// Peers makes this daemon give its peers some time to vouch for the records once it has listed them,
+// before it asks the service for changes. It must be called before Serve.
+func (m *Mirror) Peers(has func() bool) { m.hasPeers = has }
+
+// peerTime is how long peers have to vouch after a list: they are asked after 0.2 s. Daemons that start
+// together with a thousand others make a call less each.
+const peerTime = 300 * time.Millisecond
+
+// awaitVouch waits until a peer vouches, or the time for that is over.
+func (m *Mirror) awaitVouch(ctx context.Context) {
+	if m.hasPeers == nil || !m.hasPeers() {
+		return
+	}
+	until := m.now().Add(peerTime)
+	for !m.Leading() && m.vouchedFor(m.now()) <= 0 && m.now().Before(until) {
+		if !sleep.For(ctx, wordPoll) {
+			return
+		}
+	}
+}
+
 // LoneTime makes this daemon ask the service itself so long after the last word of a peer, where it
 // does without the bulk: peers that know all records ask the service sooner, and then vouch. That
 // all ask at once is 1,400 calls a second at 985 daemons. It must be called before Serve.
@@ -76,7 +98,7 @@
 // those that this daemon passes them on to.
 func (m *Mirror) gather(ctx context.Context, events []kv.Event) {
 	isUrgent := func(event kv.Event) bool { return event.Pair.Key == m.urgent }
-	if len(events) == 0 || len(events) >= gatherMost || m.Leading() && slices.ContainsFunc(events, isUrgent) {
+	if len(events) == 0 || len(events) >= gatherMost || m.WantsAll() && slices.ContainsFunc(events, isUrgent) {
 		return
 	}
 	timer := time.NewTimer(gatherTime)
--- a/records/records.go
+++ b/records/records.go
@@ -88,7 +88,9 @@
 	// vouched, a peer's word is never passed on.
 	provenHere   time.Time
 	provenByPeer time.Time
-	reached      bool // the service answered last
+	// heard is what the daemon that follows the service said itself; a directory passes it on.
+	heard   heardOf
+	reached bool // the service answered last
 	// listening tells that a peer passes its records on, whether or not it vouches for them.
 	listening bool
 	leading   bool          // this daemon follows the service for all
@@ -102,6 +104,7 @@
 	// of them every daemon knows; zero: all of them.
 	bulk        string
 	bulkMost    int
+	sizeKey     string // of the record that says whether there are more
 	bulkChanged func(without bool)
 	bulkWanted  bool
 	without     bool // this daemon does without the bulk
@@ -114,6 +117,8 @@
 	// loneTime returns how long after the last word of a peer a daemon that does without the bulk
 	// asks the service itself; nil: no later than others.
 	loneTime func() time.Duration
+	// hasPeers tells whether a peer is being asked for its records; nil: none is.
+	hasPeers func() bool
 }
 
 type subscription struct {
@@ -215,6 +220,7 @@
 		m.take(pairs, revision)
 		m.answered(sent, sent)
 		*whole = true
+		m.awaitVouch(ctx)
 		return nil
 	}
 	sent := m.now()
@@ -226,15 +232,20 @@
 	m.apply(events, revision)
 	m.turn.Unlock()
 	m.answered(m.now(), sent)
+	m.recordSize(ctx)
 	m.gather(ctx, events)
 	return nil
 }
 
-// take takes in a list of the service.
+// take takes in a list of the service, unless a peer has passed on newer records meanwhile.
 func (m *Mirror) take(pairs []kv.Pair, revision int64) {
 	m.turn.Lock()
 	defer m.turn.Unlock()
-	m.replace(pairs, revision, !m.WithoutBulk() || m.lacksBulk())
+	lacks := m.lacksBulk()
+	if revision < m.Revision() && !lacks {
+		return
+	}
+	m.replace(pairs, revision, !m.WithoutBulk() || lacks)
 }
 
 // answered notes that the service answered here, and tells the peers. The records are
@@ -378,6 +389,8 @@
 	// Proven is a moment at which the peer's records were surely the newest; zero: none is
 	// known.
 	Proven time.Time
+	// SecondHand tells that contact and proof are what the peer heard of, and not its own.
+	SecondHand bool
 }
 
 // Take takes in what a peer passes on. What is older than what is known here is
@@ -392,9 +405,13 @@
 		m.vouched = update.Contact
 		m.regain()
 	}
-	if m.revision >= update.Revision && update.Proven.After(m.provenByPeer) {
+	isProof := m.revision >= update.Revision && update.Proven.After(m.provenByPeer)
+	if isProof {
 		m.provenByPeer = update.Proven
 	}
+	if !update.SecondHand {
+		m.hear(update, isProof)
+	}
 }
 
 // takeRecords takes in a peer's records; it returns false where they do not suit this daemon.
@@ -442,6 +459,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	update := Update{Revision: m.revision, Contact: m.contact, Proven: m.provenHere, WithoutBulk: peer.without || m.without}
+	m.passOn(&update)
 	recent, changed := &m.recent, m.changed
 	if update.WithoutBulk {
 		recent, changed = &m.recentOthers, m.changedOthers
--- a/records/subscriber.go
+++ b/records/subscriber.go
@@ -109,7 +109,7 @@
 
 // supervise ends the stream once its peer is no longer the one to listen to.
 func (s *Subscriber) supervise(ctx context.Context, address string, end context.CancelCauseFunc) {
-	vouched, all := time.Now(), s.Mirror.wantsAll()
+	vouched, all := time.Now(), s.Mirror.WantsAll()
 	for sleep.For(ctx, sourceCheck) {
 		source, _ := s.Source()
 		inContact := s.Mirror.InContact()
--- a/rpc/packing.go
+++ b/rpc/packing.go
@@ -57,7 +57,7 @@
 		return nil, err
 	}
 	return &RecordsUpdate{
-		Revision: u.GetRevision(), Whole: u.GetWhole(), WithoutReplicas: u.GetWithoutReplicas(), Question: u.GetQuestion(),
+		Revision: u.GetRevision(), Whole: u.GetWhole(), WithoutReplicas: u.GetWithoutReplicas(), SecondHand: u.GetSecondHand(), Question: u.GetQuestion(),
 		ContactAgeMs: u.GetContactAgeMs(), ProvenAgeMs: u.GetProvenAgeMs(), Records: records.GetRecords(), Gone: records.GetGone(),
 	}, nil
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -162,6 +162,14 @@
 	return conn
 }
 
+// Rests tells whether a connection to an address rests here.
+func (p *Pool) Rests(address string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	list := p.idle[address]
+	return len(list) > 0 && p.now().Before(list[len(list)-1].expires)
+}
+
 func (p *Pool) put(address string, conn *connection, rest time.Duration) {
 	conn.expires = p.now().Add(rest)
 	p.mutex.Lock()
