--- a/command/command.go
+++ b/command/command.go
@@ -34,6 +34,8 @@
 			{Name: "request", Short: "How a request ended at a daemon, and why", Data: &explainRequestCommand{}},
 			{Name: "logs", Short: "Tell a request's story over all daemons from their logs", Data: &explainLogsCommand{},
 				Long: "Reads log lines from a file or standard input. With a request's id: its lines over all daemons, and what its daemon and the holder of load orders believed then. Without: how many failed requests have a cause. Example: cat *.log | finchspoke explain logs 9c41d07b"},
+			{Name: "day", Short: "A page of plots of a day, from the logs of all daemons", Data: &explainDayCommand{},
+				Long: "Reads log lines and writes one HTML page: requests by the second (arrivals, answered in time and late), those not served by reason, loads under way, lost dependencies and the holders of load orders; of one model, replica or tenant if told. It keeps as little as the seconds of the day need, whatever the size of the logs, and says how many lines it could not understand. Example: finchspoke explain day --output day.html *.log"},
 			{Name: "losses", Short: "What made requests late, refused or lost, from the logs of all daemons", Data: &explainLossesCommand{},
 				Long: "Reads log lines from a file or standard input and counts all requests that ended by route and by cause: in time, late after a wait for a load (from the weight store, a disk or memory), late for want of a place, slow at the replica, late by a pause between events, refused, failed, left by their caller. For pauses it tells what shared the replica. Example: cat *.log | finchspoke explain losses"},
 		}},
--- a/lab/command/dev.go
+++ b/lab/command/dev.go
@@ -21,6 +21,8 @@
 			Long: "Runs a stand-in in the foreground. It prints its address as the first line."},
 		{Name: "load", Short: "Send requests to a running system and measure", Data: &loadCommand{},
 			Long: "Sends requests at a fixed rate, whatever the answers take (open loop), and reports times and outcomes."},
+		{Name: "fleet", Short: "Measure a whole fleet of daemons in this process", Data: &fleetCommand{},
+			Long: "Runs daemons before replicas that exist in a registry in memory only, and reports what the holder of load orders, the directories and the other daemons spend, and how long a configuration, a replica, the next holder and the loss of all take to reach the last of them."},
 		{Name: "control", Short: "Measure the control plane with many daemons in this process", Data: &controlCommand{},
 			Long: "Runs daemons over 4 regions and 14 zones in this process and reports how fast a settings change is in force everywhere, and what membership and idle control cost a daemon."},
 		{Name: "overload", Short: "Measure at and beyond capacity, all classes together", Data: &overloadCommand{},
--- /dev/null
+++ b/lab/scale/report.go
@@ -0,0 +1,116 @@
+package scale
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/finchspoke/finchspoke/node"
+)
+
+// Reach is when something had reached some shares of the daemons, in seconds.
+type Reach struct {
+	Half   float64 `json:"half"`
+	Ninety float64 `json:"ninety_in_100"`
+	All    float64 `json:"all"`
+}
+
+func reachOf(times []time.Duration, daemons int) Reach {
+	at := func(share float64) float64 {
+		index := min(len(times), max(1, int(share*float64(daemons)))) - 1
+		if index < 0 {
+			return 0
+		}
+		return times[index].Seconds()
+	}
+	slices.Sort(times)
+	return Reach{at(0.5), at(0.9), at(1)}
+}
+
+// Role is what the daemons of a role spend on others, each on the mean.
+type Role struct {
+	Daemons        int     `json:"daemons"`
+	BytesPerSecond float64 `json:"bytes_per_second"` // sent and received on connections from others
+	Connections    float64 `json:"connections"`      // from others
+	Replicas       float64 `json:"replicas"`         // that they know
+}
+
+// Report is what a fleet of a size spends, and how fast it is.
+type Report struct {
+	Daemons  int `json:"daemons"`
+	Replicas int `json:"replicas"`
+	Models   int `json:"models"`
+
+	HolderRole Role `json:"holder"`
+	Directory  Role `json:"directory"`
+	Other      Role `json:"other"`
+
+	CPUShare   float64 `json:"cpu_share_per_daemon"` // of a core, on the mean over all
+	HeapBytes  uint64  `json:"heap_bytes_per_daemon"`
+	StoreCalls float64 `json:"store_calls_per_second"`
+
+	Start     Reach   `json:"start"`
+	Change    Reach   `json:"configuration_in_force"`
+	Arrival   Reach   `json:"replica_known"`
+	Departure Reach   `json:"replica_gone"`
+	NextTerm  float64 `json:"next_term"`
+	Holder    Reach   `json:"holder_lost"`
+	AllLost   Reach   `json:"all_lost"`
+	// AllLostCalls and AllLostBytes are what the key-value service was asked for meanwhile.
+	AllLostCalls int `json:"all_lost_store_calls"`
+	AllLostBytes int `json:"all_lost_store_bytes"`
+}
+
+// add takes in what one daemon spent.
+func (r *Report) add(status node.Status, bytesPerSecond float64) {
+	role := &r.Other
+	switch {
+	case status.Fence != 0:
+		role = &r.HolderRole
+	case status.KnowsReplicas:
+		role = &r.Directory
+	}
+	role.Daemons++
+	weight := 1 / float64(role.Daemons)
+	role.BytesPerSecond += weight * (bytesPerSecond - role.BytesPerSecond)
+	role.Connections += weight * (float64(status.Peers.Connections) - role.Connections)
+	role.Replicas += weight * (float64(status.Replicas) - role.Replicas)
+}
+
+// WriteText writes the report for people.
+func (r Report) WriteText(writer io.Writer) error {
+	lines := []string{fmt.Sprintf("%d daemons, %d replicas, %d models", r.Daemons, r.Replicas, r.Models)}
+	for _, role := range []struct {
+		name string
+		Role
+	}{{"holder", r.HolderRole}, {"directories", r.Directory}, {"other daemons", r.Other}} {
+		lines = append(lines, fmt.Sprintf("%-15s %4d; each %8.1f KB/s on %6.1f connections from others, %7.0f replicas known",
+			role.name, role.Daemons, role.BytesPerSecond/1000, role.Connections, role.Replicas))
+	}
+	lines = append(lines,
+		fmt.Sprintf("mean daemon     %.2f%% of a core, %.2f MB of heap and stacks; key-value service %.1f calls/s", 100*r.CPUShare, float64(r.HeapBytes)/1e6, r.StoreCalls),
+		fmt.Sprintf("next holder     after %.2f s; its daemons attached after %.2f s more", r.NextTerm, r.Holder.All))
+	for _, reach := range []struct {
+		name string
+		Reach
+	}{{"configuration", r.Change}, {"new replica", r.Arrival}, {"lost replica", r.Departure}, {"all lost", r.AllLost}} {
+		lines = append(lines, fmt.Sprintf("%-15s half %.2f s, 90 in 100 %.2f s, all %.2f s", reach.name, reach.Half, reach.Ninety, reach.All))
+	}
+	lines = append(lines, fmt.Sprintf("after the loss  %d calls and %.1f MB at the key-value service", r.AllLostCalls, float64(r.AllLostBytes)/1e6))
+	_, err := fmt.Fprintln(writer, strings.Join(lines, "\n"))
+	return errors.Wrap(err, "write the report")
+}
+
+// processTime is the processor time that this process has used.
+func processTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/node/gauges.go
+++ b/node/gauges.go
@@ -30,6 +30,10 @@
 		}},
 		{"finchspoke_daemons_attached", "Daemons attached to the holder of load orders, as it last told.", func() float64 { return float64(n.core.Daemons()) }},
 		{"finchspoke_store_reached", "1 if the key-value service answered last.", func() float64 { return truth(n.mirror.Reached()) }},
+		{"finchspoke_peer_connections", "Connections of other daemons to this one.", func() float64 { return float64(n.peers.Traffic().Connections) }},
+		{"finchspoke_peer_sent_bytes", "Bytes sent on connections of other daemons to this one.", func() float64 { return float64(n.peers.Traffic().SentBytes) }},
+		{"finchspoke_peer_received_bytes", "Bytes received on them.", func() float64 { return float64(n.peers.Traffic().ReceivedBytes) }},
+		{"finchspoke_replicas_all_known", "1 if this daemon knows all replicas.", func() float64 { return truth(n.replicas.all()) }},
 		{"finchspoke_term_fence", "Fence of this daemon's term; 0 if it has none.", func() float64 {
 			fence, _ := n.election.Term()
 			return float64(fence)
--- a/node/node.go
+++ b/node/node.go
@@ -124,6 +124,8 @@
 	election    *election.Election
 	holder      *loader.Holder
 	replicas    *replicaKnowledge
+	peers       *transport.Server
+	ended       chan struct{} // closed by End
 	frontend    *frontend.Server
 	pool        *upstream.Pool
 	listeners   listeners
@@ -177,6 +179,7 @@
 	node := &Node{
 		config: config, log: log.WithField(logging.Daemon, config.ID), metrics: prometheus.NewRegistry(),
 		routes: &routing.Store{}, fleet: fleet.NewDirectory(config.Zone, rand.Float64), listeners: opened,
+		ended: make(chan struct{}),
 	}
 	node.seeds.Store(&config.Seeds)
 	node.assemble(adapters)
@@ -248,6 +251,7 @@
 		ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTime: n.idleTime, TurnAway: turnAway, Log: n.log,
 	})
 	server := transport.NewServer(n.listeners.peers)
+	n.peers = server
 	n.register(server)
 	n.supervisor = suture.New("finchspoke", suture.Spec{EventHook: func(event suture.Event) {
 		n.log.WithField(logging.Cause, event.String()).Warn("supervisor")
@@ -339,6 +343,7 @@
 	select {
 	case <-ctx.Done():
 		err = n.leave()
+	case <-n.ended:
 	case err = <-ended:
 		return errors.Wrap(err, "the daemon's services ended")
 	}
@@ -350,6 +355,38 @@
 	return err
 }
 
+// End makes Run end as a killed process does: nothing is handed over, and no request is finished. It
+// is for laboratories, and called once.
+func (n *Node) End() { close(n.ended) }
+
+// Status is a node's own view of itself.
+type Status struct {
+	Ready         bool
+	ConfigVersion int64
+	Replicas      int   // that it knows
+	KnowsReplicas bool  // all of them
+	Fence         int64 // of its term; zero without one
+	Attached      int   // daemons attached to the holder, as it last told
+	Peers         transport.Traffic
+}
+
+// Status returns the node's view of itself.
+func (n *Node) Status() Status {
+	fence, _ := n.election.Term()
+	return Status{
+		Ready: n.ready(), ConfigVersion: n.routes.Version(), Replicas: n.fleet.Len(), KnowsReplicas: n.replicas.all(), Fence: fence,
+		Attached: n.core.Daemons(), Peers: n.peers.Traffic(),
+	}
+}
+
+// Ask looks for a replica that serves a model as a caller's request does, and sends nothing. It is for
+// laboratories.
+func (n *Node) Ask(service, model string) {
+	if pick, _ := n.fleet.Choose(fleet.Ask{Service: service, Target: fleet.Target{Model: model}}, time.Now()); pick != nil {
+		pick.Withdraw()
+	}
+}
+
 // leave is a planned stop.
 func (n *Node) leave() error {
 	n.log.Info("planned stop begins")
--- a/records/feed.go
+++ b/records/feed.go
@@ -64,7 +64,7 @@
 		question := asked.question.Load()
 		peer = f.viewFor(peer, asked.all.Load())
 		update, changed := f.Mirror.since(peer)
-		if update.Whole && first && !request.GetWhole() {
+		if update.Whole && first && !request.GetWhole() && !update.WithoutBulk { // without the bulk it is short
 			return errBehind
 		}
 		message := f.message(update, f.Mirror.now())
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -61,6 +61,7 @@
 type Server struct {
 	listener net.Listener
 	mux      *drpcmux.Mux
+	meter    meter
 }
 
 // NewServer returns a server for a listener; services are registered on Mux
@@ -72,9 +73,12 @@
 // Mux is where services are registered.
 func (s *Server) Mux() *drpcmux.Mux { return s.mux }
 
+// Traffic returns what the connections of other daemons have carried.
+func (s *Server) Traffic() Traffic { return s.meter.traffic() }
+
 // Serve implements suture.Service.
 func (s *Server) Serve(ctx context.Context) error {
-	err := drpcserver.New(s.mux).Serve(ctx, s.listener)
+	err := drpcserver.New(s.mux).Serve(ctx, meteredListener{s.listener, &s.meter})
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
