Directories take over from a silent holder before others notice; fewer calls of lone daemons

And a new holder wrote a line for each of 10,000 replicas.

A directory trusts the holder's word for 1 s, and its first call is answered at once. A daemon that does without replicas, and has peers, waits 0.6 s between calls and lets the store hold each for 1.5 s. Lines of single changes of the registry are 50 a second at most, the rest is in the summary (TestLinesOfSingleChangesAreBounded).

--- a/node/registrylog.go
+++ b/node/registrylog.go
@@ -23,13 +23,15 @@
 	now     func() time.Time
 
 	mutex        sync.Mutex
+	lines        int       // of single changes in the present second
+	second       time.Time // when it began
 	summaryAt    time.Time // of the last summary; zero before the first
 	listed, gone int       // changes since then
 }
 
 // replicaListed logs that a replica came, or that its entry changed.
 func (r *registryLog) replicaListed(entry fleet.Entry, revision int64) {
-	if !r.leading() {
+	if !r.leading() || !r.mayWrite() {
 		r.count(1, 0, revision)
 		return
 	}
@@ -39,13 +41,28 @@
 
 // replicaGone logs that a replica's entry is gone.
 func (r *registryLog) replicaGone(id string, revision int64) {
-	if !r.leading() {
+	if !r.leading() || !r.mayWrite() {
 		r.count(0, 1, revision)
 		return
 	}
 	r.log.WithFields(logrus.Fields{logging.Replica: id, logging.Revision: revision}).Info(logging.MessageReplicaGone)
 }
 
+// mostLines bounds the lines of single changes in a second: 10,000 replicas that a new holder reads at
+// once were 4 MB of lines, and a second of its processor.
+const mostLines = 50
+
+// mayWrite tells whether one more line of a single change may be written now.
+func (r *registryLog) mayWrite() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if now := r.now(); now.Sub(r.second) >= time.Second {
+		r.second, r.lines = now, 0
+	}
+	r.lines++
+	return r.lines <= mostLines
+}
+
 // count adds changes to the next summary, and writes it if the last one is old enough.
 func (r *registryLog) count(listed, gone int, revision int64) {
 	r.mutex.Lock()
--- a/node/registrylog_test.go
+++ b/node/registrylog_test.go
@@ -40,3 +40,17 @@
 	require.Equal(t, true, lines.AllEntries()[0].Data[logging.Draining])
 	require.Equal(t, logging.MessageReplicaGone, lines.AllEntries()[1].Message)
 }
+
+// A new holder reads all replicas at once.
+func TestLinesOfSingleChangesAreBounded(t *testing.T) {
+	logger, lines := test.NewNullLogger()
+	now := time.Unix(1_000_000, 0)
+	written := &registryLog{log: logger, leading: func() bool { return true }, now: func() time.Time { return now }}
+	for range 10_000 {
+		written.replicaListed(fleet.Entry{ID: "r"}, 1)
+	}
+	require.Len(t, lines.AllEntries(), mostLines+1, "and a summary")
+	now = now.Add(registrySummaryPause)
+	written.replicaGone("r", 2)
+	require.Equal(t, logging.MessageReplicaGone, lines.LastEntry().Message)
+}
--- a/records/pauses.go
+++ b/records/pauses.go
@@ -71,12 +71,33 @@
 // aloneAfter returns how long a peer's word keeps this daemon from asking the service itself; the
 // mutex is held.
 func (m *Mirror) aloneAfter() time.Duration {
-	if m.without && !m.needsBulk() && m.loneTime != nil {
+	switch {
+	case m.bulkWanted:
+		return directoryVouchTime
+	case m.without && !m.needsBulk() && m.loneTime != nil:
 		return max(vouchTime, m.loneTime())
 	}
 	return vouchTime
 }
 
+const (
+	// directoryVouchTime is how long the holder's word counts at a directory. It is shorter than at
+	// the daemons that listen to it, which then notice nothing of a holder that falls silent; ten
+	// directories may ask the service once too often.
+	directoryVouchTime = time.Second
+	// loneWait is how long the service holds a call without news of a daemon that does without the
+	// bulk, and lonePause the time between two of its calls: of 985 that no peer vouches for each
+	// makes one call in two seconds instead of three, and its proofs stay young enough.
+	loneWait  = 1500 * time.Millisecond
+	lonePause = 600 * time.Millisecond
+)
+
+// isLone tells whether this daemon does without the bulk and asks the service itself, though peers
+// could tell it.
+func (m *Mirror) isLone() bool {
+	return m.WithoutBulk() && !m.WantsAll() && m.hasPeers != nil && m.hasPeers()
+}
+
 // stretched returns how long to wait before the next call after one that failed.
 func (m *Mirror) stretched(pause time.Duration) time.Duration {
 	m.mutex.Lock()
--- a/records/proof.go
+++ b/records/proof.go
@@ -68,11 +68,16 @@
 
 // wait returns how long the service may hold the next call without news. A daemon whose
 // proof is old asks for an answer at once.
-func (m *Mirror) wait(now time.Time) time.Duration {
+func (m *Mirror) wait(now time.Time, isLone bool) time.Duration {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if m.proofLimit > 0 && m.proofLeft(now) <= watchWait {
+	switch {
+	case m.proofLimit > 0 && m.proofLeft(now) <= watchWait:
 		return soonWait
+	case m.bulkWanted && now.Sub(m.contact) >= vouchTime:
+		return soonWait // the daemons that listen to this one are out of contact by now
+	case isLone:
+		return loneWait
 	}
 	return watchWait
 }
--- a/records/records.go
+++ b/records/records.go
@@ -223,8 +223,8 @@
 		m.awaitVouch(ctx)
 		return nil
 	}
-	sent := m.now()
-	events, revision, err := m.store.Changes(ctx, m.prefix, m.Revision(), m.wait(sent))
+	sent, isLone := m.now(), m.isLone()
+	events, revision, err := m.store.Changes(ctx, m.prefix, m.Revision(), m.wait(sent, isLone))
 	if err != nil {
 		return err
 	}
@@ -234,6 +234,9 @@
 	m.answered(m.now(), sent)
 	m.recordSize(ctx)
 	m.gather(ctx, events)
+	if isLone {
+		sleep.For(ctx, lonePause)
+	}
 	return nil
 }
 
