After the loss of all, daemons on strong machines campaign at once

Where no directory is known the delay of a daemon that knows few replicas is four times that of its machine: some 0.7 s on strong ones, 1.5 s on weak ones.

--- a/node/replicas.go
+++ b/node/replicas.go
@@ -22,9 +22,14 @@
 	// that ends is replaced within some 3 s, and directories vouch for the records meanwhile.
 	loneTime   = 3 * time.Second
 	loneSpread = time.Second
-	// campaignLater is how much later a daemon that does not know all replicas campaigns for the term:
-	// it would have to read their records first, and all of a thousand daemons would ask at once.
+	// campaignLater is how much later than directories a daemon that does not know all replicas
+	// campaigns for the term: it would have to read their records first, and all of a thousand daemons
+	// would ask at once.
 	campaignLater = time.Second
+	// campaignTimes is by how many times longer such a daemon waits where it knows of no directory: all
+	// were lost at once. Daemons on strong machines then campaign a second before those on weak ones,
+	// and 0.7 s sooner than campaignLater lets them.
+	campaignTimes = 4
 )
 
 // replicaKnowledge decides whether this daemon knows all replicas, or asks directories for those that
@@ -112,6 +117,13 @@
 	return current
 }
 
+// knowsDirectories tells whether a holder has named directories to this daemon.
+func (k *replicaKnowledge) knowsDirectories() bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return len(k.addresses) > 0
+}
+
 // loneTime returns how long after the last word of a peer this daemon asks the key-value service
 // itself. Where no directory is named, nobody else may be asking it.
 func (k *replicaKnowledge) loneTime() time.Duration {
@@ -151,8 +163,11 @@
 
 // termDelay returns how much later than others this daemon campaigns for the term.
 func (n *Node) termDelay() time.Duration {
-	if n.mirror.WithoutBulk() {
+	switch {
+	case !n.mirror.WithoutBulk():
+		return n.config.TermDelay
+	case n.replicas.knowsDirectories():
 		return n.config.TermDelay + campaignLater
 	}
-	return n.config.TermDelay
+	return campaignTimes * n.config.TermDelay
 }
