Doubted replicas keep what is known of them; loads of the weight store stay expected for longer

Since the registry is read as it changes, a replica that had refused an order took the registry's word on what it holds, which is up to 2 s old, in place of what was known of it; that is for replicas only whose own word was never heard. And a load is overdue after as long as it should take, 2 s at least.

--- a/fleet/connect_test.go
+++ b/fleet/connect_test.go
@@ -32,6 +32,9 @@
 	require.True(t, known)
 	_, known = directory.Expected("press", target, start.Add(time.Second+overdueTime))
 	require.False(t, known)
+	directory.Confirm("r1", Confirmation{Fence: 1, Sequence: 1, Holdings: Holdings{}, Loading: map[Target]time.Time{target: start.Add(6 * time.Second)}}, start)
+	_, known = directory.Expected("press", target, start.Add(11*time.Second))
+	require.True(t, known, "the weight store may be slow")
 }
 
 // asksFor is the interest of a daemon that was told of nothing.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -222,7 +222,8 @@
 	return replica.inflight + replica.others
 }
 
-// overdueTime is how long after its time a load is still expected. Replicas' reports, and the word of
+// overdueTime is how long after its time a load is still expected at least, and a load that takes
+// longer for as long as it should take: a busy weight store is slow. Replicas' reports, and the word of
 // them, are up to some 0.8 s late; what is later was lost with those who could tell of it. Requests
 // waited to their deadlines for such a load, 8 s and more, and were refused then.
 const overdueTime = 2 * time.Second
@@ -236,7 +237,7 @@
 		if member.Draining {
 			continue
 		}
-		if ready, loading := member.confirmed.Loading[target]; loading && now.Sub(ready) < overdueTime && (!known || ready.Before(at)) {
+		if ready, loading := member.confirmed.Loading[target]; loading && now.Sub(ready) < max(overdueTime, ready.Sub(member.confirmedAt)) && (!known || ready.Before(at)) {
 			at, known = ready, true
 		}
 	}
--- a/loader/holder.go
+++ b/loader/holder.go
@@ -371,13 +371,14 @@
 	state := h.states[id]
 	if state == nil {
 		// From the first report on the replica's own word tells what it holds and keeps.
-		state = &loading.Replica{ID: entry.ID, Service: entry.Service, Zone: entry.Zone, Slots: entry.Slots, HeldUntil: h.ordered.heldUntil(entry.ID, h.Limits.TermGap)}
+		state = &loading.Replica{ID: entry.ID, Service: entry.Service, Zone: entry.Zone, Slots: entry.Slots, Holdings: entry.Holdings, InMemory: entry.InMemory, OnDisk: entry.OnDisk,
+			HeldUntil: h.ordered.heldUntil(entry.ID, h.Limits.TermGap)}
 		h.states[id] = state
 		h.ids = nil
 		h.grewAt = now
 		state.Assumed = h.TooLarge != nil && h.TooLarge()
 	}
-	if !state.Known {
+	if state.Assumed {
 		state.Holdings, state.InMemory, state.OnDisk = entry.Holdings, entry.InMemory, entry.OnDisk
 	}
 	state.Draining = entry.Draining
