--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -196,6 +196,19 @@
 	require.Eventually(t, func() bool { return !asking.knows("r2")() }, settleTime, settlePoll)
 }
 
+// Whoever breaks off with a replica asks whether it was going to end anyway.
+func TestAReplicaThatIsGoneIsForgottenThoughARequestIsThere(t *testing.T) {
+	t.Parallel()
+	known := startDirectory(t)
+	known.put("r1", "a", fleet.Holdings{"m": nil})
+	asking := startDaemon(t, known)
+	asking.choose(t, model("m"))
+	pick, _ := asking.fleet.Choose(fleet.Ask{Service: testService, Target: model("m")}, time.Now())
+	known.Fleet.Remove("r1")
+	require.Eventually(t, func() bool { return !asking.knows("r1")() }, settleTime, settlePoll)
+	pick.Release(fleet.Unreachable, model("m"), time.Now())
+}
+
 // A crowded replica gives way to one with free places; its requests still end well.
 func TestACrowdedReplicaIsReplaced(t *testing.T) {
 	t.Parallel()
--- a/loader/directories_test.go
+++ b/loader/directories_test.go
@@ -172,6 +172,17 @@
 	return loading.Report{Sequence: 4, Holdings: replica.Holdings}, nil
 }
 
+// received returns what comes on a channel within a second.
+func received[T any](t *testing.T, from <-chan T) (value T) {
+	t.Helper()
+	select {
+	case value = <-from:
+	case <-time.After(time.Second):
+		t.Fatal("nothing came")
+	}
+	return value
+}
+
 // A term before 10,000 replicas began with a connection to each, for a report that the first orders
 // did not need; a process may have 4,100.
 func TestReplicasAreAskedForTheirStateBeforeTheirFirstOrderOnly(t *testing.T) {
@@ -205,7 +216,7 @@
 
 	holder.report(&rpc.LoadsDemand{DaemonId: "d2", Keys: []*rpc.TargetLoadDemand{{Service: "press", Model: "m2", Arrivals: 1, Waiting: 1}}})
 	holder.turn(t.Context(), time.Now())
-	asked := <-replicas.reports
+	asked := received(t, replicas.reports)
 	require.Empty(t, replicas.orders, "its own word first")
 	require.Eventually(t, func() bool {
 		holder.mutex.Lock()
@@ -213,7 +224,7 @@
 		return holder.states[asked].Known
 	}, time.Second, time.Millisecond)
 	holder.turn(t.Context(), time.Now())
-	order := <-replicas.orders
+	order := received(t, replicas.orders)
 	require.Equal(t, asked, order.ReplicaID)
 	require.EqualValues(t, 4, order.Sequence, "bound to the orders that it has taken")
 	require.Empty(t, replicas.reports)
--- a/records/bulk_test.go
+++ b/records/bulk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -315,12 +316,14 @@
 	conn, err := transport.Dial(t.Context(), address)
 	require.NoError(t, err)
 	defer func() { _ = conn.Close() }()
-	ended := make(chan error, 1)
+	ended, timeout := make(chan error, 1), time.After(5*time.Second)
 	go func() { ended <- mirror.followPeer(t.Context(), rpc.NewDRPCRecordsClient(conn), "d") }()
 	for value(mirror, "config") != config {
 		select {
 		case err := <-ended:
 			return err
+		case <-timeout:
+			return errors.New("nothing came, and the stream goes on")
 		case <-time.After(time.Millisecond):
 		}
 	}
