--- a/logstory/daypage/daypage.go
+++ b/logstory/daypage/daypage.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	plotWidth  = 1100
-	plotHeight = 260
+	plotWidth    = 1100
+	plotHeight   = 260
+	legendHeight = 30 // above the plot
 	// mostKinds bounds the lines of one plot; the rest are added up.
 	mostKinds = 7
 	restKind  = "others"
@@ -163,7 +164,7 @@
 		p.Picture = "<p>None.</p>"
 		return nil
 	}
-	graph := chart.Chart{Width: plotWidth, Height: plotHeight, XAxis: chart.XAxis{Name: "seconds", ValueFormatter: chart.IntValueFormatter},
+	graph := chart.Chart{Width: plotWidth, Height: plotHeight, Background: chart.Style{Padding: chart.Box{Top: legendHeight, Right: legendHeight}}, XAxis: chart.XAxis{Name: "seconds", ValueFormatter: chart.IntValueFormatter},
 		YAxis: chart.YAxis{ValueFormatter: chart.IntValueFormatter, Range: &chart.ContinuousRange{Min: 0, Max: p.highest()}}}
 	for _, one := range p.lines {
 		at := make([]float64, 0, len(one.values)+1)
