One comparison of flags, one penalty for the order of replicas

Read again for what stood twice: fleet/share.go and loader/directories.go each had compareFlags, word for word. The share of a daemon orders replicas by crowded, then by zone; one small number says both (2 and 1, added), so the fleet's copy goes and the loader's stays the only one. The order is the same: uncrowded and near 0, uncrowded and far 1, crowded and near 2, crowded and far 3, equal ones by their score as before.

finchlab fleet built its progress bar by hand; strings.Repeat does it.

Ruled out: a package for one comparison of flags, for a single caller.

--- a/fleet/share.go
+++ b/fleet/share.go
@@ -95,12 +95,18 @@
 }
 
 type ranked struct {
-	id        string
-	isCrowded bool
-	isFar     bool
-	score     uint64
+	id      string
+	penalty int
+	score   uint64
 }
 
+// What a replica loses against others, so that a crowded one comes after all that have free places,
+// and one of another zone after those of the zone that are as crowded. Only the order counts.
+const (
+	penaltyCrowded = 2
+	penaltyFar     = 1
+)
+
 // best returns the ids of the best replicas that fit, at most so many: those with free places
 // first, then those of the zone.
 func (s shareOf) best(from map[string]*Replica, fits func(*Replica) bool, most int) []string {
@@ -109,10 +115,10 @@
 		if one.Draining || !fits(one) {
 			continue
 		}
-		found = append(found, ranked{id: id, isCrowded: s.isCrowded(one), isFar: one.Zone != s.zone, score: rendezvous.Score(s.key, id)})
+		found = append(found, ranked{id: id, penalty: s.penalty(one), score: rendezvous.Score(s.key, id)})
 	}
 	slices.SortFunc(found, func(a, b ranked) int {
-		return cmp.Or(compareFlags(a.isCrowded, b.isCrowded), compareFlags(a.isFar, b.isFar), cmp.Compare(b.score, a.score))
+		return cmp.Or(cmp.Compare(a.penalty, b.penalty), cmp.Compare(b.score, a.score))
 	})
 	ids := make([]string, 0, most)
 	for _, one := range found[:min(most, len(found))] {
@@ -121,17 +127,17 @@
 	return ids
 }
 
-func (s shareOf) isCrowded(one *Replica) bool {
-	return float64(s.fleet.load(one, s.now)) > crowdedFrom*float64(one.Slots)
+func (s shareOf) penalty(one *Replica) int {
+	penalty := 0
+	if s.isCrowded(one) {
+		penalty += penaltyCrowded
+	}
+	if one.Zone != s.zone {
+		penalty += penaltyFar
+	}
+	return penalty
 }
 
-// compareFlags orders false before true.
-func compareFlags(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
+func (s shareOf) isCrowded(one *Replica) bool {
+	return float64(s.fleet.load(one, s.now)) > crowdedFrom*float64(one.Slots)
 }
--- a/lab/command/fleet.go
+++ b/lab/command/fleet.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/finchspoke/finchspoke/cli"
@@ -47,13 +48,5 @@
 func showProgress(step string, done, of int) {
 	const width = 30
 	filled := width * done / max(1, of)
-	fmt.Fprintf(os.Stderr, "\r%-34s [%-*s] %d/%d   ", step, width, bar(filled), done, of)
-}
-
-func bar(length int) string {
-	filled := make([]byte, length)
-	for index := range filled {
-		filled[index] = '#'
-	}
-	return string(filled)
+	fmt.Fprintf(os.Stderr, "\r%-34s [%-*s] %d/%d   ", step, width, strings.Repeat("#", filled), done, of)
 }
