Log lines say when a replica says that it leaves, or asks for rest

Any answer of a replica may say so; daemons passed it on unread, and no line told of it. One client now carries all messages to replicas (requests, orders, questions) and reads this of each answer; the daemon writes a line with request id, replica and the time asked for. Nothing is decided by it yet.

--- a/lab/scale/adapters.go
+++ b/lab/scale/adapters.go
@@ -124,9 +124,9 @@
 func adaptersFor(shared kv.ChangeStore) node.Adapters {
 	return node.Adapters{
 		Store: shared, ReplicaPrefix: replicaPrefix, ReadReplica: readReplica, TableKey: tableKey, ReadTable: readTable, ReadyPath: readyPath,
-		Driver:   func(*upstream.Pool) core.Driver { return hollow{} },
-		Prober:   func(*upstream.Pool) quarantine.Prober { return hollow{} },
-		Replicas: func(*upstream.Pool) loader.Replicas { return hollow{} },
-		Callers:  func(*routing.Store, *access.Gate, *core.Core) http.Handler { return http.NotFoundHandler() },
+		Replicas: func(*upstream.Pool, func(fleet.Notice)) node.ReplicaProtocol {
+			return node.ReplicaProtocol{Driver: hollow{}, Orders: hollow{}, Prober: hollow{}}
+		},
+		Callers: func(*routing.Store, *access.Gate, *core.Core) http.Handler { return http.NotFoundHandler() },
 	}
 }
--- a/logging/fields.go
+++ b/logging/fields.go
@@ -40,6 +40,7 @@
 	Sequence        = "sequence"
 	Busy            = "busy"
 	Draining        = "draining"
+	RestMs          = "rest_ms"
 	Listed          = "listed"
 	Gone            = "gone"
 	Daemon          = "daemon"
--- a/logging/messages.go
+++ b/logging/messages.go
@@ -13,6 +13,8 @@
 	MessageRegistryFollowed   = "registry followed"
 	MessageLoadOrder          = "load order"
 	MessageReplicaHeard       = "replica state heard"
+	MessageReplicaLeaves      = "replica says that it leaves"
+	MessageReplicaRests       = "replica asks for rest"
 	MessageLedgerBegun        = "ledger of tenants' limits begun"
 	MessageStopPhase          = "planned stop goes on"
 	MessageReplicaProbed      = "replica asked whether it runs"
--- a/node/node.go
+++ b/node/node.go
@@ -96,16 +96,21 @@
 	// TableKey is the record of the routing table; ReadTable reads it.
 	TableKey  string
 	ReadTable func(kv.Pair) (routing.Revision, error)
-	// Driver speaks the replicas' protocol for requests, Replicas that for orders; Prober asks
-	// whether they run.
-	Driver   func(*upstream.Pool) core.Driver
-	Prober   func(*upstream.Pool) quarantine.Prober
-	Replicas func(*upstream.Pool) loader.Replicas
+	// Replicas makes the protocol of the replicas; heard is told what they say of themselves.
+	Replicas func(pool *upstream.Pool, heard func(fleet.Notice)) ReplicaProtocol
 	// Callers serves the caller interface; ReadyPath is where readiness is asked.
 	Callers   func(*routing.Store, *access.Gate, *core.Core) http.Handler
 	ReadyPath string
 }
 
+// ReplicaProtocol is the protocol that replicas speak: Driver for requests, Orders for what they are to
+// load, and Prober asks whether they run.
+type ReplicaProtocol struct {
+	Driver core.Driver
+	Orders loader.Replicas
+	Prober quarantine.Prober
+}
+
 // Node is one daemon.
 type Node struct {
 	config  Config
@@ -194,9 +199,10 @@
 	n.metrics.MustRegister(opened)
 	n.pool = upstream.NewPool(opened.Inc)
 	n.fleet.Connected(n.pool.Rests)
+	replicas := adapters.Replicas(n.pool, n.heardOf)
 	tracker := demand.NewTracker()
 	requests := &core.Core{
-		Fleet: n.fleet, Demand: tracker, Driver: adapters.Driver(n.pool), Retries: n.config.Retries,
+		Fleet: n.fleet, Demand: tracker, Driver: replicas.Driver, Retries: n.config.Retries,
 		Metrics: core.NewMetrics(n.metrics), Log: n.log,
 	}
 	requests.Prepare()
@@ -215,7 +221,7 @@
 		Now: boottime.Now, Written: n.mirror.Hurry, // other daemons hear of it from this one
 	}, adapters.Store, n.log)
 	n.holder = &loader.Holder{
-		Daemon: n.config.ID, Fleet: n.fleet, Table: n.routes, Replicas: adapters.Replicas(n.pool), Election: n.election,
+		Daemon: n.config.ID, Fleet: n.fleet, Table: n.routes, Replicas: replicas.Orders, Election: n.election,
 		Limits: n.config.LoadLimits, Metrics: loader.NewMetrics(n.metrics), Log: n.log, FirstStart: n.config.FirstStart,
 		TermDelay: n.config.TermDelay, Address: n.config.PeerAddress, TooLarge: n.mirror.TooLarge, KnowsReplicas: func() bool { return n.replicas.all() },
 		Expected: requests.Daemons,
@@ -235,7 +241,7 @@
 		n.holder.Wake()
 	})
 	n.quarantine = &quarantine.Guard{
-		Prefix: n.config.EndsPrefix, Store: adapters.Store, Prober: adapters.Prober(n.pool), Leaves: n.leaves, Leading: n.mirror.Leading,
+		Prefix: n.config.EndsPrefix, Store: adapters.Store, Prober: replicas.Prober, Leaves: n.leaves, Leading: n.mirror.Leading,
 		Now: time.Now, Metrics: quarantine.NewMetrics(n.metrics), Log: n.log,
 	}
 	n.quarantine.Prepare()
