A replica that says in an answer that it leaves gets nothing more

Cause: only the registry told that a replica leaves. It cannot while the key-value service is away, and lags otherwise.

Change: the word of an answer counts at once and outlives the replica's entry, which may lapse and come back. The daemon tells the holder of load orders on its stream, so that models of which the replica has the only copy are loaded elsewhere, and the holder tells all other daemons. The next holder hears it again from all that attach.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -32,10 +32,11 @@
 
 // Entry is what the registry says of a replica.
 type Entry struct {
-	ID       string
-	Service  string
-	Address  string // host:port
-	Zone     string
+	ID      string
+	Service string
+	Address string // host:port
+	Zone    string
+	// Draining tells that the replica leaves, by the registry's word or by its own.
 	Draining bool
 	Slots    int // requests that it runs at once; zero if it does not say
 	Holdings Holdings
@@ -110,6 +111,7 @@
 	zone     string
 	mutex    sync.Mutex
 	members  map[string]*Replica
+	words    map[string]*word // what replicas said of themselves, by id
 	services map[string]*serviceIndex
 	signals  map[signalKey]chan struct{}
 	// interest says of which targets this daemon is told; nil: of all.
@@ -132,7 +134,7 @@
 // ties between equal replicas.
 func NewDirectory(zone string, random func() float64) *Directory {
 	return &Directory{
-		zone: zone, members: map[string]*Replica{}, services: map[string]*serviceIndex{}, signals: map[signalKey]chan struct{}{},
+		zone: zone, members: map[string]*Replica{}, words: map[string]*word{}, services: map[string]*serviceIndex{}, signals: map[signalKey]chan struct{}{},
 		random: random, runTime: map[string]time.Duration{},
 	}
 }
@@ -146,7 +148,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.change(entry.ID, func(known *Replica) {
-		known.Entry, known.entryAt, known.forgotten, known.unconfirmed = entry, now, false, false
+		known.Entry, known.entryAt, known.forgotten, known.unconfirmed = d.withWord(entry), now, false, false
 	})
 }
 
--- a/fleet/interest.go
+++ b/fleet/interest.go
@@ -144,7 +144,7 @@
 	}
 	d.noteWord(now)
 	d.change(state.ID, func(known *Replica) {
-		known.Entry, known.entryAt, known.forgotten = state.Entry, now, false
+		known.Entry, known.entryAt, known.forgotten = d.withWord(state.Entry), now, false
 		known.others = max(0, state.Requests-known.inflight)
 		told := Confirmation{Fence: state.Fence, Sequence: state.Sequence, Holdings: state.Holdings, Loading: state.Loading,
 			InMemory: state.InMemory, OnDisk: state.OnDisk}
--- /dev/null
+++ b/fleet/notice_test.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// chosen returns the replica that a request for a model goes to, or why it goes to none.
+func chosen(d *Directory, model string, now time.Time) (string, Miss) {
+	pick, miss := d.Choose(Ask{Service: "press", Target: Target{Model: model}}, now)
+	if pick == nil {
+		return "", miss
+	}
+	pick.Withdraw()
+	return pick.ID, miss
+}
+
+// noticeDirectory holds two replicas; the nearer one alone has m2.
+func noticeDirectory() *Directory {
+	return directoryOf(press("r1", "a", Holdings{"m1": nil, "m2": nil}), press("r2", "b", Holdings{"m1": nil}))
+}
+
+func TestAReplicaThatSaysItLeavesIsChosenNoMoreWhateverTheRegistrySays(t *testing.T) {
+	now := start
+	d := noticeDirectory()
+	id, _ := chosen(d, "m1", now)
+	require.Equal(t, "r1", id)
+	require.True(t, d.Hear(Notice{Replica: "r1", Leaving: true}, now))
+	require.False(t, d.Hear(Notice{Replica: "r1", Leaving: true}, now), "once")
+	require.False(t, d.Hear(Notice{Replica: "r1"}, now), "an answer without a word of it takes nothing back")
+	stays := func(why string, now time.Time) {
+		t.Helper()
+		id, _ := chosen(d, "m1", now)
+		require.Equal(t, "r2", id, why)
+		_, miss := chosen(d, "m2", now)
+		require.Equal(t, NotLoaded, miss, why)
+		entry, _ := d.Entry("r1")
+		require.True(t, entry.Draining, why)
+	}
+	stays("at once", now)
+	entry := press("r1", "a", Holdings{"m1": nil, "m2": nil})
+	d.Put(entry, now)
+	stays("the registry lags", now)
+	d.Remove("r1")
+	d.Hear(Notice{Replica: "r9", Leaving: true}, now.Add(wordKept/2))
+	d.Put(entry, now)
+	stays("its entry lapsed and came back", now.Add(wordKept/2))
+	d.Confirm("r1", Confirmation{Fence: 1, Holdings: Holdings{"m1": nil, "m2": nil}}, now)
+	stays("the holder of load orders tells what it holds", now)
+}
+
+func TestTheWordOfAReplicaThatIsLongGoneIsForgotten(t *testing.T) {
+	now := start
+	d := noticeDirectory()
+	d.Hear(Notice{Replica: "r1", Leaving: true}, now)
+	d.Hear(Notice{Replica: "r2", Leaving: true}, now)
+	d.Remove("r1")
+	d.Hear(Notice{Replica: "r3", Leaving: true}, now.Add(wordKept+time.Second))
+	require.Len(t, d.words, 2, "r2 is still in the registry")
+	require.Equal(t, []string{"r2"}, d.LeavingHere())
+}
+
+func TestWhatOtherDaemonsHeardCountsAndIsNotToldAgain(t *testing.T) {
+	now := start
+	d := noticeDirectory()
+	d.TellLeaving([]string{"r1"}, now)
+	id, _ := chosen(d, "m1", now)
+	require.Equal(t, "r2", id)
+	require.Empty(t, d.LeavingHere())
+	require.Equal(t, []string{"r1"}, d.LeavingAnywhere())
+}
--- a/loader/attach.go
+++ b/loader/attach.go
@@ -122,6 +122,7 @@
 		h.daemons[message.GetDaemonId()] = known
 	}
 	known.detached = time.Time{}
+	h.takeLeaving(message, now)
 	if message.GetKnowsReplicas() && !known.knows {
 		h.directories.wake() // the daemon's stream is told what is loaded from now on
 	}
@@ -198,7 +199,7 @@
 }
 
 func saysSomething(view *rpc.LoadsView) bool {
-	return len(view.GetReplicas())+len(view.GetRunning())+len(view.GetPacked()) > 0 || view.GetDirectories() != nil
+	return len(view.GetReplicas())+len(view.GetRunning())+len(view.GetLeaving())+len(view.GetPacked()) > 0 || view.GetDirectories() != nil
 }
 
 // nextViews are the messages that a daemon gets now, and when there may be more.
@@ -244,7 +245,7 @@
 	if known := h.views[after]; known != nil {
 		return known
 	}
-	view := &rpc.LoadsView{Fence: h.fence, Daemons: uint32(h.attached), Running: h.runningView(after)}
+	view := &rpc.LoadsView{Fence: h.fence, Daemons: uint32(h.attached), Running: h.runningView(after), Leaving: h.leaving.after(after)}
 	for _, id := range h.loads.after(after) {
 		if state := h.states[id]; state != nil && state.Known {
 			view.Replicas = append(view.Replicas, replicaView(state, now))
--- a/loader/follower.go
+++ b/loader/follower.go
@@ -116,7 +116,7 @@
 	if err != nil {
 		return errors.Wrap(err, "attach to the holder of load orders")
 	}
-	sent := &reported{counts: map[demand.Key]demand.Count{}, running: map[string]uint32{}}
+	sent := &reported{counts: map[demand.Key]demand.Count{}, running: map[string]uint32{}, leaving: map[string]bool{}}
 	first := f.message(sent, time.Now())
 	first.TermDelayMs, first.Address, first.Zone = f.TermDelay.Milliseconds(), f.Address, f.Zone
 	if err := stream.Send(first); err != nil {
@@ -149,7 +149,7 @@
 			sleep.For(ctx, urgentPause)
 		case <-ticker.C:
 		}
-		if message := f.message(sent, time.Now()); due || sent.learns(message.GetKnowsReplicas()) || len(message.GetKeys())+len(message.GetRunning()) > 0 {
+		if message := f.message(sent, time.Now()); due || sent.learns(message.GetKnowsReplicas()) || len(message.GetKeys())+len(message.GetRunning())+len(message.GetLeaving()) > 0 {
 			if err := stream.Send(message); err != nil {
 				return err
 			}
@@ -163,6 +163,7 @@
 	mutex   sync.Mutex        // guards running, which the listener reads
 	running map[string]uint32 // requests of this daemon by replica
 	knows   bool              // all replicas; used by the sender only
+	leaving map[string]bool   // replicas; used by the sender only
 }
 
 // learns notes whether this daemon knows all replicas, and tells whether that is news.
@@ -181,7 +182,7 @@
 
 // message makes a report of what differs from what was sent.
 func (f *Follower) message(sent *reported, now time.Time) *rpc.LoadsDemand {
-	message := &rpc.LoadsDemand{DaemonId: f.Daemon, KnowsReplicas: f.knowsReplicas()}
+	message := &rpc.LoadsDemand{DaemonId: f.Daemon, KnowsReplicas: f.knowsReplicas(), Leaving: f.leavingNews(sent)}
 	for key, count := range f.Demand.Counts() {
 		if key.Target.Model == "" || sent.counts[key] == count {
 			continue
@@ -226,6 +227,7 @@
 		if directories := view.GetDirectories(); directories != nil && f.Directories != nil {
 			f.Directories(directories.GetServe(), directories.GetAddresses())
 		}
+		f.Fleet.TellLeaving(view.GetLeaving(), now)
 		for _, told := range view.GetReplicas() {
 			f.confirm(view.GetFence(), told, now)
 		}
--- a/loader/holder.go
+++ b/loader/holder.go
@@ -144,6 +144,7 @@
 	version     uint64
 	loads       *touches // of each replica's state
 	running     *requestCounts
+	leaving     *touches                  // of replicas that said so to any daemon
 	views       map[uint64]*rpc.LoadsView // of the present version, by the version that a daemon heard
 	changed     chan struct{}
 	wake        chan struct{}
@@ -179,6 +180,7 @@
 	h.directories.wake()
 	h.directories = newDirectories(h.directories.version)
 	h.notify()
+	h.retellLeaving()
 }
 
 // notify wakes the streams that tell daemons what is loaded; the mutex is held.
--- /dev/null
+++ b/loader/leaving_test.go
@@ -0,0 +1,54 @@
+package loader
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/finchspoke/finchspoke/fleet"
+	"github.com/finchspoke/finchspoke/rpc"
+)
+
+func leavingHolder(now time.Time) *Holder {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	holder := &Holder{Fleet: fleet.NewDirectory("a", func() float64 { return 0 }), Log: log}
+	for _, id := range []string{"r1", "r2"} {
+		holder.Fleet.Put(fleet.Entry{ID: id, Service: "press", Address: id + ":1"}, now)
+	}
+	holder.Prepare()
+	return holder
+}
+
+func TestADaemonsWordThatAReplicaLeavesReachesAllOthersOnce(t *testing.T) {
+	now := time.Now()
+	holder := leavingHolder(now)
+	before := holder.version
+	holder.report(&rpc.LoadsDemand{DaemonId: "d1", Leaving: []string{"r1"}})
+	entry, _ := holder.Fleet.Entry("r1")
+	require.True(t, entry.Draining, "no copy on it counts, and no order goes there")
+	require.Equal(t, []string{"r1"}, holder.view(before, now).GetLeaving())
+	told := holder.version
+	holder.report(&rpc.LoadsDemand{DaemonId: "d2", Leaving: []string{"r1"}})
+	require.Equal(t, told, holder.version, "it is no news")
+	require.Empty(t, holder.view(told, now).GetLeaving())
+	require.Equal(t, []string{"r1"}, holder.view(0, now).GetLeaving(), "a daemon that attaches hears of all")
+
+	holder.reset(7, now)
+	require.Equal(t, []string{"r1"}, holder.view(0, now).GetLeaving(), "the next term too")
+}
+
+// The holder's own requests hear of it as well; its directory then knows before any stream tells.
+func TestWhatTheHolderHeardItselfIsToldToAllOthers(t *testing.T) {
+	now := time.Now()
+	holder := leavingHolder(now)
+	holder.Fleet.Hear(fleet.Notice{Replica: "r1", Leaving: true}, now)
+	follower := &Follower{Fleet: holder.Fleet}
+	sent := &reported{leaving: map[string]bool{}}
+	holder.report(&rpc.LoadsDemand{DaemonId: "self", Leaving: follower.leavingNews(sent)})
+	require.Equal(t, []string{"r1"}, holder.view(0, now).GetLeaving())
+	require.Empty(t, follower.leavingNews(sent), "once on a stream")
+}
--- a/loader/touches.go
+++ b/loader/touches.go
@@ -28,6 +28,9 @@
 	}
 }
 
+// has tells whether a replica was ever marked.
+func (t *touches) has(replica string) bool { return t.versions[replica] > 0 }
+
 // after lists the replicas that last changed after a version, each once.
 func (t *touches) after(version uint64) []string {
 	var changed []string
--- a/logging/messages.go
+++ b/logging/messages.go
@@ -14,6 +14,7 @@
 	MessageLoadOrder          = "load order"
 	MessageReplicaHeard       = "replica state heard"
 	MessageReplicaLeaves      = "replica says that it leaves"
+	MessageLeavingTold        = "replicas leave, by another daemon's word"
 	MessageReplicaRests       = "replica asks for rest"
 	MessageLedgerBegun        = "ledger of tenants' limits begun"
 	MessageStopPhase          = "planned stop goes on"
--- a/node/notices.go
+++ b/node/notices.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/finchspoke/finchspoke/fleet"
@@ -10,7 +12,8 @@
 // heardOf takes in what a replica said of itself.
 func (n *Node) heardOf(notice fleet.Notice) {
 	entry := n.log.WithFields(logrus.Fields{logging.RequestID: notice.RequestID, logging.Replica: notice.Replica})
-	if notice.Leaving {
+	if n.fleet.Hear(notice, time.Now()) {
+		n.holder.RegistryChanged(notice.Replica)
 		entry.Info(logging.MessageReplicaLeaves)
 	}
 	if notice.Rest > 0 {
