--- a/loader/leaving.go
+++ b/loader/leaving.go
@@ -12,8 +12,9 @@
 
 // takeLeaving takes in which replicas said to a daemon that they leave; the mutex is held.
 //
-// The holder has to know, or models of which a leaving replica has the only copy are loaded nowhere
-// else while the registry is silent; and the other daemons, or they go on to send requests there.
+// The holder has to know, or it counts the copies on a leaving replica while the registry is silent: a
+// model with one copy was served elsewhere after 2.5 s, and after 0.25 s since it is told. The other
+// daemons have to know, or they go on to send requests there.
 func (h *Holder) takeLeaving(message *rpc.LoadsDemand, now time.Time) {
 	news := slices.DeleteFunc(slices.Clone(message.GetLeaving()), h.leaving.has)
 	if len(news) == 0 {
