Right before a request is written, its replica is asked for once more in what it said

A connection may take 0.4 s to open, longer on a machine that is short of processor, and its replica may ask for rest, or say that it leaves, in an answer to another request meanwhile. What is refused then was not written: it goes elsewhere, free of the retry budget and without harm to the replica's health.

Ruled out: a second choice of a replica after the connection is there, since that would open connections in vain; the connection is kept instead.

Tests of the connection pool and of the core; the latter fails where the replica counts as not reached.

--- a/core/call.go
+++ b/core/call.go
@@ -113,7 +113,8 @@
 // Driver speaks the replicas' protocol.
 type Driver interface {
 	// Send sends a dispatch and returns the head of the answer. An error is a
-	// *SendError.
+	// *SendError. Right before it writes, it asks the directory whether the replica still takes the
+	// request; what that refuses was not written.
 	Send(ctx context.Context, dispatch Dispatch) (*Reply, error)
 }
 
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -337,3 +337,18 @@
 		require.Empty(t, s.driver.dispatches)
 	}
 }
+
+// A replica said something of itself while the connection to it was opened.
+func TestARequestThatItsReplicaNoLongerTakesGoesElsewhereForFree(t *testing.T) {
+	for _, refusal := range []error{fleet.ErrLeaves, fleet.ErrRests} {
+		withheld := func(context.Context, Dispatch) (*Reply, error) { return nil, &SendError{Cause: errors.Wrap(refusal, "not sent")} }
+		s := arrange(t, routing.RunOnce, 1, withheld, reply(http.StatusOK, "whole", false))
+		s.core.Retries = RetryPolicy{}
+		failed, _ := s.serve(t)
+		require.Nil(t, failed)
+		require.Equal(t, "whole", s.caller.String())
+		require.NotEqual(t, s.driver.dispatches[0].ReplicaID, s.driver.dispatches[1].ReplicaID)
+		pick, _ := s.core.Fleet.Choose(fleet.Ask{Service: "press"}, time.Now())
+		require.Equal(t, s.driver.dispatches[0].ReplicaID, pick.ID, "it did not fail, and is still the first choice")
+	}
+}
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -72,6 +72,9 @@
 	})
 	if err != nil {
 		var failed *SendError
+		if errors.Is(err, fleet.ErrLeaves) || errors.Is(err, fleet.ErrRests) {
+			return dispatchOutcome{result: NotWritten, cause: err, health: fleet.Unsent}
+		}
 		if errors.As(err, &failed) && !failed.Written {
 			return dispatchOutcome{result: NotWritten, cause: err, health: fleet.Unreachable}
 		}
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -216,6 +216,7 @@
 	Refused                   // the replica said that it did not run the request
 	Absent                    // the replica lacks the target
 	Unreachable               // no whole answer came
+	Unsent                    // nothing was sent, by this daemon's choice
 )
 
 // refusedFor is how long a replica that refused a request is not asked again for
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Notice is what a replica says of itself in an answer to this daemon, beside the answer.
@@ -67,6 +69,30 @@
 	return time.Time{}
 }
 
+// Errors of Admit.
+var (
+	ErrLeaves = errors.New("the replica leaves")
+	ErrRests  = errors.New("the replica asked for rest")
+)
+
+// Admit tells whether a request that a replica was chosen for may still go there. It is asked right
+// before the request is written: a connection may take 0.4 s to open, and the replica may have said
+// something of itself to another request meanwhile.
+func (d *Directory) Admit(id string, now time.Time) error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	known := d.words[id]
+	switch {
+	case known == nil:
+		return nil
+	case known.leaving:
+		return ErrLeaves
+	case now.Before(known.restUntil):
+		return ErrRests
+	}
+	return nil
+}
+
 // RestEnds returns when the first of the replicas that serve a target and asked for rest has rested;
 // known is false if none did.
 func (d *Directory) RestEnds(service string, target Target, now time.Time) (at time.Time, known bool) {
--- a/lab/scale/adapters.go
+++ b/lab/scale/adapters.go
@@ -124,7 +124,7 @@
 func adaptersFor(shared kv.ChangeStore) node.Adapters {
 	return node.Adapters{
 		Store: shared, ReplicaPrefix: replicaPrefix, ReadReplica: readReplica, TableKey: tableKey, ReadTable: readTable, ReadyPath: readyPath,
-		Replicas: func(*upstream.Pool, func(fleet.Notice)) node.ReplicaProtocol {
+		Replicas: func(*upstream.Pool, node.Notices) node.ReplicaProtocol {
 			return node.ReplicaProtocol{Driver: hollow{}, Orders: hollow{}, Prober: hollow{}}
 		},
 		Callers: func(*routing.Store, *access.Gate, *core.Core) http.Handler { return http.NotFoundHandler() },
--- a/node/node.go
+++ b/node/node.go
@@ -96,8 +96,8 @@
 	// TableKey is the record of the routing table; ReadTable reads it.
 	TableKey  string
 	ReadTable func(kv.Pair) (routing.Revision, error)
-	// Replicas makes the protocol of the replicas; heard is told what they say of themselves.
-	Replicas func(pool *upstream.Pool, heard func(fleet.Notice)) ReplicaProtocol
+	// Replicas makes the protocol of the replicas.
+	Replicas func(*upstream.Pool, Notices) ReplicaProtocol
 	// Callers serves the caller interface; ReadyPath is where readiness is asked.
 	Callers   func(*routing.Store, *access.Gate, *core.Core) http.Handler
 	ReadyPath string
@@ -199,7 +199,7 @@
 	n.metrics.MustRegister(opened)
 	n.pool = upstream.NewPool(opened.Inc)
 	n.fleet.Connected(n.pool.Rests)
-	replicas := adapters.Replicas(n.pool, n.heardOf)
+	replicas := adapters.Replicas(n.pool, Notices{Hear: n.hear, Admit: func(replica string) error { return n.fleet.Admit(replica, time.Now()) }})
 	tracker := demand.NewTracker()
 	requests := &core.Core{
 		Fleet: n.fleet, Demand: tracker, Driver: replicas.Driver, Retries: n.config.Retries,
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -96,6 +96,9 @@
 	// Mine tells whether an answer belongs to this request; others that arrive in
 	// its place are skipped.
 	Mine func(http.Header) bool
+	// Admit is asked once there is a connection, right before the request is written; an error of it
+	// keeps the request from being sent. nil: it is sent.
+	Admit func() error
 }
 
 // Do sends a request and returns the head of its answer. The context bounds the
@@ -105,6 +108,12 @@
 	if err != nil {
 		return nil, &Error{cause: err}
 	}
+	if request.Admit != nil {
+		if err := request.Admit(); err != nil {
+			p.put(request.Address, conn, idleDefault)
+			return nil, &Error{cause: err}
+		}
+	}
 	exchange := &exchange{pool: p, conn: conn, address: request.Address}
 	exchange.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if err := exchange.write(request); err != nil {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -226,3 +226,30 @@
 	}
 	require.Equal(t, 2, opened)
 }
+
+func TestWhatIsNotAdmittedIsNotWrittenAndItsConnectionIsKept(t *testing.T) {
+	opened, read := 0, make(chan string, 10)
+	address := server(t, func(_, _ int, request *http.Request) string {
+		read <- request.Header.Get("Id")
+		return "HTTP/1.1 200 OK\r\nId: " + request.Header.Get("Id") + "\r\nContent-Length: 0\r\n\r\n"
+	})
+	pool := NewPool(func() { opened++ })
+	refusal := errors.New("the replica rests")
+	withheld := request(t, address, http.MethodPost, "withheld", "x")
+	withheld.Admit = func() error {
+		require.Equal(t, 1, opened, "asked once there is a connection")
+		return refusal
+	}
+	_, err := pool.Do(t.Context(), withheld)
+	var failed *Error
+	require.ErrorAs(t, err, &failed)
+	require.False(t, failed.Written)
+	require.ErrorIs(t, err, refusal)
+
+	answer, err := pool.Do(t.Context(), request(t, address, http.MethodPost, "sent", "x"))
+	require.NoError(t, err)
+	require.NoError(t, answer.Close())
+	require.Equal(t, "sent", <-read)
+	require.Empty(t, read)
+	require.Equal(t, 1, opened)
+}
