--- a/core/core_test.go
+++ b/core/core_test.go
@@ -341,7 +341,9 @@
 // A replica said something of itself while the connection to it was opened.
 func TestARequestThatItsReplicaNoLongerTakesGoesElsewhereForFree(t *testing.T) {
 	for _, refusal := range []error{fleet.ErrLeaves, fleet.ErrRests} {
-		withheld := func(context.Context, Dispatch) (*Reply, error) { return nil, &SendError{Cause: errors.Wrap(refusal, "not sent")} }
+		withheld := func(context.Context, Dispatch) (*Reply, error) {
+			return nil, &SendError{Cause: errors.Wrap(refusal, "not sent")}
+		}
 		s := arrange(t, routing.RunOnce, 1, withheld, reply(http.StatusOK, "whole", false))
 		s.core.Retries = RetryPolicy{}
 		failed, _ := s.serve(t)
