An entry of the registry that is not a replica's names none

Cause: an entry was used as soon as it was JSON with an address. Fields of other types that are not used passed, so did an unknown state or no service; and an entry that could not be read left in place what was known under its id.

Lines about refused entries are bounded like those of other changes of the registry.

--- a/logging/messages.go
+++ b/logging/messages.go
@@ -10,6 +10,7 @@
 	MessageTermLost           = "term lost"
 	MessageReplicaListed      = "replica in the registry"
 	MessageReplicaGone        = "replica gone from the registry"
+	MessageEntryRefused       = "registry entry not used"
 	MessageRegistryFollowed   = "registry followed"
 	MessageLoadOrder          = "load order"
 	MessageReplicaHeard       = "replica state heard"
--- a/node/follow.go
+++ b/node/follow.go
@@ -59,8 +59,8 @@
 }
 
 func (n *Node) takeReplica(adapters Adapters, event kv.Event) {
+	id := event.Pair.Key[len(adapters.ReplicaPrefix):]
 	if event.Deleted {
-		id := event.Pair.Key[len(adapters.ReplicaPrefix):]
 		n.fleet.Remove(id)
 		n.registryLog.replicaGone(id, event.Pair.ModRevision)
 		n.holder.RegistryChanged(id)
@@ -68,7 +68,10 @@
 	}
 	entry, err := adapters.ReadReplica(event.Pair)
 	if err != nil {
-		n.log.WithFields(logrus.Fields{logging.Cause: err.Error(), logging.Revision: event.Pair.ModRevision}).Warn("registry entry not used")
+		// What was known under that id was written over: it names no replica any more.
+		n.fleet.Remove(id)
+		n.registryLog.entryRefused(id, err, event.Pair.ModRevision)
+		n.holder.RegistryChanged(id)
 		return
 	}
 	n.fleet.Put(entry, time.Now())
--- a/node/registrylog.go
+++ b/node/registrylog.go
@@ -48,6 +48,15 @@
 	r.log.WithFields(logrus.Fields{logging.Replica: id, logging.Revision: revision}).Info(logging.MessageReplicaGone)
 }
 
+// entryRefused logs that an entry is not one of a replica. Others may write it again and again.
+func (r *registryLog) entryRefused(id string, cause error, revision int64) {
+	if !r.leading() || !r.mayWrite() {
+		r.count(1, 0, revision)
+		return
+	}
+	r.log.WithFields(logrus.Fields{logging.Replica: id, logging.Cause: cause.Error(), logging.Revision: revision}).Warn(logging.MessageEntryRefused)
+}
+
 // mostLines bounds the lines of single changes in a second: 10,000 replicas that a new holder reads at
 // once were 4 MB of lines, and a second of its processor.
 const mostLines = 50
