A replica that starts again under its id is another incarnation

Cause: an id was taken for a process. Ends under a request went unseen where a replica of that id answered again, and counted once for each id; the holder took reports of the next process for old ones, since it counts orders anew, and other daemons did not believe the holder's word on it for the rest of the term.

Change: an incarnation is an id and the time of its start, as entries and reports tell it. The directory, the holder's word to daemons, what directories pass on, the word that a replica leaves, and the quarantine go by it. Nothing known of one holds for the next. A start that is not told, as by a daemon of an earlier version, compares with nothing.

Ruled out: sequence numbers alone, which start anew; the address, which stays.

--- a/core/quarantine_test.go
+++ b/core/quarantine_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/finchspoke/finchspoke/failure"
+	"github.com/finchspoke/finchspoke/fleet"
 	"github.com/finchspoke/finchspoke/quarantine"
 	"github.com/finchspoke/finchspoke/routing"
 )
@@ -26,11 +27,11 @@
 	return failure.New(failure.Quarantined, "send another", "replicas ended").WithRetryAfter(time.Hour)
 }
 
-func (q *countedQuarantine) Broke(context.Context, string, string, quarantine.Fingerprint) {
+func (q *countedQuarantine) Broke(context.Context, fleet.Incarnation, string, quarantine.Fingerprint) {
 	q.broken++
 }
 
-func (q *countedQuarantine) Left(string, string, quarantine.Fingerprint) { q.left++ }
+func (q *countedQuarantine) Left(fleet.Incarnation, string, quarantine.Fingerprint) { q.left++ }
 
 func (q *countedQuarantine) Served(quarantine.Fingerprint) { q.served++ }
 
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -41,7 +41,7 @@
 
 // stateMessage makes the message of what is known of a replica.
 func stateMessage(state fleet.State, now time.Time) *rpc.ReplicaState {
-	loads := &rpc.ReplicaLoads{ReplicaId: state.ID, Sequence: state.Sequence, InMemory: state.InMemory, OnDisk: state.OnDisk}
+	loads := &rpc.ReplicaLoads{ReplicaId: state.ID, BornUnixMs: state.Born, Sequence: state.Sequence, InMemory: state.InMemory, OnDisk: state.OnDisk}
 	for model, adapters := range state.Holdings {
 		loads.Models = append(loads.Models, &rpc.HeldModel{Model: model, Adapters: adapters})
 	}
@@ -59,7 +59,7 @@
 	loads := message.GetLoads()
 	state := fleet.State{
 		Entry: fleet.Entry{
-			ID: loads.GetReplicaId(), Service: message.GetService(), Address: message.GetAddress(), Zone: message.GetZone(),
+			ID: loads.GetReplicaId(), Born: loads.GetBornUnixMs(), Service: message.GetService(), Address: message.GetAddress(), Zone: message.GetZone(),
 			Draining: message.GetDraining(), Slots: int(message.GetSlots()), Holdings: fleet.Holdings{},
 			InMemory: loads.GetInMemory(), OnDisk: loads.GetOnDisk(),
 		},
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -45,7 +45,7 @@
 
 // Pick is a replica chosen for one dispatch. It must be released.
 type Pick struct {
-	ID       string
+	Incarnation
 	Address  string
 	Inflight int // of this daemon there, this one excluded
 	began    time.Time
@@ -100,7 +100,7 @@
 		costs[index] = d.cost(candidate, ask, owner, now)
 	}
 	best := candidates[spread(costs, d.coming(candidates, now), d.random())]
-	pick := &Pick{ID: best.ID, Address: best.Address, Inflight: best.inflight, began: now, reading: ask.PromptTokens, replica: best, fleet: d}
+	pick := &Pick{Incarnation: best.Incarnation(), Address: best.Address, Inflight: best.inflight, began: now, reading: ask.PromptTokens, replica: best, fleet: d}
 	best.inflight++
 	best.reading += ask.PromptTokens
 	return pick, Found
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -36,6 +36,7 @@
 	Service string
 	Address string // host:port
 	Zone    string
+	Born    int64 // Unix ms of its start; zero if it does not say
 	// Draining tells that the replica leaves, by the registry's word or by its own.
 	Draining bool
 	Slots    int // requests that it runs at once; zero if it does not say
@@ -46,14 +47,18 @@
 	OnDisk   []string
 }
 
+// Incarnation names the process that the entry is of.
+func (e Entry) Incarnation() Incarnation { return Incarnation{e.ID, e.Born} }
+
 // SameButLoaded tells whether two entries differ at most in what is loaded, or kept
 // for loading.
 func (e Entry) SameButLoaded(other Entry) bool {
-	return e.ID == other.ID && e.Service == other.Service && e.Address == other.Address && e.Zone == other.Zone && e.Draining == other.Draining && e.Slots == other.Slots
+	return e.ID == other.ID && e.Born == other.Born && e.Service == other.Service && e.Address == other.Address && e.Zone == other.Zone && e.Draining == other.Draining && e.Slots == other.Slots
 }
 
 // Confirmation is what the holder of load orders knows of a replica.
 type Confirmation struct {
+	Born     int64    // of the replica's incarnation; zero if it is not known
 	Fence    int64    // of the holder's term
 	Sequence int64    // orders that the replica had taken
 	Holdings Holdings // without what is being unloaded
@@ -64,8 +69,11 @@
 	OnDisk   []string
 }
 
-// older tells whether another confirmation is known to be newer.
+// older tells whether another confirmation is known to be newer. The next incarnation counts orders anew.
 func (c *Confirmation) older(than *Confirmation) bool {
+	if bornBefore(c.Born, than.Born) || bornBefore(than.Born, c.Born) {
+		return c.Born < than.Born
+	}
 	return c.Fence < than.Fence || c.Fence == than.Fence && c.Sequence < than.Sequence
 }
 
@@ -148,10 +156,23 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.change(entry.ID, func(known *Replica) {
-		known.Entry, known.entryAt, known.forgotten, known.unconfirmed = d.withWord(entry), now, false, false
+		known.take(d.withWord(entry), now)
+		known.unconfirmed = false
 	})
 }
 
+// take takes in a newer entry. Nothing that was known of an earlier incarnation holds for the next: it is
+// empty, well, and counts its orders anew.
+func (r *Replica) take(entry Entry, now time.Time) {
+	if bornBefore(r.Born, entry.Born) {
+		r.health, r.absentTill = health{}, nil
+		if r.confirmed != nil && bornBefore(r.confirmed.Born, entry.Born) {
+			r.confirmed = nil
+		}
+	}
+	r.Entry, r.entryAt, r.forgotten = entry, now, false
+}
+
 // Remove forgets a replica that the registry no longer lists.
 func (d *Directory) Remove(id string) {
 	d.mutex.Lock()
@@ -164,7 +185,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	known := d.members[id]
-	if known == nil || (known.confirmed != nil && told.older(known.confirmed)) {
+	if known == nil || bornBefore(told.Born, known.Born) || known.confirmed != nil && told.older(known.confirmed) {
 		return
 	}
 	d.change(id, func(known *Replica) { known.confirm(told, now) })
--- a/fleet/interest.go
+++ b/fleet/interest.go
@@ -144,9 +144,9 @@
 	}
 	d.noteWord(now)
 	d.change(state.ID, func(known *Replica) {
-		known.Entry, known.entryAt, known.forgotten = d.withWord(state.Entry), now, false
+		known.take(d.withWord(state.Entry), now)
 		known.others = max(0, state.Requests-known.inflight)
-		told := Confirmation{Fence: state.Fence, Sequence: state.Sequence, Holdings: state.Holdings, Loading: state.Loading,
+		told := Confirmation{Born: state.Born, Fence: state.Fence, Sequence: state.Sequence, Holdings: state.Holdings, Loading: state.Loading,
 			InMemory: state.InMemory, OnDisk: state.OnDisk}
 		if state.Fence > 0 && (known.confirmed == nil || !told.older(known.confirmed)) {
 			known.confirm(told, now)
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,9 +16,10 @@
 	Rest      time.Duration // for how long it wants nothing of this daemon; zero: it does not say
 }
 
-// word is what is remembered of a replica's notices. It outlives the replica's entry, which may lapse
-// while the registry is away and come back.
+// word is what is remembered of the notices of one incarnation. It outlives the replica's entry, which
+// may lapse while the registry is away and come back.
 type word struct {
+	born      int64 // of the incarnation; zero if it was not known
 	leaving   bool
 	heardHere bool      // that it leaves: in an answer to this daemon
 	restUntil time.Time // it wants nothing of this daemon before
@@ -41,13 +43,22 @@
 	if notice.Rest > 0 {
 		d.rests(notice.Replica, now.Add(notice.Rest), now)
 	}
-	return notice.Leaving && d.leaves(notice.Replica, true, now)
+	return notice.Leaving && d.leaves(Incarnation{notice.Replica, d.bornOf(notice.Replica)}, true, now)
+}
+
+// bornOf returns the start of the incarnation that answers under an id, as far as is known; the mutex is
+// held.
+func (d *Directory) bornOf(id string) int64 {
+	if member := d.members[id]; member != nil {
+		return member.Born
+	}
+	return 0
 }
 
 // rests notes that a replica wants nothing of this daemon until a moment; the mutex is held. The
 // longest rest that it asked for counts, whichever answer came last.
 func (d *Directory) rests(id string, until, now time.Time) {
-	known := d.wordOf(id, now)
+	known := d.wordOf(Incarnation{id, d.bornOf(id)}, now)
 	if until.After(known.restUntil) {
 		known.restUntil = until
 	}
@@ -110,36 +121,41 @@
 	return at, known
 }
 
-// wordOf returns what is remembered of a replica's notices, to be changed; the mutex is held.
-func (d *Directory) wordOf(id string, now time.Time) *word {
-	known := d.words[id]
-	if known == nil {
+// wordOf returns what is remembered of an incarnation's notices, to be changed; the mutex is held.
+func (d *Directory) wordOf(incarnation Incarnation, now time.Time) *word {
+	known := d.words[incarnation.ID]
+	if known == nil || bornBefore(known.born, incarnation.Born) {
 		d.dropOldWords(now)
 		known = &word{}
-		d.words[id] = known
+		d.words[incarnation.ID] = known
 	}
 	known.heardAt = now
+	if known.born == 0 {
+		known.born = incarnation.Born
+	}
 	return known
 }
 
-// TellLeaving takes in that replicas said to other daemons that they leave.
-func (d *Directory) TellLeaving(ids []string, now time.Time) {
+// TellLeaving takes in that a replica said to another daemon that it leaves, and tells whether that is
+// news.
+func (d *Directory) TellLeaving(told Incarnation, now time.Time) (news bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	for _, id := range ids {
-		d.leaves(id, false, now)
-	}
+	return d.leaves(told, false, now)
 }
 
-// leaves notes that a replica leaves; the mutex is held.
-func (d *Directory) leaves(id string, heardHere bool, now time.Time) (news bool) {
-	known := d.wordOf(id, now)
+// leaves notes that an incarnation leaves; the mutex is held.
+func (d *Directory) leaves(incarnation Incarnation, heardHere bool, now time.Time) (news bool) {
+	known := d.wordOf(incarnation, now)
+	if bornBefore(incarnation.Born, max(known.born, d.bornOf(incarnation.ID))) {
+		return false // it has left, and the next is there
+	}
 	if known.leaving {
 		return false
 	}
 	known.leaving, known.heardHere = true, heardHere
-	if member := d.members[id]; member != nil && !member.Draining {
-		d.change(id, func(member *Replica) { member.Draining = true })
+	if member := d.members[incarnation.ID]; member != nil && !member.Draining {
+		d.change(incarnation.ID, func(member *Replica) { member.Draining = true })
 	}
 	return true
 }
@@ -153,32 +169,49 @@
 	}
 }
 
-// withWord adds a replica's own word to the registry's; the mutex is held.
+// withWord adds a replica's own word to the registry's; the mutex is held. What an earlier incarnation
+// said is forgotten.
 func (d *Directory) withWord(entry Entry) Entry {
-	if known := d.words[entry.ID]; known != nil && known.leaving {
+	known := d.words[entry.ID]
+	switch {
+	case known == nil:
+	case bornBefore(known.born, entry.Born):
+		delete(d.words, entry.ID)
+	case known.leaving:
 		entry.Draining = true
 	}
 	return entry
 }
 
 // LeavingHere lists the replicas that said to this daemon that they leave, in order of their ids.
-func (d *Directory) LeavingHere() []string {
+func (d *Directory) LeavingHere() []Incarnation {
 	return d.leavingWhere(func(known *word) bool { return known.heardHere })
 }
 
-// LeavingAnywhere lists the replicas that said so to any daemon, as far as this one was told.
-func (d *Directory) LeavingAnywhere() []string {
+// Leaving lists the replicas that said so to any daemon, as far as this one was told.
+func (d *Directory) Leaving() []Incarnation {
 	return d.leavingWhere(func(*word) bool { return true })
 }
 
-func (d *Directory) leavingWhere(counts func(*word) bool) (ids []string) {
+// Leaves tells whether a replica said to any daemon that it leaves, and which incarnation did.
+func (d *Directory) Leaves(id string) (incarnation Incarnation, leaves bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	known := d.words[id]
+	if known == nil || !known.leaving {
+		return Incarnation{}, false
+	}
+	return Incarnation{id, known.born}, true
+}
+
+func (d *Directory) leavingWhere(counts func(*word) bool) (leaving []Incarnation) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	for id, known := range d.words {
 		if known.leaving && counts(known) && d.members[id] != nil {
-			ids = append(ids, id)
+			leaving = append(leaving, Incarnation{id, known.born})
 		}
 	}
-	slices.Sort(ids)
-	return ids
+	slices.SortFunc(leaving, func(a, b Incarnation) int { return strings.Compare(a.ID, b.ID) })
+	return leaving
 }
--- a/fleet/notice_test.go
+++ b/fleet/notice_test.go
@@ -59,17 +59,18 @@
 	d.Remove("r1")
 	d.Hear(Notice{Replica: "r3", Leaving: true}, now.Add(wordKept+time.Second))
 	require.Len(t, d.words, 2, "r2 is still in the registry")
-	require.Equal(t, []string{"r2"}, d.LeavingHere())
+	require.Equal(t, []Incarnation{{ID: "r2"}}, d.LeavingHere())
 }
 
 func TestWhatOtherDaemonsHeardCountsAndIsNotToldAgain(t *testing.T) {
 	now := start
 	d := noticeDirectory()
-	d.TellLeaving([]string{"r1"}, now)
+	require.True(t, d.TellLeaving(Incarnation{ID: "r1"}, now))
+	require.False(t, d.TellLeaving(Incarnation{ID: "r1"}, now))
 	id, _ := chosen(d, "m1", now)
 	require.Equal(t, "r2", id)
 	require.Empty(t, d.LeavingHere())
-	require.Equal(t, []string{"r1"}, d.LeavingAnywhere())
+	require.Equal(t, []Incarnation{{ID: "r1"}}, d.Leaving())
 }
 
 func TestAReplicaThatAskedForRestIsNotChosenInThatTime(t *testing.T) {
@@ -96,3 +97,43 @@
 	id, _ = chosen(d, "m2", after)
 	require.Equal(t, "r1", id)
 }
+
+// A replica that started again under its id serves as any other, whatever the process before it said.
+func TestTheWordOfAnIncarnationIsForgottenWithIt(t *testing.T) {
+	first, second := press("r1", "a", Holdings{"m1": nil}), press("r1", "a", Holdings{"m1": nil})
+	first.Born, second.Born = 1000, 2000
+	d := directoryOf(first)
+	require.True(t, d.Hear(Notice{Replica: "r1", Leaving: true, Rest: time.Hour}, start))
+	d.Confirm("r1", Confirmation{Born: 1000, Fence: 5, Sequence: 9, Holdings: Holdings{"m1": nil, "m2": nil}}, start)
+	d.Put(first, start)
+	_, miss := chosen(d, "m1", start)
+	require.Equal(t, NoReplica, miss)
+	d.Put(second, start)
+	id, _ := chosen(d, "m1", start)
+	require.Equal(t, "r1", id)
+	_, miss = chosen(d, "m2", start)
+	require.Equal(t, NotLoaded, miss, "it is empty, but for what it says it holds")
+	require.False(t, d.TellLeaving(first.Incarnation(), start), "another daemon's word of the process before comes late")
+	id, _ = chosen(d, "m1", start)
+	require.Equal(t, "r1", id)
+	require.True(t, d.TellLeaving(second.Incarnation(), start))
+	_, miss = chosen(d, "m1", start)
+	require.Equal(t, NoReplica, miss)
+}
+
+// Orders are counted anew: what the holder says of the next incarnation is newer by its start alone.
+func TestTheHoldersWordOnTheNextIncarnationCountsThoughItTookFewerOrders(t *testing.T) {
+	first := press("r1", "a", nil)
+	first.Born = 1000
+	d := directoryOf(first)
+	d.Confirm("r1", Confirmation{Born: 1000, Fence: 5, Sequence: 9, Holdings: Holdings{"m1": nil}}, start)
+	d.Confirm("r1", Confirmation{Born: 2000, Fence: 5, Sequence: 1, Holdings: Holdings{"m2": nil}}, start)
+	id, _ := chosen(d, "m2", start)
+	require.Equal(t, "r1", id)
+	d.Confirm("r1", Confirmation{Born: 1000, Fence: 5, Sequence: 10, Holdings: Holdings{"m1": nil}}, start)
+	_, miss := chosen(d, "m1", start)
+	require.Equal(t, NotLoaded, miss)
+	d.Confirm("r1", Confirmation{Fence: 5, Sequence: 2, Holdings: Holdings{"m1": nil}}, start)
+	id, _ = chosen(d, "m1", start)
+	require.Equal(t, "r1", id, "a holder of an earlier version doesn't tell the start")
+}
--- a/lab/scale/adapters.go
+++ b/lab/scale/adapters.go
@@ -119,7 +119,9 @@
 }
 
 // Probe implements quarantine.Prober.
-func (hollow) Probe(context.Context, string, string) quarantine.Liveness { return quarantine.Running }
+func (hollow) Probe(context.Context, fleet.Incarnation, string) quarantine.Liveness {
+	return quarantine.Running
+}
 
 func adaptersFor(shared kv.ChangeStore) node.Adapters {
 	return node.Adapters{
--- a/loader/attach.go
+++ b/loader/attach.go
@@ -245,7 +245,7 @@
 	if known := h.views[after]; known != nil {
 		return known
 	}
-	view := &rpc.LoadsView{Fence: h.fence, Daemons: uint32(h.attached), Running: h.runningView(after), Leaving: h.leaving.after(after)}
+	view := &rpc.LoadsView{Fence: h.fence, Daemons: uint32(h.attached), Running: h.runningView(after), Leaving: h.leavingView(after)}
 	for _, id := range h.loads.after(after) {
 		if state := h.states[id]; state != nil && state.Known {
 			view.Replicas = append(view.Replicas, replicaView(state, now))
@@ -256,7 +256,7 @@
 }
 
 func replicaView(state *loading.Replica, now time.Time) *rpc.ReplicaLoads {
-	told := &rpc.ReplicaLoads{ReplicaId: state.ID, Sequence: state.Sequence, InMemory: state.InMemory, OnDisk: state.OnDisk}
+	told := &rpc.ReplicaLoads{ReplicaId: state.ID, BornUnixMs: state.Born, Sequence: state.Sequence, InMemory: state.InMemory, OnDisk: state.OnDisk}
 	leaving := map[fleet.Target]bool{}
 	for _, order := range state.UnderWay {
 		if order.Verb == loading.Unload {
--- a/loader/follower.go
+++ b/loader/follower.go
@@ -116,7 +116,7 @@
 	if err != nil {
 		return errors.Wrap(err, "attach to the holder of load orders")
 	}
-	sent := &reported{counts: map[demand.Key]demand.Count{}, running: map[string]uint32{}, leaving: map[string]bool{}}
+	sent := &reported{counts: map[demand.Key]demand.Count{}, running: map[string]uint32{}, leaving: map[fleet.Incarnation]bool{}}
 	first := f.message(sent, time.Now())
 	first.TermDelayMs, first.Address, first.Zone = f.TermDelay.Milliseconds(), f.Address, f.Zone
 	if err := stream.Send(first); err != nil {
@@ -160,10 +160,10 @@
 // reported is what a holder was told on one stream.
 type reported struct {
 	counts  map[demand.Key]demand.Count
-	mutex   sync.Mutex        // guards running, which the listener reads
-	running map[string]uint32 // requests of this daemon by replica
-	knows   bool              // all replicas; used by the sender only
-	leaving map[string]bool   // replicas; used by the sender only
+	mutex   sync.Mutex                 // guards running, which the listener reads
+	running map[string]uint32          // requests of this daemon by replica
+	knows   bool                       // all replicas; used by the sender only
+	leaving map[fleet.Incarnation]bool // used by the sender only
 }
 
 // learns notes whether this daemon knows all replicas, and tells whether that is news.
@@ -227,7 +227,9 @@
 		if directories := view.GetDirectories(); directories != nil && f.Directories != nil {
 			f.Directories(directories.GetServe(), directories.GetAddresses())
 		}
-		f.Fleet.TellLeaving(view.GetLeaving(), now)
+		for _, leaving := range incarnationsOf(view.GetLeaving()) {
+			f.Fleet.TellLeaving(leaving, now)
+		}
 		for _, told := range view.GetReplicas() {
 			f.confirm(view.GetFence(), told, now)
 		}
@@ -250,7 +252,7 @@
 		loads[fleet.Target{Model: load.GetModel(), Adapter: load.GetAdapter()}] = now.Add(time.Duration(load.GetReadyInMs()) * time.Millisecond)
 	}
 	f.Fleet.Confirm(told.GetReplicaId(), fleet.Confirmation{
-		Fence: fence, Sequence: told.GetSequence(), Holdings: holdings, Loading: loads,
+		Born: told.GetBornUnixMs(), Fence: fence, Sequence: told.GetSequence(), Holdings: holdings, Loading: loads,
 		InMemory: told.GetInMemory(), OnDisk: told.GetOnDisk(),
 	}, now)
 }
--- a/loader/holder.go
+++ b/loader/holder.go
@@ -373,7 +373,7 @@
 	state := h.states[id]
 	if state == nil {
 		// From the first report on the replica's own word tells what it holds and keeps.
-		state = &loading.Replica{ID: entry.ID, Service: entry.Service, Zone: entry.Zone, Slots: entry.Slots, Holdings: entry.Holdings, InMemory: entry.InMemory, OnDisk: entry.OnDisk,
+		state = &loading.Replica{ID: entry.ID, Born: entry.Born, Service: entry.Service, Zone: entry.Zone, Slots: entry.Slots, Holdings: entry.Holdings, InMemory: entry.InMemory, OnDisk: entry.OnDisk,
 			HeldUntil: h.ordered.heldUntil(entry.ID, h.Limits.TermGap)}
 		h.states[id] = state
 		h.ids = nil
@@ -383,6 +383,13 @@
 	if state.Assumed {
 		state.Holdings, state.InMemory, state.OnDisk = entry.Holdings, entry.InMemory, entry.OnDisk
 	}
+	if entry.Born > state.Born {
+		if state.Born != 0 {
+			h.fetches.Forget(id)
+			h.touch(id)
+		}
+		state.Restarted(entry.Born)
+	}
 	state.Draining = entry.Draining
 	state.RestsUntil = h.Fleet.RestsUntil(id)
 }
--- a/loader/leaving.go
+++ b/loader/leaving.go
@@ -1,11 +1,11 @@
 package loader
 
 import (
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/finchspoke/finchspoke/fleet"
 	"github.com/finchspoke/finchspoke/logging"
 	"github.com/finchspoke/finchspoke/rpc"
 )
@@ -16,11 +16,16 @@
 // model with one copy was served elsewhere after 2.5 s, and after 0.25 s since it is told. The other
 // daemons have to know, or they go on to send requests there.
 func (h *Holder) takeLeaving(message *rpc.LoadsDemand, now time.Time) {
-	news := slices.DeleteFunc(slices.Clone(message.GetLeaving()), h.leaving.has)
+	var news []string
+	for _, one := range incarnationsOf(message.GetLeaving()) {
+		// This daemon's own requests may have told its directory before.
+		if isNews := h.Fleet.TellLeaving(one, now); isNews || !h.leaving.has(one.ID) {
+			news = append(news, one.ID)
+		}
+	}
 	if len(news) == 0 {
 		return
 	}
-	h.Fleet.TellLeaving(news, now)
 	h.notify()
 	for _, id := range news {
 		h.leaving.mark(id, h.version)
@@ -36,20 +41,41 @@
 	if h.Fleet == nil {
 		return
 	}
-	for _, id := range h.Fleet.LeavingAnywhere() {
-		h.leaving.mark(id, h.version)
+	for _, one := range h.Fleet.Leaving() {
+		h.leaving.mark(one.ID, h.version)
+	}
+}
+
+// leavingView lists the replicas of which it came after a version that they leave; the mutex is held.
+func (h *Holder) leavingView(after uint64) (view []*rpc.ReplicaIncarnation) {
+	for _, id := range h.leaving.after(after) {
+		if one, leaves := h.Fleet.Leaves(id); leaves {
+			view = append(view, incarnationMessage(one))
+		}
 	}
+	return view
 }
 
 // leavingNews returns the replicas that said to this daemon that they leave and of which the holder has
 // not been told on this stream.
-func (f *Follower) leavingNews(sent *reported) []string {
-	var news []string
-	for _, id := range f.Fleet.LeavingHere() {
-		if !sent.leaving[id] {
-			sent.leaving[id] = true
-			news = append(news, id)
+func (f *Follower) leavingNews(sent *reported) (news []*rpc.ReplicaIncarnation) {
+	for _, one := range f.Fleet.LeavingHere() {
+		if !sent.leaving[one] {
+			sent.leaving[one] = true
+			news = append(news, incarnationMessage(one))
 		}
 	}
 	return news
 }
+
+func incarnationMessage(one fleet.Incarnation) *rpc.ReplicaIncarnation {
+	return &rpc.ReplicaIncarnation{ReplicaId: one.ID, BornUnixMs: one.Born}
+}
+
+func incarnationsOf(messages []*rpc.ReplicaIncarnation) []fleet.Incarnation {
+	incarnations := make([]fleet.Incarnation, 0, len(messages))
+	for _, message := range messages {
+		incarnations = append(incarnations, fleet.Incarnation{ID: message.GetReplicaId(), Born: message.GetBornUnixMs()})
+	}
+	return incarnations
+}
--- a/loading/loading.go
+++ b/loading/loading.go
@@ -81,6 +81,7 @@
 // Replica is what is known of a replica that loads models.
 type Replica struct {
 	ID       string
+	Born     int64 // Unix ms of the start of its incarnation; zero if it is not known
 	Service  string
 	Zone     string
 	Draining bool
--- a/loading/loading_test.go
+++ b/loading/loading_test.go
@@ -412,3 +412,24 @@
 	require.Len(t, orders, 1)
 	require.Equal(t, "r2", orders[0].ReplicaID)
 }
+
+// A replica that started again under its id holds nothing and has taken no order, so that its reports
+// look older than those of the process before.
+func TestAReplicaThatStartedAgainIsKnownByItsOwnWordAlone(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	replica := &Replica{ID: "r1", Born: 1000, Known: true, Sequence: 9, Holdings: fleet.Holdings{"m1": nil}, OnDisk: []string{"m1"}, PromisedTo: "m2", PromisedUntil: now.Add(time.Hour)}
+	replica.Took(Order{ReplicaID: "r1", Target: fleet.Target{Model: "m2"}, Sequence: 9, Takes: time.Hour}, now)
+
+	replica.Restarted(2000)
+	require.False(t, replica.open(now), "its own word first")
+	require.False(t, replica.Hear(Report{Born: 1000, Sequence: 10, Holdings: fleet.Holdings{"m1": nil, "m2": nil}}, now), "of the process before")
+	require.True(t, replica.Hear(Report{Born: 2000, OnDisk: []string{"m1"}}, now))
+	require.True(t, replica.open(now))
+	require.Zero(t, replica.Sequence)
+	require.Empty(t, replica.Holdings)
+	require.False(t, replica.busy())
+	require.Empty(t, replica.PromisedTo)
+
+	require.True(t, replica.Hear(Report{Born: 3000, Sequence: 0, Holdings: fleet.Holdings{}}, now), "its report may tell before the registry does")
+	require.EqualValues(t, 3000, replica.Born)
+}
--- a/loading/state.go
+++ b/loading/state.go
@@ -10,6 +10,7 @@
 
 // Report is a replica's own word on itself, as it stood a moment earlier.
 type Report struct {
+	Born     int64 // Unix ms of its start; zero if it does not say
 	Sequence int64
 	Busy     bool // a model is being loaded or unloaded
 	Holdings fleet.Holdings
@@ -89,9 +90,25 @@
 // lostPause keeps orders and questions back from a replica that is not there.
 const lostPause = 1500 * time.Millisecond
 
+// Restarted takes in that the replica has started again under its id, at a moment by its own clock: it is
+// empty, knows no order, and its own word must be heard before the next.
+func (r *Replica) Restarted(born int64) {
+	if r.Born != 0 {
+		r.Known, r.Assumed = false, false
+		r.Sequence, r.Holdings, r.UnderWay, r.InMemory = 0, nil, nil, nil
+		r.PromisedTo, r.LoadedAt, r.ReadAgainAt = "", nil, time.Time{}
+	}
+	r.Born = born
+}
+
 // Hear takes in a replica's report and tells whether it changed what is known.
 func (r *Replica) Hear(report Report, now time.Time) bool {
-	if report.Sequence < r.Sequence && r.Known {
+	switch {
+	case report.Born != 0 && report.Born < r.Born:
+		return false // of an earlier incarnation
+	case report.Born > r.Born:
+		r.Restarted(report.Born)
+	case report.Sequence < r.Sequence && r.Known:
 		return false // from before the last order
 	}
 	if r.olderThanAnswers(report, now) {
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/finchspoke/finchspoke/failure"
+	"github.com/finchspoke/finchspoke/fleet"
 	"github.com/finchspoke/finchspoke/kv"
 	"github.com/finchspoke/finchspoke/logging"
 )
@@ -23,7 +24,7 @@
 	// Unknown: nothing answered in time. A cut link looks like this, so it accuses nobody.
 	Unknown Liveness = iota
 	Running
-	// Ended: nothing listens at the address any more, or another process does.
+	// Ended: nothing listens at the address any more, or another process does, be it of the same replica.
 	Ended
 )
 
@@ -32,7 +33,7 @@
 
 // Prober finds out whether a replica's process still runs.
 type Prober interface {
-	Probe(ctx context.Context, replica, address string) Liveness
+	Probe(ctx context.Context, replica fleet.Incarnation, address string) Liveness
 }
 
 const (
@@ -68,7 +69,7 @@
 	key     string // of the report that is being filled
 	filling Report
 	filled  chan struct{} // holds an element while the report is not empty
-	probes  map[string]*probe
+	probes  map[fleet.Incarnation]*probe
 	left    departures
 }
 
@@ -80,7 +81,7 @@
 
 // Prepare makes the guard ready for use.
 func (g *Guard) Prepare() {
-	g.ledger, g.filled, g.probes = newLedger(), make(chan struct{}, 1), map[string]*probe{}
+	g.ledger, g.filled, g.probes = newLedger(), make(chan struct{}, 1), map[fleet.Incarnation]*probe{}
 	g.left = departures{}
 	g.key = g.newKey()
 }
@@ -105,8 +106,8 @@
 // Broke takes in that the connection to a replica broke while it had a request. It returns
 // once it is known whether the replica has ended, or the time for that is over: the request
 // may be withheld from then on, and must not go to another replica before.
-func (g *Guard) Broke(ctx context.Context, replica, address string, request Fingerprint) {
-	if g.Leaves(replica) {
+func (g *Guard) Broke(ctx context.Context, replica fleet.Incarnation, address string, request Fingerprint) {
+	if g.Leaves(replica.ID) {
 		return
 	}
 	if g.probe(ctx, replica, address) == Ended {
@@ -117,48 +118,48 @@
 // Left takes in that a dispatch was given up while the replica had the request: its caller left,
 // or its time was over. A replica begins to run, or goes on with, some that were given up, and
 // nothing of its end is then heard on their connections.
-func (g *Guard) Left(replica, address string, request Fingerprint) {
-	if g.Leaves(replica) {
+func (g *Guard) Left(replica fleet.Incarnation, address string, request Fingerprint) {
+	if g.Leaves(replica.ID) {
 		return
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if g.left.add(replica, request, g.Now()) {
+	if g.left.add(replica.String(), request, g.Now()) {
 		g.checkLater(replica, address)
 	}
 }
 
-func (g *Guard) checkLater(replica, address string) {
+func (g *Guard) checkLater(replica fleet.Incarnation, address string) {
 	time.AfterFunc(checkAfter, func() { g.checkLeft(replica, address) })
 }
 
 // checkLeft finds out whether a replica has ended since requests there were given up.
-func (g *Guard) checkLeft(replica, address string) {
+func (g *Guard) checkLeft(replica fleet.Incarnation, address string) {
 	began := g.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
 	defer cancel()
-	if !g.Leaves(replica) && g.probe(ctx, replica, address) == Ended {
+	if !g.Leaves(replica.ID) && g.probe(ctx, replica, address) == Ended {
 		g.ended(replica)
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if g.left.keep(replica, began) {
+	if g.left.keep(replica.String(), began) {
 		g.checkLater(replica, address)
 	}
 }
 
 // ended accuses requests that a replica had when it ended, and those that were given up there
 // shortly before.
-func (g *Guard) ended(replica string, requests ...Fingerprint) {
+func (g *Guard) ended(replica fleet.Incarnation, requests ...Fingerprint) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	for _, request := range append(requests, g.left.take(replica, g.Now())...) {
-		g.accuse(replica, request)
+	for _, request := range append(requests, g.left.take(replica.String(), g.Now())...) {
+		g.accuse(replica.String(), request)
 	}
 }
 
 // probe asks whether a replica still runs, once for all that ask at a time.
-func (g *Guard) probe(ctx context.Context, replica, address string) Liveness {
+func (g *Guard) probe(ctx context.Context, replica fleet.Incarnation, address string) Liveness {
 	g.mutex.Lock()
 	known := g.probes[replica]
 	if known == nil {
@@ -175,12 +176,12 @@
 	}
 }
 
-func (g *Guard) ask(asked *probe, replica, address string) {
+func (g *Guard) ask(asked *probe, replica fleet.Incarnation, address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
 	defer cancel()
 	asked.answer = g.Prober.Probe(ctx, replica, address)
 	g.Metrics.probes.WithLabelValues(asked.answer.String()).Inc()
-	g.Log.WithFields(logrus.Fields{logging.Replica: replica, logging.Address: address, logging.Outcome: asked.answer.String()}).
+	g.Log.WithFields(logrus.Fields{logging.Replica: replica.ID, logging.Address: address, logging.Outcome: asked.answer.String()}).
 		Info(logging.MessageReplicaProbed)
 	g.mutex.Lock()
 	delete(g.probes, replica)
@@ -188,7 +189,8 @@
 	close(asked.done)
 }
 
-// accuse notes that a replica ended while it had a request; the mutex is held.
+// accuse notes that a replica ended while it had a request; replica names its incarnation. The mutex is
+// held.
 func (g *Guard) accuse(replica string, request Fingerprint) {
 	if !g.room() {
 		return
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/finchspoke/finchspoke/failure"
+	"github.com/finchspoke/finchspoke/fleet"
 	"github.com/finchspoke/finchspoke/kv"
 )
 
@@ -28,10 +29,10 @@
 	probed int
 }
 
-func (a *answers) Probe(ctx context.Context, replica, _ string) Liveness {
+func (a *answers) Probe(ctx context.Context, replica fleet.Incarnation, _ string) Liveness {
 	a.mutex.Lock()
 	a.probed++
-	answer, takes := a.is[replica], a.takes
+	answer, takes := a.is[replica.ID], a.takes
 	a.mutex.Unlock()
 	select {
 	case <-ctx.Done():
@@ -158,7 +159,7 @@
 		_, guards := fleetOf(t, 3, prober)
 		for number, guard := range guards {
 			require.Nil(t, guard.Withheld(named(1)))
-			guard.Broke(t.Context(), fmt.Sprintf("r%d", number), "address", named(1))
+			guard.Broke(t.Context(), fleet.Incarnation{ID: fmt.Sprintf("r%d", number)}, "address", named(1))
 		}
 		time.Sleep(2 * gatherTime)
 		for _, guard := range guards {
@@ -178,7 +179,7 @@
 		shared, guards := fleetOf(t, 1, &answers{is: map[string]Liveness{"r0": Ended, "r1": Ended, "r2": Ended}})
 		shared.failNext(kv.ErrUnavailable, kv.ErrUnavailable, kv.ErrUncertain, kv.ErrUnavailable)
 		for number := range EndsAllowed {
-			guards[0].Broke(t.Context(), fmt.Sprintf("r%d", number), "address", named(1))
+			guards[0].Broke(t.Context(), fleet.Incarnation{ID: fmt.Sprintf("r%d", number)}, "address", named(1))
 		}
 		require.NotNil(t, guards[0].Withheld(named(1)), "before the service has it")
 		time.Sleep(10 * time.Second)
@@ -194,12 +195,12 @@
 		shared, guards := fleetOf(t, 1, prober)
 		for range 2 * EndsAllowed {
 			for _, replica := range []string{"runs", "cut", "leaving"} {
-				guards[0].Broke(t.Context(), replica, "address", named(1))
+				guards[0].Broke(t.Context(), fleet.Incarnation{ID: replica}, "address", named(1))
 			}
 		}
 		prober.set("silent", Ended, time.Hour)
 		began := time.Now()
-		guards[0].Broke(t.Context(), "silent", "address", named(1))
+		guards[0].Broke(t.Context(), fleet.Incarnation{ID: "silent"}, "address", named(1))
 		require.Equal(t, probeTime, time.Since(began), "who waits for an answer waits no longer")
 		time.Sleep(time.Second)
 		require.Zero(t, shared.recordCount())
@@ -217,7 +218,7 @@
 			broken.Add(1)
 			go func() {
 				defer broken.Done()
-				guards[0].Broke(t.Context(), "r0", "address", named(number))
+				guards[0].Broke(t.Context(), fleet.Incarnation{ID: "r0"}, "address", named(number))
 			}()
 		}
 		broken.Wait()
@@ -239,7 +240,7 @@
 		shared, guards := fleetOf(t, 2, &answers{is: is})
 		guards[1].Served(named(1))
 		for number := range 20 {
-			guards[number%2].Broke(t.Context(), fmt.Sprintf("r%d", number), "address", named(1))
+			guards[number%2].Broke(t.Context(), fleet.Incarnation{ID: fmt.Sprintf("r%d", number)}, "address", named(1))
 			time.Sleep(time.Second)
 			guards[(number+1)%2].Served(named(1))
 			time.Sleep(time.Second)
@@ -259,7 +260,7 @@
 			shared.failNext(kv.ErrUnavailable)
 		}
 		for number := range 3 * mostInReport {
-			guards[0].Broke(t.Context(), "r0", "address", named(number))
+			guards[0].Broke(t.Context(), fleet.Incarnation{ID: "r0"}, "address", named(number))
 			if number == 0 {
 				time.Sleep(2 * gatherTime) // the first report is on its way
 			}
@@ -275,7 +276,7 @@
 func TestOldRecordsAreDeletedByTheLeaderAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		shared, guards := fleetOf(t, 2, &answers{is: map[string]Liveness{"r0": Ended}})
-		guards[1].Broke(t.Context(), "r0", "address", named(1))
+		guards[1].Broke(t.Context(), fleet.Incarnation{ID: "r0"}, "address", named(1))
 		time.Sleep(suspectTime - time.Minute)
 		require.Equal(t, 1, shared.recordCount())
 		time.Sleep(time.Minute + 2*sweepPause)
@@ -293,7 +294,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		shared, guards := fleetOf(t, 1, &answers{is: map[string]Liveness{"r0": Ended}})
 		shared.noLeader.Store(true)
-		guards[0].Broke(t.Context(), "r0", "address", named(1))
+		guards[0].Broke(t.Context(), fleet.Incarnation{ID: "r0"}, "address", named(1))
 		time.Sleep(suspectTime + 2*sweepPause)
 		require.Equal(t, 1, shared.recordCount())
 		total, _, _ := guards[0].Counts()
@@ -318,13 +319,13 @@
 		prober := &answers{is: map[string]Liveness{"r0": Ended, "r1": Ended, "r2": Ended, "runs": Running}, takes: probeTime - time.Millisecond}
 		_, guards := fleetOf(t, 2, prober)
 		for _, replica := range []string{"r0", "r1"} { // nobody else had a request there
-			guards[0].Left(replica, "address", named(1))
+			guards[0].Left(fleet.Incarnation{ID: replica}, "address", named(1))
 		}
-		guards[0].Left("runs", "address", named(1))
+		guards[0].Left(fleet.Incarnation{ID: "runs"}, "address", named(1))
 		time.Sleep(leftTime / 2)
-		guards[0].Left("runs", "address", named(2))
-		guards[0].Left("r2", "address", named(1))
-		guards[1].Broke(t.Context(), "r2", "address", named(3)) // the other daemon saw it end
+		guards[0].Left(fleet.Incarnation{ID: "runs"}, "address", named(2))
+		guards[0].Left(fleet.Incarnation{ID: "r2"}, "address", named(1))
+		guards[1].Broke(t.Context(), fleet.Incarnation{ID: "r2"}, "address", named(3)) // the other daemon saw it end
 		time.Sleep(2 * leftTime)
 		for _, guard := range guards {
 			require.NotNil(t, guard.Withheld(named(1)))
@@ -339,12 +340,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		prober := &answers{is: map[string]Liveness{"r0": Running}}
 		shared, guards := fleetOf(t, 1, prober)
-		guards[0].Left("r0", "address", named(1))
+		guards[0].Left(fleet.Incarnation{ID: "r0"}, "address", named(1))
 		time.Sleep(leftTime - time.Millisecond)
-		guards[0].Left("r0", "address", named(2)) // the first was checked, and is forgotten
+		guards[0].Left(fleet.Incarnation{ID: "r0"}, "address", named(2)) // the first was checked, and is forgotten
 		time.Sleep(2 * time.Millisecond)
 		prober.set("r0", Ended, 0)
-		guards[0].Broke(t.Context(), "r0", "address", named(3))
+		guards[0].Broke(t.Context(), fleet.Incarnation{ID: "r0"}, "address", named(3))
 		time.Sleep(2 * gatherTime)
 		require.Equal(t, 1, shared.recordCount())
 		total, _, _ := guards[0].Counts()
@@ -358,7 +359,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		_, guards := fleetOf(t, 1, &answers{is: map[string]Liveness{"r0": Running}})
 		for number := range 2 * mostLeft {
-			guards[0].Left(fmt.Sprintf("r%d", number%7), "address", named(number))
+			guards[0].Left(fleet.Incarnation{ID: fmt.Sprintf("r%d", number%7)}, "address", named(number))
 		}
 		require.Equal(t, mostLeft, leftCount(guards[0]))
 	})
@@ -369,9 +370,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		_, guards := fleetOf(t, 2, &answers{is: map[string]Liveness{"r0": Ended}})
 		guards[0].Prober = &answers{is: map[string]Liveness{"r0": Unknown}}
-		guards[0].Left("r0", "address", named(1))
+		guards[0].Left(fleet.Incarnation{ID: "r0"}, "address", named(1))
 		time.Sleep(leftTime / 2)
-		guards[1].Broke(t.Context(), "r0", "address", named(2))
+		guards[1].Broke(t.Context(), fleet.Incarnation{ID: "r0"}, "address", named(2))
 		time.Sleep(2 * leftTime)
 		for _, guard := range guards {
 			total, _, _ := guard.Counts()
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -9,7 +9,7 @@
 
 // End is the end of a replica's process with the requests that one daemon had there.
 type End struct {
-	Replica  string   `json:"replica"`
+	Replica  string   `json:"replica"`  // names the incarnation
 	Requests [][]byte `json:"requests"` // fingerprints
 }
 
