Rests and leaving replicas in stories and metrics; a replica at rest is not asked about what was given up

A request that is refused since a replica rests names the replica, so that its story holds the answer that asked for the rest. Two counters: replicas that said that they leave, answers that asked for rest.

The question whether a replica still runs went on during a rest. Where a connection broke it stays: it is one, and without it an end goes unseen.

Tests of the story and of the question.

--- a/core/log.go
+++ b/core/log.go
@@ -17,9 +17,14 @@
 	})
 }
 
-// logWait records that no replica could take a call at once, and what was decided.
-func (c *Core) logWait(running *run, miss fleet.Miss, decision waitDecision) {
-	c.entry(running).WithFields(logrus.Fields{
+// logWait records that no replica could take a call at once, and what was decided; resting is the one
+// that asked for rest, or empty.
+func (c *Core) logWait(running *run, miss fleet.Miss, decision waitDecision, resting string) {
+	entry := c.entry(running)
+	if resting != "" {
+		entry = entry.WithField(logging.Replica, resting)
+	}
+	entry.WithFields(logrus.Fields{
 		logging.Reason: miss.String(), logging.ReadyInMs: decision.readyIn.Milliseconds(), logging.Source: decision.source,
 		logging.Outcome: map[bool]string{true: "waits", false: "refused"}[decision.wait],
 	}).Info("no replica at once")
--- a/core/wait.go
+++ b/core/wait.go
@@ -176,7 +176,11 @@
 			running.waited += now.Sub(began)
 			return pick, nil
 		}
-		expected, known := c.expected(running, miss, now)
+		expected, known := c.Fleet.Expected(running.Service.Name, missing(running.Target, miss), now)
+		var rest fleet.Rest
+		if miss == fleet.AskedRest {
+			rest, expected, known = c.awaitRest(running, expected, known, now)
+		}
 		var guess loadEstimate
 		if !known { // looking at all replicas is not needed where the holder told
 			guess = c.estimateLoad(running.Call, miss, now)
@@ -194,7 +198,7 @@
 			if running.miss == fleet.Found {
 				running.miss = miss
 			}
-			c.logWait(running, miss, decision)
+			c.logWait(running, miss, decision, rest.Replica)
 		}
 		if !decision.wait {
 			running.waited += now.Sub(began)
@@ -211,18 +215,14 @@
 	}
 }
 
-// expected returns when a replica may serve the call, if that is known: a load is under way, or the
-// replica that has the target will have rested.
-func (c *Core) expected(running *run, miss fleet.Miss, now time.Time) (at time.Time, known bool) {
-	at, known = c.Fleet.Expected(running.Service.Name, missing(running.Target, miss), now)
-	if miss != fleet.AskedRest {
-		return at, known
-	}
-	rested, rests := c.Fleet.RestEnds(running.Service.Name, running.Target, now)
-	if rests && (!known || rested.Before(at)) {
-		return rested, true
+// awaitRest returns the rest that a call has to wait for, and when a replica may serve it: once that
+// is over, or a load that is expected has ended.
+func (c *Core) awaitRest(running *run, load time.Time, loads bool, now time.Time) (rest fleet.Rest, at time.Time, known bool) {
+	rest, rests := c.Fleet.FirstRested(running.Service.Name, running.Target, now)
+	if rests && (!loads || rest.Until.Before(load)) {
+		return rest, rest.Until, true
 	}
-	return at, known
+	return rest, load, loads
 }
 
 // missing returns what has to be loaded first for a target.
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -104,9 +104,15 @@
 	return nil
 }
 
-// RestEnds returns when the first of the replicas that serve a target and asked for rest has rested;
+// Rest is the time until which a replica wants nothing of this daemon.
+type Rest struct {
+	Replica string
+	Until   time.Time
+}
+
+// FirstRested returns the rest that ends first of those that replicas which serve a target asked for;
 // known is false if none did.
-func (d *Directory) RestEnds(service string, target Target, now time.Time) (at time.Time, known bool) {
+func (d *Directory) FirstRested(service string, target Target, now time.Time) (first Rest, known bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	for _, member := range d.index(service).holding(target.Model) {
@@ -114,11 +120,11 @@
 		if member.Draining || !until.After(now) || !member.holds(target, now) {
 			continue
 		}
-		if !known || until.Before(at) {
-			at, known = until, true
+		if !known || until.Before(first.Until) {
+			first, known = Rest{member.ID, until}, true
 		}
 	}
-	return at, known
+	return first, known
 }
 
 // wordOf returns what is remembered of an incarnation's notices, to be changed; the mutex is held.
--- a/logstory/logstory.go
+++ b/logstory/logstory.go
@@ -25,7 +25,7 @@
 var beliefMessages = []string{
 	logging.MessageTableRead, logging.MessageHolderChanged, logging.MessageTermBegins, logging.MessageTermLost,
 	logging.MessageReplicaListed, logging.MessageReplicaGone, logging.MessageRegistryFollowed, logging.MessageLoadOrder, logging.MessageReplicaHeard,
-	logging.MessageDependencyLost, logging.MessageDependencyRegained,
+	logging.MessageDependencyLost, logging.MessageDependencyRegained, logging.MessageReplicaLeaves, logging.MessageReplicaRests,
 }
 
 // holderMessages are those that the order holder writes for all daemons.
--- a/logstory/logstory_test.go
+++ b/logstory/logstory_test.go
@@ -44,3 +44,16 @@
 	require.NoError(t, err)
 	require.Equal(t, Coverage{Ended: 3, Failed: 2, WithCause: 1, ByOutcome: map[string]int{"no_capacity": 1, "caller_left": 1}, Without: []string{"def3"}}, Count(lines))
 }
+
+// A request that never went to a replica at rest names it: the story then tells which answer asked for it.
+func TestAStoryTellsWhichAnswerAskedForRest(t *testing.T) {
+	lines, err := Read(strings.NewReader(`{"daemon":"node-1","message":"replica asks for rest","replica":"r7","request_id":"one","rest_ms":3000,"time":"2026-01-01T00:00:01Z"}
+{"daemon":"node-2","message":"replica asks for rest","replica":"r7","request_id":"two","rest_ms":3000,"time":"2026-01-01T00:00:01.5Z"}
+{"daemon":"node-1","message":"no replica at once","model":"m1","outcome":"refused","reason":"asked_for_rest","replica":"r7","request_id":"abc1","time":"2026-01-01T00:00:02Z"}
+{"daemon":"node-1","message":"request ended","model":"m1","outcome":"no_capacity","request_id":"abc1","time":"2026-01-01T00:00:02.1Z"}
+`))
+	require.NoError(t, err)
+	story := Story(lines, "abc1")
+	require.Len(t, story, 3, "the rest is this daemon's alone")
+	require.Equal(t, "one", story[0].text("request_id"))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -134,6 +134,7 @@
 	frontend    *frontend.Server
 	pool        *upstream.Pool
 	listeners   listeners
+	notices     *noticeCounts
 	supervisor  *suture.Supervisor
 	seeds       atomic.Pointer[[]string]
 	tableAt     atomic.Pointer[time.Time] // when the table in force was taken; nil: none
@@ -199,6 +200,7 @@
 	n.metrics.MustRegister(opened)
 	n.pool = upstream.NewPool(opened.Inc)
 	n.fleet.Connected(n.pool.Rests)
+	n.notices = newNoticeCounts(n.metrics)
 	replicas := adapters.Replicas(n.pool, Notices{Hear: n.hear, Admit: func(replica string) error { return n.fleet.Admit(replica, time.Now()) }})
 	tracker := demand.NewTracker()
 	requests := &core.Core{
@@ -241,7 +243,7 @@
 		n.holder.Wake()
 	})
 	n.quarantine = &quarantine.Guard{
-		Prefix: n.config.EndsPrefix, Store: adapters.Store, Prober: replicas.Prober, Leaves: n.leaves, Leading: n.mirror.Leading,
+		Prefix: n.config.EndsPrefix, Store: adapters.Store, Prober: replicas.Prober, Leaves: n.leaves, Rests: n.rests, Leading: n.mirror.Leading,
 		Now: time.Now, Metrics: quarantine.NewMetrics(n.metrics), Log: n.log,
 	}
 	n.quarantine.Prepare()
@@ -303,6 +305,9 @@
 	return !listed || entry.Draining
 }
 
+// rests tells whether a replica wants nothing of this daemon now.
+func (n *Node) rests(replica string) bool { return time.Now().Before(n.fleet.RestsUntil(replica)) }
+
 // idleTime returns how long callers' connections may rest by the table; zero without one.
 func (n *Node) idleTime() time.Duration {
 	if table := n.routes.Current(); table != nil {
--- a/node/notices.go
+++ b/node/notices.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"github.com/finchspoke/finchspoke/fleet"
@@ -23,9 +24,30 @@
 	leaves := n.fleet.Hear(notice, time.Now())
 	n.holder.RegistryChanged(notice.Replica)
 	if leaves {
+		n.notices.leaving.Inc()
 		entry.Info(logging.MessageReplicaLeaves)
 	}
 	if notice.Rest > 0 {
+		n.notices.rests.Inc()
 		entry.WithField(logging.RestMs, notice.Rest.Milliseconds()).Info(logging.MessageReplicaRests)
 	}
 }
+
+// noticeCounts count what replicas said of themselves.
+type noticeCounts struct {
+	leaving prometheus.Counter // replicas that say that they leave, each once
+	rests   prometheus.Counter // answers that asked for rest
+}
+
+func newNoticeCounts(registry *prometheus.Registry) *noticeCounts {
+	made := &noticeCounts{
+		leaving: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "finchspoke_replicas_leaving_total", Help: "Replicas whose answers to this daemon said that they leave.",
+		}),
+		rests: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "finchspoke_replica_rests_total", Help: "Answers of replicas that asked this daemon for rest.",
+		}),
+	}
+	registry.MustRegister(made.leaving, made.rests)
+	return made
+}
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -58,6 +58,8 @@
 	Prober Prober
 	// Leaves tells whether a replica was going to end anyway.
 	Leaves func(replica string) bool
+	// Rests tells whether a replica asked this daemon for rest, which is not over.
+	Rests func(replica string) bool
 	// Leading tells whether this daemon forgets old records for all.
 	Leading func() bool
 	Now     func() time.Time
@@ -138,7 +140,9 @@
 	began := g.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
 	defer cancel()
-	if !g.Leaves(replica.ID) && g.probe(ctx, replica, address) == Ended {
+	// A replica at rest is asked only where a connection to it broke: of what was merely given up there
+	// nothing shows that it ended, and the question would reach it again and again.
+	if !g.Leaves(replica.ID) && !g.Rests(replica.ID) && g.probe(ctx, replica, address) == Ended {
 		g.ended(replica)
 	}
 	g.mutex.Lock()
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -144,6 +144,7 @@
 	for number := range daemons {
 		guard := &Guard{
 			Prefix: "ends/", Store: shared, Prober: prober, Leaves: func(replica string) bool { return strings.HasPrefix(replica, "leaving") },
+			Rests:   func(replica string) bool { return strings.HasPrefix(replica, "resting") },
 			Leading: func() bool { return number == 0 && !shared.noLeader.Load() }, Now: time.Now, Metrics: NewMetrics(prometheus.NewRegistry()), Log: log,
 		}
 		guard.Prepare()
@@ -388,3 +389,17 @@
 	require.Equal(t, []Fingerprint{named(2)}, left.take("r0", start.Add(leftTime+time.Millisecond)))
 	require.Empty(t, left)
 }
+
+// A replica that asked for rest is asked whether it runs only where a connection to it broke.
+func TestAReplicaAtRestIsNotAskedAboutWhatWasGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prober := &answers{is: map[string]Liveness{"resting": Running}}
+		_, guards := fleetOf(t, 1, prober)
+		resting := fleet.Incarnation{ID: "resting"}
+		guards[0].Left(resting, "address", named(1))
+		time.Sleep(2 * leftTime)
+		require.Zero(t, prober.asked())
+		guards[0].Broke(t.Context(), resting, "address", named(1))
+		require.Equal(t, 1, prober.asked())
+	})
+}
