--- a/fleet/notice_test.go
+++ b/fleet/notice_test.go
@@ -137,3 +137,14 @@
 	id, _ = chosen(d, "m1", start)
 	require.Equal(t, "r1", id, "a holder of an earlier version doesn't tell the start")
 }
+
+func TestARequestThatWasChosenForAReplicaIsNotAdmittedOnceItSaidOtherwise(t *testing.T) {
+	d := noticeDirectory()
+	require.NoError(t, d.Admit("r1", start))
+	d.Hear(Notice{Replica: "r1", Rest: time.Second}, start)
+	require.ErrorIs(t, d.Admit("r1", start), ErrRests)
+	require.NoError(t, d.Admit("r1", start.Add(time.Second)))
+	d.Hear(Notice{Replica: "r1", Leaving: true}, start)
+	require.ErrorIs(t, d.Admit("r1", start.Add(time.Second)), ErrLeaves)
+	require.NoError(t, d.Admit("r2", start))
+}
