Twenty-five planted faults of notices, incarnations and entries; tests for four that were missed

On a scratch copy, one at a time. Missed at first: the word that a replica leaves kept to the daemon (the test now asks all daemons), a question to a replica at rest (the test looked before it went out), holdings and health of the process before (a look before the report; a test of its own).

--- a/fleet/notice_test.go
+++ b/fleet/notice_test.go
@@ -121,6 +121,22 @@
 	require.Equal(t, NoReplica, miss)
 }
 
+// Failures of the process before say nothing of the next, which serves at once.
+func TestTheNextIncarnationIsNotJudgedByTheFailuresOfTheLast(t *testing.T) {
+	first, other := press("r1", "a", nil), press("r2", "b", nil)
+	first.Born = 1000
+	d := directoryOf(first, other)
+	pick, _ := d.Choose(Ask{Service: "press"}, start)
+	require.Equal(t, "r1", pick.ID)
+	pick.Release(Unreachable, Target{}, start)
+	id, _ := chosen(d, "", start)
+	require.Equal(t, "r2", id)
+	first.Born = 2000
+	d.Put(first, start)
+	id, _ = chosen(d, "", start)
+	require.Equal(t, "r1", id)
+}
+
 // Orders are counted anew: what the holder says of the next incarnation is newer by its start alone.
 func TestTheHoldersWordOnTheNextIncarnationCountsThoughItTookFewerOrders(t *testing.T) {
 	first := press("r1", "a", nil)
--- a/loader/holder_test.go
+++ b/loader/holder_test.go
@@ -151,7 +151,7 @@
 
 	holder.Fleet.Hear(fleet.Notice{Replica: "r1", Rest: rest}, now)
 	holder.turn(t.Context(), now)
-	require.Empty(t, replicas.reports, "not asked for its state")
+	require.Empty(t, holder.calling, "not asked for its state")
 	holder.turn(t.Context(), now.Add(rest))
 	require.Equal(t, "r1", received(t, replicas.reports))
 	require.Eventually(t, func() bool {
@@ -163,7 +163,7 @@
 	holder.Fleet.Hear(fleet.Notice{Replica: "r1", Rest: rest}, now.Add(rest))
 	holder.RegistryChanged("r1")
 	holder.turn(t.Context(), now.Add(rest))
-	require.Empty(t, replicas.orders)
+	require.Empty(t, holder.calling, "no order")
 	holder.turn(t.Context(), now.Add(2*rest))
 	require.Equal(t, "m1", received(t, replicas.orders).Target.Model)
 }
--- a/loading/loading_test.go
+++ b/loading/loading_test.go
@@ -422,6 +422,8 @@
 
 	replica.Restarted(2000)
 	require.False(t, replica.open(now), "its own word first")
+	require.Empty(t, replica.Holdings, "no copy of it counts")
+	require.False(t, replica.busy())
 	require.False(t, replica.Hear(Report{Born: 1000, Sequence: 10, Holdings: fleet.Holdings{"m1": nil, "m2": nil}}, now), "of the process before")
 	require.True(t, replica.Hear(Report{Born: 2000, OnDisk: []string{"m1"}}, now))
 	require.True(t, replica.open(now))
