--- a/election/election.go
+++ b/election/election.go
@@ -310,13 +310,7 @@
 		return
 	}
 	term := Holder{Daemon: e.Daemon, Address: e.Address, Nonce: uuid.NewString()}
-	value, err := json.Marshal(term)
-	if err != nil {
-		return
-	}
-	result, err := kv.CommitResolved(ctx, store, kv.Txn{
-		Conditions: []kv.Condition{{Key: e.Key, ModRevision: opening.base}}, Puts: []kv.Put{{Key: e.Key, Value: value, Lease: lease}},
-	})
+	result, err := kv.CommitResolved(ctx, store, e.replacing(opening.base, term, lease))
 	if err == nil && !result.Succeeded {
 		e.mutex.Lock()
 		e.vacant, e.orphan, e.offer = false, Holder{}, Holder{} // until the mirror says otherwise
@@ -335,6 +329,15 @@
 }
 
 // campaignFailed notes that the service did not answer a campaign.
+// replacing is the transaction that replaces the term's record of a revision (zero: none) by another.
+func (e *Election) replacing(revision int64, record Holder, lease kv.LeaseID) kv.Txn {
+	value, err := json.Marshal(record)
+	if err != nil {
+		panic(err) // plain values
+	}
+	return kv.Txn{Conditions: []kv.Condition{{Key: e.Key, ModRevision: revision}}, Puts: []kv.Put{{Key: e.Key, Value: value, Lease: lease}}}
+}
+
 func (e *Election) campaignFailed(cause error) {
 	e.failures++
 	e.log.WithField(logging.Cause, cause.Error()).Info("a campaign for the term got no answer")
--- a/election/handover.go
+++ b/election/handover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/pkg/errors"
@@ -107,13 +106,7 @@
 // handOver replaces the term's record by one that offers the term, under the same lease.
 func (e *Election) handOver(ctx context.Context, term Holder, lease kv.LeaseID, handover Handover) error {
 	term.Handover = &handover
-	value, err := json.Marshal(term)
-	if err != nil {
-		return errors.Wrap(err, "write the record of a handover")
-	}
-	result, err := e.store.Commit(ctx, kv.Txn{
-		Conditions: []kv.Condition{{Key: e.Key, ModRevision: term.Fence}}, Puts: []kv.Put{{Key: e.Key, Value: value, Lease: lease}},
-	})
+	result, err := e.store.Commit(ctx, e.replacing(term.Fence, term, lease))
 	if err == nil && !result.Succeeded {
 		err = errors.New("another record stands")
 	}
--- a/records/records.go
+++ b/records/records.go
@@ -254,16 +254,6 @@
 	m.replace(pairs, revision, !m.WithoutBulk() || lacks)
 }
 
-// answered notes that the service answered here, and tells the peers. The records are
-// proven from when the call was sent: its answer may have waited.
-func (m *Mirror) answered(at, sent time.Time) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	m.contact, m.provenHere = at, sent
-	m.regain()
-	m.notify(true)
-}
-
 // notify wakes the streams to peers; where only the bulk changed, not those to peers that do
 // without it. The mutex is held.
 func (m *Mirror) notify(others bool) {
@@ -275,26 +265,6 @@
 	}
 }
 
-// regain notes that the service is heard again; the mutex is held.
-func (m *Mirror) regain() {
-	if !m.reached {
-		m.reached = true
-		m.log.WithFields(logrus.Fields{logging.Dependency: dependencyService, logging.Revision: m.revision}).Info(logging.MessageDependencyRegained)
-	}
-}
-
-// lose notes that the service does not answer here.
-func (m *Mirror) lose(cause error) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	if !m.reached || !m.vouched.IsZero() {
-		return
-	}
-	m.reached = false
-	m.log.WithFields(logrus.Fields{logging.Dependency: dependencyService, logging.Revision: m.revision, logging.Cause: cause.Error()}).
-		Warn(logging.MessageDependencyLost)
-}
-
 // replace takes in a whole list: records that are not in it are gone. withBulk tells whether the
 // bulk is in it. The turn is held.
 func (m *Mirror) replace(pairs []kv.Pair, revision int64, withBulk bool) {
@@ -381,72 +351,6 @@
 	}
 }
 
-// Update is what a peer passes on.
-type Update struct {
-	Revision int64 // of the service, up to which the peer knows the changes
-	// Whole tells that the events are all records there are, but for the bulk where it is left
-	// out.
-	Whole bool
-	// WithoutBulk tells that the bulk is left out.
-	WithoutBulk bool
-	Events      []kv.Event
-	// Contact is when the service last answered the peer itself; zero: never.
-	Contact time.Time
-	// Proven is a moment at which the peer's records were surely the newest; zero: none is
-	// known.
-	Proven time.Time
-	// SecondHand tells that contact and proof are what the peer heard of, and not its own.
-	SecondHand bool
-}
-
-// Take takes in what a peer passes on. What is older than what is known here is
-// left out. It returns false for an update that does not suit this daemon: the peer must not go on
-// as if its records were known here.
-func (m *Mirror) Take(update Update) (taken bool) {
-	if !m.takeRecords(update) {
-		return false
-	}
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	if m.revision > 0 && update.Contact.After(m.vouched) {
-		m.vouched = update.Contact
-		m.regain()
-	}
-	isProof := m.revision >= update.Revision && update.Proven.After(m.provenByPeer)
-	if isProof {
-		m.provenByPeer = update.Proven
-	}
-	if !update.SecondHand {
-		m.hear(update, isProof)
-	}
-	return true
-}
-
-// takeRecords takes in a peer's records; it returns false where they do not suit this daemon.
-func (m *Mirror) takeRecords(update Update) bool {
-	m.turn.Lock()
-	defer m.turn.Unlock()
-	if !m.suits(update) {
-		return false
-	}
-	known := m.Revision()
-	newer := update.Revision > known
-	if m.WithoutBulk() && !update.WithoutBulk {
-		newer = update.Revision >= known // the bulk is news
-	}
-	switch {
-	case newer && update.Whole:
-		pairs := make([]kv.Pair, 0, len(update.Events))
-		for _, event := range update.Events {
-			pairs = append(pairs, event.Pair)
-		}
-		m.replace(pairs, update.Revision, !update.WithoutBulk)
-	case !update.Whole:
-		m.apply(update.Events, update.Revision)
-	}
-	return true
-}
-
 // Revision returns the service's revision up to which records are known.
 func (m *Mirror) Revision() int64 {
 	m.mutex.Lock()
@@ -454,38 +358,6 @@
 	return m.revision
 }
 
-// view is what a peer is told of.
-type view struct {
-	revision int64 // up to which the peer knows the changes
-	// without tells that the peer does without the bulk, or that it is to do so.
-	without bool
-}
-
-// since returns what a peer lacks, and a channel that is closed when there is more. A peer that
-// knows more than this daemon lacks nothing.
-func (m *Mirror) since(peer view) (Update, <-chan struct{}) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	update := Update{Revision: m.revision, Contact: m.contact, Proven: m.provenHere, WithoutBulk: peer.without || m.without}
-	m.passOn(&update)
-	recent, changed := &m.recent, m.changed
-	if update.WithoutBulk {
-		recent, changed = &m.recentOthers, m.changedOthers
-	}
-	events, known := recent.since(peer.revision)
-	if known {
-		update.Events = events
-		return update, changed
-	}
-	update.Whole = true
-	for key, pair := range m.pairs {
-		if !update.WithoutBulk || !m.inBulk(key) {
-			update.Events = append(update.Events, kv.Event{Pair: pair})
-		}
-	}
-	return update, changed
-}
-
 // Get returns one record.
 func (m *Mirror) Get(key string) (kv.Pair, bool) {
 	m.mutex.Lock()
@@ -493,41 +365,3 @@
 	pair, found := m.pairs[key]
 	return pair, found
 }
-
-// Reached tells whether the service answered last, here or to a peer that vouches.
-func (m *Mirror) Reached() bool {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	return m.reached
-}
-
-// ContactAge returns how long ago the service surely answered this daemon, or the peer that vouches
-// for the records.
-func (m *Mirror) ContactAge() (age time.Duration, known bool) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	latest := m.contact
-	for _, word := range []time.Time{m.vouched, m.heard.contact} {
-		if word.After(latest) {
-			latest = word
-		}
-	}
-	return m.now().Sub(latest), !latest.IsZero()
-}
-
-// answeredLately tells whether the service itself answered here lately.
-func (m *Mirror) answeredLately() bool {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	return m.lately(m.contact)
-}
-
-// lately tells whether an answer of the service still counts.
-func (m *Mirror) lately(at time.Time) bool { return m.now().Sub(at) < vouchTime }
-
-// InContact tells whether the service answered lately, here or to the peer that vouches.
-func (m *Mirror) InContact() bool {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	return m.lately(m.contact) || m.lately(m.vouched)
-}
