A replica at rest is asked once whether it runs

A connection that breaks under a request has the replica asked whether it still runs. Where connections break again and again during a rest, as with replicas that spoil answers, each had its own question. One in a rest is enough to see an end, and what else would come the replica does not want. Test of the guard.

--- a/node/node.go
+++ b/node/node.go
@@ -243,7 +243,7 @@
 		n.holder.Wake()
 	})
 	n.quarantine = &quarantine.Guard{
-		Prefix: n.config.EndsPrefix, Store: adapters.Store, Prober: replicas.Prober, Leaves: n.leaves, Rests: n.rests, Leading: n.mirror.Leading,
+		Prefix: n.config.EndsPrefix, Store: adapters.Store, Prober: replicas.Prober, Leaves: n.leaves, RestsUntil: n.fleet.RestsUntil, Leading: n.mirror.Leading,
 		Now: time.Now, Metrics: quarantine.NewMetrics(n.metrics), Log: n.log,
 	}
 	n.quarantine.Prepare()
@@ -305,9 +305,6 @@
 	return !listed || entry.Draining
 }
 
-// rests tells whether a replica wants nothing of this daemon now.
-func (n *Node) rests(replica string) bool { return time.Now().Before(n.fleet.RestsUntil(replica)) }
-
 // idleTime returns how long callers' connections may rest by the table; zero without one.
 func (n *Node) idleTime() time.Duration {
 	if table := n.routes.Current(); table != nil {
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -58,8 +59,9 @@
 	Prober Prober
 	// Leaves tells whether a replica was going to end anyway.
 	Leaves func(replica string) bool
-	// Rests tells whether a replica asked this daemon for rest, which is not over.
-	Rests func(replica string) bool
+	// RestsUntil returns until when a replica wants nothing of this daemon; a moment that has passed,
+	// or zero, if it wants requests.
+	RestsUntil func(replica string) time.Time
 	// Leading tells whether this daemon forgets old records for all.
 	Leading func() bool
 	Now     func() time.Time
@@ -72,7 +74,9 @@
 	filling Report
 	filled  chan struct{} // holds an element while the report is not empty
 	probes  map[fleet.Incarnation]*probe
-	left    departures
+	// askedAtRest holds the end of the last rest in which each replica was asked.
+	askedAtRest map[string]time.Time
+	left        departures
 }
 
 // probe is one question about a replica, shared by all that wait for its answer.
@@ -84,6 +88,7 @@
 // Prepare makes the guard ready for use.
 func (g *Guard) Prepare() {
 	g.ledger, g.filled, g.probes = newLedger(), make(chan struct{}, 1), map[fleet.Incarnation]*probe{}
+	g.askedAtRest = map[string]time.Time{}
 	g.left = departures{}
 	g.key = g.newKey()
 }
@@ -117,6 +122,9 @@
 	}
 }
 
+// rests tells whether a replica wants nothing of this daemon now.
+func (g *Guard) rests(replica string) bool { return g.Now().Before(g.RestsUntil(replica)) }
+
 // Left takes in that a dispatch was given up while the replica had the request: its caller left,
 // or its time was over. A replica begins to run, or goes on with, some that were given up, and
 // nothing of its end is then heard on their connections.
@@ -140,9 +148,8 @@
 	began := g.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
 	defer cancel()
-	// A replica at rest is asked only where a connection to it broke: of what was merely given up there
-	// nothing shows that it ended, and the question would reach it again and again.
-	if !g.Leaves(replica.ID) && !g.Rests(replica.ID) && g.probe(ctx, replica, address) == Ended {
+	// Of what was merely given up nothing shows that a replica at rest ended.
+	if !g.Leaves(replica.ID) && !g.rests(replica.ID) && g.probe(ctx, replica, address) == Ended {
 		g.ended(replica)
 	}
 	g.mutex.Lock()
@@ -164,8 +171,13 @@
 
 // probe asks whether a replica still runs, once for all that ask at a time.
 func (g *Guard) probe(ctx context.Context, replica fleet.Incarnation, address string) Liveness {
+	rest := g.RestsUntil(replica.ID)
 	g.mutex.Lock()
 	known := g.probes[replica]
+	if known == nil && !g.mayAsk(replica.ID, rest) {
+		g.mutex.Unlock()
+		return Unknown
+	}
 	if known == nil {
 		known = &probe{done: make(chan struct{})}
 		g.probes[replica] = known
@@ -180,6 +192,21 @@
 	}
 }
 
+// mayAsk tells whether a replica that wants nothing of this daemon until a moment may be asked whether
+// it runs; the mutex is held. It is asked once in a rest: without that its end would go unseen.
+func (g *Guard) mayAsk(replica string, rest time.Time) bool {
+	now := g.Now()
+	if !now.Before(rest) {
+		return true
+	}
+	if g.askedAtRest[replica].Equal(rest) {
+		return false
+	}
+	maps.DeleteFunc(g.askedAtRest, func(_ string, over time.Time) bool { return !now.Before(over) })
+	g.askedAtRest[replica] = rest
+	return true
+}
+
 func (g *Guard) ask(asked *probe, replica fleet.Incarnation, address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
 	defer cancel()
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -144,8 +144,8 @@
 	for number := range daemons {
 		guard := &Guard{
 			Prefix: "ends/", Store: shared, Prober: prober, Leaves: func(replica string) bool { return strings.HasPrefix(replica, "leaving") },
-			Rests:   func(replica string) bool { return strings.HasPrefix(replica, "resting") },
-			Leading: func() bool { return number == 0 && !shared.noLeader.Load() }, Now: time.Now, Metrics: NewMetrics(prometheus.NewRegistry()), Log: log,
+			RestsUntil: func(string) time.Time { return time.Time{} },
+			Leading:    func() bool { return number == 0 && !shared.noLeader.Load() }, Now: time.Now, Metrics: NewMetrics(prometheus.NewRegistry()), Log: log,
 		}
 		guard.Prepare()
 		shared.guards = append(shared.guards, guard)
@@ -390,16 +390,24 @@
 	require.Empty(t, left)
 }
 
-// A replica that asked for rest is asked whether it runs only where a connection to it broke.
-func TestAReplicaAtRestIsNotAskedAboutWhatWasGivenUp(t *testing.T) {
+// A replica that asked for rest is asked whether it runs only where a connection to it broke, and once.
+func TestAReplicaAtRestIsAskedOnceAndNotAboutWhatWasGivenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		prober := &answers{is: map[string]Liveness{"resting": Running}}
+		const rest = 10 * time.Second
+		prober := &answers{is: map[string]Liveness{"r0": Running}}
 		_, guards := fleetOf(t, 1, prober)
-		resting := fleet.Incarnation{ID: "resting"}
+		end := time.Now().Add(rest)
+		guards[0].RestsUntil = func(string) time.Time { return end }
+		resting := fleet.Incarnation{ID: "r0"}
 		guards[0].Left(resting, "address", named(1))
 		time.Sleep(2 * leftTime)
 		require.Zero(t, prober.asked())
-		guards[0].Broke(t.Context(), resting, "address", named(1))
+		for range 3 {
+			guards[0].Broke(t.Context(), resting, "address", named(1))
+		}
 		require.Equal(t, 1, prober.asked())
+		time.Sleep(time.Until(end))
+		guards[0].Broke(t.Context(), resting, "address", named(1))
+		require.Equal(t, 2, prober.asked())
 	})
 }
