--- a/loader/handover_test.go
+++ b/loader/handover_test.go
@@ -29,7 +29,7 @@
 
 // A holder that was itself waiting for its distance hands over what is left of the wait.
 func TestAHolderThatMayNotOrderYetHandsItsWaitOver(t *testing.T) {
-	holder := &Holder{Limits: Limits{TermGap: 3 * time.Second}}
+	holder := &Holder{Fleet: emptyFleet(), Limits: Limits{TermGap: 3 * time.Second}}
 	holder.Prepare()
 	holder.reset(5, time.Now().Add(2*time.Second))
 	holder.beginTerm(0, time.Now()) // its term is given up
@@ -52,7 +52,7 @@
 		"at the allowed age":    {true, gap / 2, true},
 		"before the age passes": {true, gap/2 - time.Millisecond, false},
 	} {
-		holder := &Holder{Limits: Limits{TermGap: gap, FencesChecked: example.checked}, Election: election.New(election.Config{}, nil, nil)}
+		holder := &Holder{Fleet: emptyFleet(), Limits: Limits{TermGap: gap, FencesChecked: example.checked}, Election: election.New(election.Config{}, nil, nil)}
 		holder.Prepare()
 		now := holder.started.Add(example.age)
 		holder.beginTerm(7, now)
--- a/loader/holder_test.go
+++ b/loader/holder_test.go
@@ -48,6 +48,9 @@
 	return log
 }
 
+// emptyFleet returns a directory without replicas that breaks ties in the same way each time.
+func emptyFleet() *fleet.Directory { return fleet.NewDirectory("a", func() float64 { return 0 }) }
+
 // elected returns an election in which this daemon has just taken the term.
 func elected(t *testing.T, log logrus.FieldLogger) *election.Election {
 	t.Helper()
@@ -70,7 +73,7 @@
 	log := discarding()
 	made := elected(t, log)
 	holder := &Holder{
-		Daemon: "d1", Fleet: fleet.NewDirectory("a", func() float64 { return 0 }), Table: &routing.Store{}, Replicas: silentReplicas{},
+		Daemon: "d1", Fleet: emptyFleet(), Table: &routing.Store{}, Replicas: silentReplicas{},
 		Election: made, Metrics: NewMetrics(prometheus.NewRegistry()), Log: log, FirstStart: true,
 	}
 	holder.Prepare()
@@ -99,7 +102,7 @@
 	require.NoError(t, err)
 	routes := &routing.Store{}
 	routes.Put(table)
-	directory := fleet.NewDirectory("a", func() float64 { return 0 })
+	directory := emptyFleet()
 	directory.Put(fleet.Entry{ID: "r1", Service: "press", Address: "b:1"}, time.Now())
 	replicas := recordingReplicas{orders: make(chan loading.Order, 10)}
 	holder := &Holder{
@@ -141,7 +144,7 @@
 	routes.Put(table)
 	replicas := reportingReplicas{recordingReplicas{orders: make(chan loading.Order, 10)}, make(chan string, 10)}
 	holder := &Holder{
-		Daemon: "d1", Fleet: fleet.NewDirectory("a", func() float64 { return 0 }), Table: routes, Replicas: replicas, Election: elected(t, log),
+		Daemon: "d1", Fleet: emptyFleet(), Table: routes, Replicas: replicas, Election: elected(t, log),
 		Metrics: NewMetrics(prometheus.NewRegistry()), Log: log, FirstStart: true, Limits: Limits{Window: 5 * time.Second, Slack: 1, Extra: 3},
 	}
 	holder.Prepare()
--- a/loader/leaving.go
+++ b/loader/leaving.go
@@ -38,9 +38,6 @@
 // retellLeaving begins a term with the replicas that are known to leave; the mutex is held.
 func (h *Holder) retellLeaving() {
 	h.leaving = newTouches()
-	if h.Fleet == nil {
-		return
-	}
 	for _, one := range h.Fleet.Leaving() {
 		h.leaving.mark(one.ID, h.version)
 	}
--- a/loader/leaving_test.go
+++ b/loader/leaving_test.go
@@ -11,7 +11,7 @@
 )
 
 func leavingHolder(now time.Time) *Holder {
-	holder := &Holder{Fleet: fleet.NewDirectory("a", func() float64 { return 0 }), Log: discarding()}
+	holder := &Holder{Fleet: emptyFleet(), Log: discarding()}
 	for _, id := range []string{"r1", "r2"} {
 		holder.Fleet.Put(fleet.Entry{ID: id, Service: "press", Address: id + ":1"}, now)
 	}
--- a/loader/silence_test.go
+++ b/loader/silence_test.go
@@ -20,7 +20,7 @@
 // Open connections may fall silent for good, without a reset, while new ones work.
 func TestAStreamToTheHolderThatFallsSilentIsReplaced(t *testing.T) {
 	t.Parallel()
-	holder := &Holder{}
+	holder := &Holder{Fleet: emptyFleet()}
 	holder.Prepare()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
