Names: what a directory remembers of notices; a rest that has just ended is waited for with no estimate

"Word" stands for what the holder tells of other daemons' requests; what a replica said of itself is noticed. A rest that ended between the search for a replica and the look for its end gave an estimate of minus 292 years in a line; the wait was right. Test of what waits for a rest.

--- a/core/wait.go
+++ b/core/wait.go
@@ -94,7 +94,7 @@
 		// Of 1,000 requests with an objective of 0.6 s, 565 are in time; 294 if all wait while their
 		// callers do, though 98 more are served at last (model in rest_model_test.go).
 		if expected.Add(looseEnd).Before(call.Arrived.Add(call.Route.Objective)) {
-			return waitDecision{wait: true, readyIn: expected.Sub(now), source: miss.String()}
+			return waitDecision{wait: true, readyIn: max(0, expected.Sub(now)), source: miss.String()}
 		}
 		return waitDecision{readyIn: retrySoon, source: miss.String()}
 	case fleet.NotLoaded, fleet.AdapterAbsent:
--- a/core/wait_test.go
+++ b/core/wait_test.go
@@ -54,3 +54,18 @@
 	directory.Put(fleet.Entry{ID: "r2", Service: "press", InMemory: []string{"rare"}, Draining: true}, now)
 	require.False(t, decide().wait, "a replica that leaves loads nothing")
 }
+
+// A rest is this daemon's alone: its caller may be served sooner at another.
+func TestARequestWaitsForTheEndOfARestOnlyIfItIsThenInTime(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	call := &Call{Route: &routing.Route{Kind: routing.Stream, Objective: 6 * time.Second}, Arrived: now, Deadline: now.Add(25 * time.Second)}
+	decision := decideWait(now, call, fleet.AskedRest, now.Add(3*time.Second), true, loadEstimate{})
+	require.True(t, decision.wait)
+	require.Equal(t, 3*time.Second, decision.readyIn)
+	decision = decideWait(now, call, fleet.AskedRest, now.Add(6*time.Second), true, loadEstimate{})
+	require.False(t, decision.wait)
+	require.Equal(t, retrySoon, decision.readyIn)
+	decision = decideWait(now, call, fleet.AskedRest, time.Time{}, false, loadEstimate{})
+	require.True(t, decision.wait, "it ended since the replica was looked for")
+	require.Zero(t, decision.readyIn)
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -119,7 +119,7 @@
 	zone     string
 	mutex    sync.Mutex
 	members  map[string]*Replica
-	words    map[string]*word // what replicas said of themselves, by id
+	notices  map[string]*noticed // what replicas said of themselves, by id
 	services map[string]*serviceIndex
 	signals  map[signalKey]chan struct{}
 	// interest says of which targets this daemon is told; nil: of all.
@@ -142,7 +142,7 @@
 // ties between equal replicas.
 func NewDirectory(zone string, random func() float64) *Directory {
 	return &Directory{
-		zone: zone, members: map[string]*Replica{}, words: map[string]*word{}, services: map[string]*serviceIndex{}, signals: map[signalKey]chan struct{}{},
+		zone: zone, members: map[string]*Replica{}, notices: map[string]*noticed{}, services: map[string]*serviceIndex{}, signals: map[signalKey]chan struct{}{},
 		random: random, runTime: map[string]time.Duration{},
 	}
 }
@@ -156,7 +156,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.change(entry.ID, func(known *Replica) {
-		known.take(d.withWord(entry), now)
+		known.take(d.withNotices(entry), now)
 		known.unconfirmed = false
 	})
 }
--- a/fleet/interest.go
+++ b/fleet/interest.go
@@ -144,7 +144,7 @@
 	}
 	d.noteWord(now)
 	d.change(state.ID, func(known *Replica) {
-		known.take(d.withWord(state.Entry), now)
+		known.take(d.withNotices(state.Entry), now)
 		known.others = max(0, state.Requests-known.inflight)
 		told := Confirmation{Born: state.Born, Fence: state.Fence, Sequence: state.Sequence, Holdings: state.Holdings, Loading: state.Loading,
 			InMemory: state.InMemory, OnDisk: state.OnDisk}
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -16,9 +16,9 @@
 	Rest      time.Duration // for how long it wants nothing of this daemon; zero: it does not say
 }
 
-// word is what is remembered of the notices of one incarnation. It outlives the replica's entry, which
+// noticed is what is remembered of the notices of one incarnation. It outlives the replica's entry, which
 // may lapse while the registry is away and come back.
-type word struct {
+type noticed struct {
 	born      int64 // of the incarnation; zero if it was not known
 	leaving   bool
 	heardHere bool      // that it leaves: in an answer to this daemon
@@ -26,9 +26,9 @@
 	heardAt   time.Time
 }
 
-// wordKept is how long the word of a replica that is not in the registry is remembered. A replica that
+// noticesKept is how long the word of a replica that is not in the registry is remembered. A replica that
 // leaves serves on for seconds after the registry took that; an outage of the registry may take long.
-const wordKept = time.Hour
+const noticesKept = time.Hour
 
 // Hear takes in a notice, and tells whether it is news that the replica leaves.
 //
@@ -58,7 +58,7 @@
 // rests notes that a replica wants nothing of this daemon until a moment; the mutex is held. The
 // longest rest that it asked for counts, whichever answer came last.
 func (d *Directory) rests(id string, until, now time.Time) {
-	known := d.wordOf(Incarnation{id, d.bornOf(id)}, now)
+	known := d.noticedOf(Incarnation{id, d.bornOf(id)}, now)
 	if until.After(known.restUntil) {
 		known.restUntil = until
 	}
@@ -74,7 +74,7 @@
 
 // restsUntil is RestsUntil; the mutex is held.
 func (d *Directory) restsUntil(id string) time.Time {
-	if known := d.words[id]; known != nil {
+	if known := d.notices[id]; known != nil {
 		return known.restUntil
 	}
 	return time.Time{}
@@ -92,7 +92,7 @@
 func (d *Directory) Admit(id string, now time.Time) error {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	known := d.words[id]
+	known := d.notices[id]
 	switch {
 	case known == nil:
 		return nil
@@ -127,13 +127,13 @@
 	return first, known
 }
 
-// wordOf returns what is remembered of an incarnation's notices, to be changed; the mutex is held.
-func (d *Directory) wordOf(incarnation Incarnation, now time.Time) *word {
-	known := d.words[incarnation.ID]
+// noticedOf returns what is remembered of an incarnation's notices, to be changed; the mutex is held.
+func (d *Directory) noticedOf(incarnation Incarnation, now time.Time) *noticed {
+	known := d.notices[incarnation.ID]
 	if known == nil || bornBefore(known.born, incarnation.Born) {
-		d.dropOldWords(now)
-		known = &word{}
-		d.words[incarnation.ID] = known
+		d.dropOldNotices(now)
+		known = &noticed{}
+		d.notices[incarnation.ID] = known
 	}
 	known.heardAt = now
 	if known.born == 0 {
@@ -152,7 +152,7 @@
 
 // leaves notes that an incarnation leaves; the mutex is held.
 func (d *Directory) leaves(incarnation Incarnation, heardHere bool, now time.Time) (news bool) {
-	known := d.wordOf(incarnation, now)
+	known := d.noticedOf(incarnation, now)
 	if bornBefore(incarnation.Born, max(known.born, d.bornOf(incarnation.ID))) {
 		return false // it has left, and the next is there
 	}
@@ -166,23 +166,23 @@
 	return true
 }
 
-// dropOldWords forgets what was heard long ago of replicas that are gone; the mutex is held.
-func (d *Directory) dropOldWords(now time.Time) {
-	for id, known := range d.words {
-		if d.members[id] == nil && now.Sub(known.heardAt) > wordKept && now.After(known.restUntil) {
-			delete(d.words, id)
+// dropOldNotices forgets what was heard long ago of replicas that are gone; the mutex is held.
+func (d *Directory) dropOldNotices(now time.Time) {
+	for id, known := range d.notices {
+		if d.members[id] == nil && now.Sub(known.heardAt) > noticesKept && now.After(known.restUntil) {
+			delete(d.notices, id)
 		}
 	}
 }
 
-// withWord adds a replica's own word to the registry's; the mutex is held. What an earlier incarnation
+// withNotices adds a replica's own word to the registry's; the mutex is held. What an earlier incarnation
 // said is forgotten.
-func (d *Directory) withWord(entry Entry) Entry {
-	known := d.words[entry.ID]
+func (d *Directory) withNotices(entry Entry) Entry {
+	known := d.notices[entry.ID]
 	switch {
 	case known == nil:
 	case bornBefore(known.born, entry.Born):
-		delete(d.words, entry.ID)
+		delete(d.notices, entry.ID)
 	case known.leaving:
 		entry.Draining = true
 	}
@@ -191,29 +191,29 @@
 
 // LeavingHere lists the replicas that said to this daemon that they leave, in order of their ids.
 func (d *Directory) LeavingHere() []Incarnation {
-	return d.leavingWhere(func(known *word) bool { return known.heardHere })
+	return d.leavingWhere(func(known *noticed) bool { return known.heardHere })
 }
 
 // Leaving lists the replicas that said so to any daemon, as far as this one was told.
 func (d *Directory) Leaving() []Incarnation {
-	return d.leavingWhere(func(*word) bool { return true })
+	return d.leavingWhere(func(*noticed) bool { return true })
 }
 
 // Leaves tells whether a replica said to any daemon that it leaves, and which incarnation did.
 func (d *Directory) Leaves(id string) (incarnation Incarnation, leaves bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	known := d.words[id]
+	known := d.notices[id]
 	if known == nil || !known.leaving {
 		return Incarnation{}, false
 	}
 	return Incarnation{id, known.born}, true
 }
 
-func (d *Directory) leavingWhere(counts func(*word) bool) (leaving []Incarnation) {
+func (d *Directory) leavingWhere(counts func(*noticed) bool) (leaving []Incarnation) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	for id, known := range d.words {
+	for id, known := range d.notices {
 		if known.leaving && counts(known) && d.members[id] != nil {
 			leaving = append(leaving, Incarnation{id, known.born})
 		}
--- a/fleet/notice_test.go
+++ b/fleet/notice_test.go
@@ -44,9 +44,9 @@
 	d.Put(entry, now)
 	stays("the registry lags", now)
 	d.Remove("r1")
-	d.Hear(Notice{Replica: "r9", Leaving: true}, now.Add(wordKept/2))
+	d.Hear(Notice{Replica: "r9", Leaving: true}, now.Add(noticesKept/2))
 	d.Put(entry, now)
-	stays("its entry lapsed and came back", now.Add(wordKept/2))
+	stays("its entry lapsed and came back", now.Add(noticesKept/2))
 	d.Confirm("r1", Confirmation{Fence: 1, Holdings: Holdings{"m1": nil, "m2": nil}}, now)
 	stays("the holder of load orders tells what it holds", now)
 }
@@ -57,8 +57,8 @@
 	d.Hear(Notice{Replica: "r1", Leaving: true}, now)
 	d.Hear(Notice{Replica: "r2", Leaving: true}, now)
 	d.Remove("r1")
-	d.Hear(Notice{Replica: "r3", Leaving: true}, now.Add(wordKept+time.Second))
-	require.Len(t, d.words, 2, "r2 is still in the registry")
+	d.Hear(Notice{Replica: "r3", Leaving: true}, now.Add(noticesKept+time.Second))
+	require.Len(t, d.notices, 2, "r2 is still in the registry")
 	require.Equal(t, []Incarnation{{ID: "r2"}}, d.LeavingHere())
 }
 
