Comments: campaignFailed has its own again, and what the holder's list of leaving replicas holds

Found by reading the whole change once more. The new function replacing was put between a doc comment and its function. No code changes.

--- a/election/election.go
+++ b/election/election.go
@@ -328,7 +328,6 @@
 	e.begin(term, lease, sent, opening)
 }
 
-// campaignFailed notes that the service did not answer a campaign.
 // replacing is the transaction that replaces the term's record of a revision (zero: none) by another.
 func (e *Election) replacing(revision int64, record Holder, lease kv.LeaseID) kv.Txn {
 	value, err := json.Marshal(record)
@@ -338,6 +337,7 @@
 	return kv.Txn{Conditions: []kv.Condition{{Key: e.Key, ModRevision: revision}}, Puts: []kv.Put{{Key: e.Key, Value: value, Lease: lease}}}
 }
 
+// campaignFailed notes that the service did not answer a campaign.
 func (e *Election) campaignFailed(cause error) {
 	e.failures++
 	e.log.WithField(logging.Cause, cause.Error()).Info("a campaign for the term got no answer")
--- a/loader/holder.go
+++ b/loader/holder.go
@@ -144,7 +144,7 @@
 	version     uint64
 	loads       *touches // of each replica's state
 	running     *requestCounts
-	leaving     *touches                  // of replicas that said so to any daemon
+	leaving     *touches                  // of replicas that said to any daemon that they leave
 	views       map[uint64]*rpc.LoadsView // of the present version, by the version that a daemon heard
 	changed     chan struct{}
 	wake        chan struct{}
