Sight: what answers say of a replica's limit is read, logged and counted

The incident's lines could not tell whether a replica named a limit, which, and to whom: of a success only whether its replica leaves was looked at. Now each answer is read for it. A line tells each change, by the id of the request that was answered; what is no number of requests a second is a warning.

Nothing is decided by it yet.

--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -14,6 +14,11 @@
 	RequestID string        // that the answer is to; empty: an order, or a question
 	Leaving   bool          // it leaves, and wants no new work
 	Rest      time.Duration // for how long it wants nothing of this daemon; zero: it does not say
+	Limit     LimitWord
+	PerSecond float64   // with LimitNamed: the requests a second that it takes from all daemons together
+	SentAt    time.Time // when the request that the answer is to was written
+	// Unreadable is what it says of its limit where that is no number of requests a second; empty: it is.
+	Unreadable string
 }
 
 // noticed is what is remembered of the notices of one incarnation. It outlives the replica's entry, which
@@ -23,6 +28,7 @@
 	leaving   bool
 	heardHere bool      // that it leaves: in an answer to this daemon
 	restUntil time.Time // it wants nothing of this daemon before
+	limit     limit
 	heardAt   time.Time
 }
 
--- a/logging/fields.go
+++ b/logging/fields.go
@@ -41,6 +41,8 @@
 	Busy            = "busy"
 	Draining        = "draining"
 	RestMs          = "rest_ms"
+	Limit           = "limit_per_second"
+	LimitBefore     = "limit_before"
 	Listed          = "listed"
 	Gone            = "gone"
 	Daemon          = "daemon"
--- a/logging/messages.go
+++ b/logging/messages.go
@@ -17,6 +17,8 @@
 	MessageReplicaLeaves      = "replica says that it leaves"
 	MessageLeavingTold        = "replicas leave, by another daemon's word"
 	MessageReplicaRests       = "replica asks for rest"
+	MessageReplicaLimit       = "replica's limit changed"
+	MessageLimitUnreadable    = "replica's limit not readable"
 	MessageLedgerBegun        = "ledger of tenants' limits begun"
 	MessageStopPhase          = "planned stop goes on"
 	MessageReplicaProbed      = "replica asked whether it runs"
--- a/node/notices.go
+++ b/node/notices.go
@@ -21,7 +21,18 @@
 // hear takes in what a replica said of itself.
 func (n *Node) hear(notice fleet.Notice) {
 	entry := n.log.WithFields(logrus.Fields{logging.RequestID: notice.RequestID, logging.Replica: notice.Replica})
-	leaves := n.fleet.Hear(notice, time.Now())
+	now := time.Now()
+	if notice.Unreadable != "" {
+		entry.WithField(logging.Limit, notice.Unreadable).Warn(logging.MessageLimitUnreadable)
+	}
+	if change, news := n.fleet.HearLimit(notice, now); news {
+		n.notices.limits.Inc()
+		entry.WithFields(logrus.Fields{logging.Limit: change.PerSecond, logging.LimitBefore: change.Before}).Info(logging.MessageReplicaLimit)
+	}
+	if !notice.Leaving && notice.Rest == 0 {
+		return
+	}
+	leaves := n.fleet.Hear(notice, now)
 	n.holder.RegistryChanged(notice.Replica)
 	if leaves {
 		n.notices.leaving.Inc()
@@ -37,6 +48,7 @@
 type noticeCounts struct {
 	leaving prometheus.Counter // replicas that say that they leave, each once
 	rests   prometheus.Counter // answers that asked for rest
+	limits  prometheus.Counter // changes of replicas' limits
 }
 
 func newNoticeCounts(registry *prometheus.Registry) *noticeCounts {
@@ -48,6 +60,9 @@
 			Name: "finchspoke_replica_rests_total", Help: "Answers of replicas that asked this daemon for rest.",
 		}),
 	}
-	registry.MustRegister(made.leaving, made.rests)
+	made.limits = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "finchspoke_replica_limit_changes_total", Help: "Answers to this daemon that named, changed or lifted their replica's limit.",
+	})
+	registry.MustRegister(made.leaving, made.rests, made.limits)
 	return made
 }
