What a replica says of its limit reaches all daemons

The word of an answer goes from the daemon that read it to the holder of load orders at once, from there to the daemons that know all replicas, and from those to the others that ask for the replica. Of two words the one counts that the replica said later; it is one incarnation's, and outlives its entry. An answer without a limit ends it only where its request was written after the limit was heard.

Nothing is decided by it yet.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -48,10 +48,14 @@
 	for target, ready := range state.Loading {
 		loads.Loading = append(loads.Loading, &rpc.LoadUnderWay{Model: target.Model, Adapter: target.Adapter, ReadyInMs: max(0, ready.Sub(now).Milliseconds())})
 	}
-	return &rpc.ReplicaState{
+	message := &rpc.ReplicaState{
 		Service: state.Service, Address: state.Address, Zone: state.Zone, Draining: state.Draining, Slots: uint32(state.Slots),
 		Fence: state.Fence, Loads: loads, Running: uint32(state.Requests),
 	}
+	if state.Limit != nil {
+		message.Limit = rpc.LimitMessage(*state.Limit, now)
+	}
+	return message
 }
 
 // stateOf reads the message of what is known of a replica.
@@ -65,6 +69,10 @@
 		},
 		Fence: message.GetFence(), Sequence: loads.GetSequence(), Loading: map[fleet.Target]time.Time{}, Requests: int(message.GetRunning()),
 	}
+	if message.GetLimit() != nil {
+		word := message.GetLimit().Word(now)
+		state.Limit = &word
+	}
 	for _, held := range loads.GetModels() {
 		state.Holdings[held.GetModel()] = held.GetAdapters()
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -90,6 +90,7 @@
 	absentTill  map[Target]time.Time // nil while there is none
 	forgotten   bool                 // nothing more is told of it; it goes with its last request
 	unconfirmed bool                 // not in the registry's list so far
+	perSecond   float64              // messages that it takes from all daemons together; zero: without a limit
 }
 
 // absentFor is how long a replica's own word that it lacks a target goes before
@@ -156,11 +157,20 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.change(entry.ID, func(known *Replica) {
-		known.take(d.withNotices(entry), now)
+		d.takeEntry(known, entry, now)
 		known.unconfirmed = false
 	})
 }
 
+// takeEntry takes in a newer entry of a replica, with what the replica said of itself; the mutex is held.
+func (d *Directory) takeEntry(known *Replica, entry Entry, now time.Time) {
+	known.take(d.withNotices(entry), now)
+	known.perSecond = 0
+	if noticed := d.notices[entry.ID]; noticed != nil {
+		known.perSecond = noticed.limit.perSecond
+	}
+}
+
 // take takes in a newer entry. Nothing that was known of an earlier incarnation holds for the next: it is
 // empty, well, and counts its orders anew.
 func (r *Replica) take(entry Entry, now time.Time) {
--- a/fleet/interest.go
+++ b/fleet/interest.go
@@ -108,6 +108,8 @@
 	// Loading says when what is being loaded will be there.
 	Loading  map[Target]time.Time
 	Requests int // of all daemons
+	// Limit is what it said of its limit; nil: nothing.
+	Limit *ReplicaLimit
 }
 
 // State returns what is known of a replica.
@@ -119,6 +121,10 @@
 		return State{}, false
 	}
 	state := State{Entry: known.Entry, Requests: known.inflight + known.others}
+	if noticed := d.notices[id]; noticed != nil && !noticed.limit.heardAt.IsZero() {
+		word := noticed.wordOfLimit(id)
+		state.Limit = &word
+	}
 	state.InMemory, state.OnDisk = known.kept()
 	if known.confirmed != nil {
 		state.Fence, state.Sequence, state.Loading = known.confirmed.Fence, known.confirmed.Sequence, known.confirmed.Loading
@@ -143,8 +149,11 @@
 		return
 	}
 	d.noteWord(now)
+	if state.Limit != nil {
+		d.tellLimit(*state.Limit, now)
+	}
 	d.change(state.ID, func(known *Replica) {
-		known.take(d.withNotices(state.Entry), now)
+		d.takeEntry(known, state.Entry, now)
 		known.others = max(0, state.Requests-known.inflight)
 		told := Confirmation{Born: state.Born, Fence: state.Fence, Sequence: state.Sequence, Holdings: state.Holdings, Loading: state.Loading,
 			InMemory: state.InMemory, OnDisk: state.OnDisk}
--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -16,7 +18,7 @@
 	LimitNone
 )
 
-// leastLimit is the least rate that is taken for a replica's, in requests a second. One that names less,
+// leastLimit is the least rate that is taken for a replica's, in messages a second. One that names less,
 // zero too, gets a request in ten seconds: without any answer nobody would learn that its limit is over.
 const leastLimit = 0.1
 
@@ -27,16 +29,25 @@
 	heardHere bool      // in an answer to this daemon
 }
 
+// ReplicaLimit is the rate that an incarnation takes from all daemons together.
+type ReplicaLimit struct {
+	Incarnation
+	PerSecond float64   // messages; zero: without a limit
+	HeardAt   time.Time // when an answer said it, to any daemon
+}
+
 // LimitChange is a change of what is known of a replica's limit.
 type LimitChange struct {
-	Incarnation
-	Before    float64 // requests a second; zero: without a limit
-	PerSecond float64 // likewise
+	ReplicaLimit
+	Before float64 // messages a second; zero: without a limit
 }
 
 // HearLimit takes in what an answer to this daemon says of its replica's limit, and tells whether that
 // is news.
 //
+// Unread, the limit of a replica in need changed nothing at all: one that took a request a second got 2.3
+// a second, and up to 17 in 4 s.
+//
 // Each answer says it anew. One without a limit ends it only where the request was written after the
 // limit was heard: answers cross, and one that was under way before names what was before.
 func (d *Directory) HearLimit(notice Notice, now time.Time) (change LimitChange, news bool) {
@@ -53,6 +64,22 @@
 	return LimitChange{}, false
 }
 
+// TellLimit takes in what a replica said to another daemon of its limit, and tells whether that is news.
+// Of two words the one counts that the replica said later.
+func (d *Directory) TellLimit(told ReplicaLimit, now time.Time) (change LimitChange, news bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.tellLimit(told, now)
+}
+
+// tellLimit is TellLimit; the mutex is held.
+func (d *Directory) tellLimit(told ReplicaLimit, now time.Time) (change LimitChange, news bool) {
+	if !told.HeardAt.After(d.limitOf(told.ID).heardAt) {
+		return LimitChange{}, false
+	}
+	return d.setLimit(told.Incarnation, limit{told.PerSecond, told.HeardAt, false}, now)
+}
+
 // limitOf returns what is known of the limit of a replica; the mutex is held.
 func (d *Directory) limitOf(id string) limit {
 	known := d.notices[id]
@@ -68,7 +95,63 @@
 	if bornBefore(incarnation.Born, max(known.born, d.bornOf(incarnation.ID))) {
 		return LimitChange{}, false // it has ended, and the next named nothing
 	}
-	change = LimitChange{Incarnation{incarnation.ID, known.born}, known.limit.perSecond, heard.perSecond}
+	before := known.limit.perSecond
 	known.limit = heard
-	return change, change.Before != change.PerSecond
+	change = LimitChange{known.wordOfLimit(incarnation.ID), before}
+	if change.Before == change.PerSecond {
+		return change, false
+	}
+	if d.members[incarnation.ID] != nil {
+		d.change(incarnation.ID, func(member *Replica) { member.perSecond = heard.perSecond })
+	}
+	return change, true
+}
+
+// LimitOf returns the limit of a replica, in messages a second; zero: it is without one.
+func (d *Directory) LimitOf(id string) float64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.limitOf(id).perSecond
+}
+
+// WordOfLimit returns what is known of a replica's limit, and whether it ever said anything of one.
+func (d *Directory) WordOfLimit(id string) (word ReplicaLimit, said bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	known := d.notices[id]
+	if known == nil || known.limit.heardAt.IsZero() {
+		return ReplicaLimit{}, false
+	}
+	return known.wordOfLimit(id), true
+}
+
+// wordOfLimit is what the replica with an id said of its limit.
+func (n *noticed) wordOfLimit(id string) ReplicaLimit {
+	return ReplicaLimit{Incarnation{id, n.born}, n.limit.perSecond, n.limit.heardAt}
+}
+
+// WordsOfLimits lists what replicas said of their limits, lifted ones included, in order of their ids.
+// With here, only what they said to this daemon.
+func (d *Directory) WordsOfLimits(here bool) (words []ReplicaLimit) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for id, known := range d.notices {
+		if !known.limit.heardAt.IsZero() && (known.limit.heardHere || !here) && d.members[id] != nil {
+			words = append(words, known.wordOfLimit(id))
+		}
+	}
+	slices.SortFunc(words, func(a, b ReplicaLimit) int { return strings.Compare(a.ID, b.ID) })
+	return words
+}
+
+// Limits returns how many of the replicas that are known have a limit.
+func (d *Directory) Limits() (count int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for id, known := range d.notices {
+		if known.limit.perSecond > 0 && d.members[id] != nil {
+			count++
+		}
+	}
+	return count
 }
--- a/loader/attach.go
+++ b/loader/attach.go
@@ -123,6 +123,7 @@
 	}
 	known.detached = time.Time{}
 	h.takeLeaving(message, now)
+	h.takeLimits(message, now)
 	if message.GetKnowsReplicas() && !known.knows {
 		h.directories.wake() // the daemon's stream is told what is loaded from now on
 	}
@@ -199,7 +200,7 @@
 }
 
 func saysSomething(view *rpc.LoadsView) bool {
-	return len(view.GetReplicas())+len(view.GetRunning())+len(view.GetLeaving())+len(view.GetPacked()) > 0 || view.GetDirectories() != nil
+	return len(view.GetReplicas())+len(view.GetRunning())+len(view.GetLeaving())+len(view.GetLimits())+len(view.GetPacked()) > 0 || view.GetDirectories() != nil
 }
 
 // nextViews are the messages that a daemon gets now, and when there may be more.
@@ -245,14 +246,17 @@
 	if known := h.views[after]; known != nil {
 		return known
 	}
-	view := &rpc.LoadsView{Fence: h.fence, Daemons: uint32(h.attached), Running: h.runningView(after), Leaving: h.leavingView(after)}
+	view := &rpc.LoadsView{Fence: h.fence, Daemons: uint32(h.attached), Running: h.runningView(after), Leaving: h.leavingView(after), Limits: h.limitsView(after, now)}
 	for _, id := range h.loads.after(after) {
 		if state := h.states[id]; state != nil && state.Known {
 			view.Replicas = append(view.Replicas, replicaView(state, now))
 		}
 	}
-	h.views[after] = view.Pack()
-	return h.views[after]
+	packed := view.Pack()
+	if len(view.GetLimits()) == 0 { // ages of limits are told as of now
+		h.views[after] = packed
+	}
+	return packed
 }
 
 func replicaView(state *loading.Replica, now time.Time) *rpc.ReplicaLoads {
--- a/loader/follower.go
+++ b/loader/follower.go
@@ -48,6 +48,7 @@
 	mutex     sync.Mutex
 	current   election.Holder
 	changed   chan struct{}
+	news      chan struct{} // holds an element while there is something to be told at once
 	attached  atomic.Bool
 }
 
@@ -55,7 +56,7 @@
 func (f *Follower) Attached() bool { return f.attached.Load() }
 
 // Prepare makes the follower ready for use.
-func (f *Follower) Prepare() { f.changed = make(chan struct{}) }
+func (f *Follower) Prepare() { f.changed, f.news = make(chan struct{}), make(chan struct{}, 1) }
 
 // HolderChanged takes in who holds the orders now.
 func (f *Follower) HolderChanged(holder election.Holder) {
@@ -116,7 +117,7 @@
 	if err != nil {
 		return errors.Wrap(err, "attach to the holder of load orders")
 	}
-	sent := &reported{counts: map[demand.Key]demand.Count{}, running: map[string]uint32{}, leaving: map[fleet.Incarnation]bool{}}
+	sent := &reported{counts: map[demand.Key]demand.Count{}, running: map[string]uint32{}, leaving: map[fleet.Incarnation]bool{}, limits: map[fleet.Incarnation]float64{}}
 	first := f.message(sent, time.Now())
 	first.TermDelayMs, first.Address, first.Zone = f.TermDelay.Milliseconds(), f.Address, f.Zone
 	if err := stream.Send(first); err != nil {
@@ -147,9 +148,10 @@
 			due = true
 		case <-f.Demand.Urgent():
 			sleep.For(ctx, urgentPause)
+		case <-f.news:
 		case <-ticker.C:
 		}
-		if message := f.message(sent, time.Now()); due || sent.learns(message.GetKnowsReplicas()) || len(message.GetKeys())+len(message.GetRunning())+len(message.GetLeaving()) > 0 {
+		if message := f.message(sent, time.Now()); due || sent.learns(message.GetKnowsReplicas()) || saysAnything(message) {
 			if err := stream.Send(message); err != nil {
 				return err
 			}
@@ -157,13 +159,18 @@
 	}
 }
 
+func saysAnything(message *rpc.LoadsDemand) bool {
+	return len(message.GetKeys())+len(message.GetRunning())+len(message.GetLeaving())+len(message.GetLimits()) > 0
+}
+
 // reported is what a holder was told on one stream.
 type reported struct {
 	counts  map[demand.Key]demand.Count
-	mutex   sync.Mutex                 // guards running, which the listener reads
+	mutex   sync.Mutex                 // guards running and limits, which the listener uses too
 	running map[string]uint32          // requests of this daemon by replica
 	knows   bool                       // all replicas; used by the sender only
 	leaving map[fleet.Incarnation]bool // used by the sender only
+	limits  map[fleet.Incarnation]float64
 }
 
 // learns notes whether this daemon knows all replicas, and tells whether that is news.
@@ -182,7 +189,7 @@
 
 // message makes a report of what differs from what was sent.
 func (f *Follower) message(sent *reported, now time.Time) *rpc.LoadsDemand {
-	message := &rpc.LoadsDemand{DaemonId: f.Daemon, KnowsReplicas: f.knowsReplicas(), Leaving: f.leavingNews(sent)}
+	message := &rpc.LoadsDemand{DaemonId: f.Daemon, KnowsReplicas: f.knowsReplicas(), Leaving: f.leavingNews(sent), Limits: f.limitNews(sent, now)}
 	for key, count := range f.Demand.Counts() {
 		if key.Target.Model == "" || sent.counts[key] == count {
 			continue
@@ -230,6 +237,7 @@
 		for _, leaving := range incarnationsOf(view.GetLeaving()) {
 			f.Fleet.TellLeaving(leaving, now)
 		}
+		f.takeLimits(view.GetLimits(), sent, now)
 		for _, told := range view.GetReplicas() {
 			f.confirm(view.GetFence(), told, now)
 		}
--- a/loader/holder.go
+++ b/loader/holder.go
@@ -145,6 +145,7 @@
 	loads       *touches // of each replica's state
 	running     *requestCounts
 	leaving     *touches                  // of replicas that said to any daemon that they leave
+	limits      *touches                  // of what replicas said of their limits
 	views       map[uint64]*rpc.LoadsView // of the present version, by the version that a daemon heard
 	changed     chan struct{}
 	wake        chan struct{}
@@ -181,6 +182,7 @@
 	h.directories = newDirectories(h.directories.version)
 	h.notify()
 	h.retellLeaving()
+	h.retellLimits()
 }
 
 // notify wakes the streams that tell daemons what is loaded; the mutex is held.
--- /dev/null
+++ b/loader/limits.go
@@ -0,0 +1,93 @@
+package loader
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/finchspoke/finchspoke/fleet"
+	"github.com/finchspoke/finchspoke/logging"
+	"github.com/finchspoke/finchspoke/rpc"
+)
+
+// takeLimits takes in what replicas said to a daemon of their limits; the mutex is held.
+//
+// The other daemons have to know, or each would send what it had sent before until it met an answer that
+// names the limit. Whoever tells last is believed: the order in which the holder hears is that of all.
+func (h *Holder) takeLimits(message *rpc.LoadsDemand, now time.Time) {
+	var news []fleet.ReplicaLimit
+	for _, told := range message.GetLimits() {
+		one := told.Word(now)
+		// This daemon's own requests may have told its directory before.
+		if _, isNews := h.Fleet.TellLimit(one, now); isNews || !h.limits.has(one.ID) {
+			news = append(news, one)
+		}
+	}
+	if len(news) == 0 {
+		return
+	}
+	h.notify()
+	for _, one := range news {
+		h.limits.mark(one.ID, h.version)
+		h.registry.note(one.ID)
+		h.Log.WithFields(logrus.Fields{logging.Replica: one.ID, logging.Limit: one.PerSecond, logging.Source: message.GetDaemonId(), logging.Fence: h.fence}).
+			Info(logging.MessageLimitTold)
+	}
+	h.Wake()
+}
+
+// retellLimits begins a term with the limits that are known; the mutex is held.
+func (h *Holder) retellLimits() {
+	h.limits = newTouches()
+	for _, one := range h.Fleet.WordsOfLimits(false) {
+		h.limits.mark(one.ID, h.version)
+	}
+}
+
+// limitsView lists the replicas of whose limits it came after a version that they changed; the mutex is
+// held.
+func (h *Holder) limitsView(after uint64, now time.Time) (view []*rpc.ReplicaLimit) {
+	for _, id := range h.limits.after(after) {
+		if word, said := h.Fleet.WordOfLimit(id); said {
+			view = append(view, rpc.LimitMessage(word, now))
+		}
+	}
+	return view
+}
+
+// LimitHeard makes the follower tell at once what a replica said to this daemon of its limit: until all
+// daemons know it, they go on as before.
+func (f *Follower) LimitHeard() {
+	select {
+	case f.news <- struct{}{}:
+	default:
+	}
+}
+
+// limitNews returns what replicas said to this daemon of their limits and the holder has not been told
+// on this stream, or has told otherwise since.
+func (f *Follower) limitNews(sent *reported, now time.Time) (news []*rpc.ReplicaLimit) {
+	words := f.Fleet.WordsOfLimits(true)
+	sent.mutex.Lock()
+	defer sent.mutex.Unlock()
+	for _, one := range words {
+		if told, known := sent.limits[one.Incarnation]; !known || told != one.PerSecond {
+			sent.limits[one.Incarnation] = one.PerSecond
+			news = append(news, rpc.LimitMessage(one, now))
+		}
+	}
+	return news
+}
+
+// takeLimits takes in the holder's word of replicas' limits.
+func (f *Follower) takeLimits(messages []*rpc.ReplicaLimit, sent *reported, now time.Time) {
+	for _, message := range messages {
+		told := message.Word(now)
+		sent.mutex.Lock()
+		sent.limits[told.Incarnation] = told.PerSecond
+		sent.mutex.Unlock()
+		if change, isNews := f.Fleet.TellLimit(told, now); isNews {
+			f.Log.WithFields(logrus.Fields{logging.Replica: told.ID, logging.Limit: change.PerSecond, logging.LimitBefore: change.Before}).Info(logging.MessageLimitTold)
+		}
+	}
+}
--- /dev/null
+++ b/loader/limits_test.go
@@ -0,0 +1,81 @@
+package loader
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/finchspoke/finchspoke/fleet"
+	"github.com/finchspoke/finchspoke/rpc"
+)
+
+// limitsSaid are the limits by a message.
+func limitsSaid(messages []*rpc.ReplicaLimit) map[string]float64 {
+	limits := map[string]float64{}
+	for _, one := range messages {
+		limits[one.GetReplica().GetReplicaId()] = one.GetPerSecond()
+	}
+	return limits
+}
+
+func limitFollower(directory *fleet.Directory) (*Follower, *reported) {
+	follower := &Follower{Fleet: directory, Log: discarding()}
+	follower.Prepare()
+	return follower, &reported{limits: map[fleet.Incarnation]float64{}}
+}
+
+func naming(id string, perSecond float64) fleet.Notice {
+	return fleet.Notice{Replica: id, Limit: fleet.LimitNamed, PerSecond: perSecond}
+}
+
+func TestADaemonsWordOfALimitReachesAllOthersOnce(t *testing.T) {
+	now := time.Now()
+	holder := leavingHolder(now)
+	before := holder.version
+	word := rpc.LimitMessage(fleet.ReplicaLimit{Incarnation: fleet.Incarnation{ID: "r1"}, PerSecond: 2, HeardAt: now}, now)
+	holder.report(&rpc.LoadsDemand{DaemonId: "d1", Limits: []*rpc.ReplicaLimit{word}})
+	require.Equal(t, 2.0, holder.Fleet.LimitOf("r1"))
+	require.Equal(t, map[string]float64{"r1": 2}, limitsSaid(holder.view(before, now).GetLimits()))
+	told := holder.version
+	require.Empty(t, holder.view(told, now).GetLimits())
+	require.Equal(t, map[string]float64{"r1": 2}, limitsSaid(holder.view(0, now).GetLimits()), "a daemon that attaches hears of all")
+
+	holder.reset(7, now)
+	require.Equal(t, map[string]float64{"r1": 2}, limitsSaid(holder.view(0, now).GetLimits()), "the next term too")
+
+	listening, sent := limitFollower(leavingHolder(now).Fleet)
+	listening.takeLimits(holder.view(0, now).GetLimits(), sent, now)
+	require.Equal(t, 2.0, listening.Fleet.LimitOf("r1"))
+	require.Empty(t, listening.limitNews(sent, now), "it was said to another daemon")
+}
+
+// The holder's own requests hear of it as well; its directory then knows before any stream tells.
+func TestALimitThatTheHolderHeardItselfIsToldToAllOthers(t *testing.T) {
+	now := time.Now()
+	holder := leavingHolder(now)
+	holder.Fleet.HearLimit(naming("r1", 2), now)
+	follower, sent := limitFollower(holder.Fleet)
+	holder.report(&rpc.LoadsDemand{DaemonId: "self", Limits: follower.limitNews(sent, now)})
+	require.Equal(t, map[string]float64{"r1": 2}, limitsSaid(holder.view(0, now).GetLimits()))
+	require.Empty(t, follower.limitNews(sent, now), "once on a stream")
+}
+
+// A word that crosses a later one is followed by that one again, so that all end with the later.
+func TestAWordThatTheHolderToldOtherwiseIsSaidAgain(t *testing.T) {
+	now := time.Now()
+	follower, sent := limitFollower(leavingHolder(now).Fleet)
+	follower.Fleet.HearLimit(naming("r1", 2), now)
+	require.Len(t, follower.limitNews(sent, now), 1)
+	lifted := rpc.LimitMessage(fleet.ReplicaLimit{Incarnation: fleet.Incarnation{ID: "r1"}, HeardAt: now.Add(-time.Second)}, now)
+	follower.takeLimits([]*rpc.ReplicaLimit{lifted}, sent, now)
+	require.Equal(t, 2.0, follower.Fleet.LimitOf("r1"), "it was said before")
+	require.Equal(t, map[string]float64{"r1": 2}, limitsSaid(follower.limitNews(sent, now)))
+}
+
+func TestALimitIsToldAtOnce(t *testing.T) {
+	follower, _ := limitFollower(emptyFleet())
+	follower.LimitHeard()
+	follower.LimitHeard()
+	require.Len(t, follower.news, 1)
+}
--- a/logging/messages.go
+++ b/logging/messages.go
@@ -18,6 +18,7 @@
 	MessageLeavingTold        = "replicas leave, by another daemon's word"
 	MessageReplicaRests       = "replica asks for rest"
 	MessageReplicaLimit       = "replica's limit changed"
+	MessageLimitTold          = "replica's limit, by another daemon's word"
 	MessageLimitUnreadable    = "replica's limit not readable"
 	MessageLedgerBegun        = "ledger of tenants' limits begun"
 	MessageStopPhase          = "planned stop goes on"
--- a/node/node.go
+++ b/node/node.go
@@ -128,6 +128,7 @@
 	quarantine  *quarantine.Guard
 	election    *election.Election
 	holder      *loader.Holder
+	follower    *loader.Follower
 	replicas    *replicaKnowledge
 	peers       *transport.Server
 	ended       chan struct{} // closed by End
@@ -230,12 +231,12 @@
 	}
 	n.holder.Prepare()
 	n.replicas = newReplicaKnowledge(n)
-	follower := &loader.Follower{Daemon: n.config.ID, Demand: tracker, Fleet: n.fleet, Holder: n.holder, Log: n.log, Daemons: requests.ShareRetries,
+	n.follower = &loader.Follower{Daemon: n.config.ID, Demand: tracker, Fleet: n.fleet, Holder: n.holder, Log: n.log, Daemons: requests.ShareRetries,
 		TermDelay: n.config.TermDelay, KnowsReplicas: n.replicas.all, Directories: n.replicas.setDirectories, Address: n.config.PeerAddress, Zone: n.config.Zone}
-	follower.Prepare()
-	requests.OrdersGiven = follower.Attached
+	n.follower.Prepare()
+	requests.OrdersGiven = n.follower.Attached
 	n.election.Listen(func(holder election.Holder) {
-		follower.HolderChanged(holder)
+		n.follower.HolderChanged(holder)
 		if holder.Daemon != n.config.ID {
 			n.holder.OtherHeld()
 		}
@@ -265,7 +266,7 @@
 		n.log.WithField(logging.Cause, event.String()).Warn("supervisor")
 	}})
 	for _, service := range []suture.Service{
-		n.mirror, n.election, n.holder, follower, n.quotas, n.quarantine, server, n.frontend, subscriber, n.replicas.client, &sweeper{node: n},
+		n.mirror, n.election, n.holder, n.follower, n.quotas, n.quarantine, server, n.frontend, subscriber, n.replicas.client, &sweeper{node: n},
 		&readiness{node: n, path: adapters.ReadyPath, listener: n.listeners.ready},
 	} {
 		n.supervisor.Add(service)
--- a/node/notices.go
+++ b/node/notices.go
@@ -28,6 +28,8 @@
 	if change, news := n.fleet.HearLimit(notice, now); news {
 		n.notices.limits.Inc()
 		entry.WithFields(logrus.Fields{logging.Limit: change.PerSecond, logging.LimitBefore: change.Before}).Info(logging.MessageReplicaLimit)
+		n.follower.LimitHeard()
+		n.holder.RegistryChanged(notice.Replica)
 	}
 	if !notice.Leaving && notice.Rest == 0 {
 		return
--- a/permit/model_test.go
+++ b/permit/model_test.go
@@ -106,7 +106,7 @@
 // request leads one request to the replica, or gives it up.
 func (m *model) request(daemon *modelDaemon, patience time.Duration) {
 	for end := time.Now().Add(patience); ; {
-		answer, owner := m.ask(daemon, end.Sub(time.Now()))
+		answer, owner := m.ask(daemon, time.Until(end))
 		if !answer.Granted {
 			if time.Now().Add(answer.RetryIn).After(end) {
 				return
@@ -118,7 +118,7 @@
 		time.Sleep(answer.In)
 		m.connect()
 		m.awake(&daemon.frozen)
-		if time.Now().Sub(turn) > Life {
+		if time.Since(turn) > Life {
 			m.giveBack(owner)
 			continue
 		}
