--- a/core/call.go
+++ b/core/call.go
@@ -108,6 +108,7 @@
 	Address     string
 	Left        time.Duration // until the call's deadline
 	ResumeAfter string
+	Permit      ReplicaPermit // nil: none was needed
 }
 
 // Driver speaks the replicas' protocol.
--- a/core/core.go
+++ b/core/core.go
@@ -39,6 +39,8 @@
 	Limits  Limits // nil: none are kept
 	// Quarantine knows under which requests replicas ended; nil: none are withheld.
 	Quarantine Quarantine
+	// Permits shares out what replicas with a limit take; nil: no limit is kept.
+	Permits ReplicaPermits
 	// OrdersGiven tells whether this daemon is attached to a holder of load orders; nil: never.
 	OrdersGiven func() bool
 	Metrics     *Metrics
@@ -144,7 +146,8 @@
 	// failedStatus is that of a replica's own failure that went to the caller; zero
 	// without one.
 	failedStatus int
-	pick         *fleet.Pick // of the present dispatch, until its answer begins
+	pick         *fleet.Pick   // of the present dispatch, until its answer begins
+	permit       ReplicaPermit // for the present dispatch; nil: the replica is without a limit
 }
 
 // waitReason names why the call first waited; empty if it did not.
@@ -229,9 +232,11 @@
 		}
 		if failed := c.pass(ctx, running); failed != nil {
 			pick.Withdraw()
+			running.returnPermit()
 			return failed
 		}
 		outcome := c.dispatch(ctx, running, pick)
+		running.returnPermit()
 		verdict := running.life.After(time.Now(), outcome.result, c.spender(running, outcome))
 		c.logDispatch(running, pick, outcome, verdict)
 		if verdict.Done {
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -50,7 +50,7 @@
 	if ctx.Err() != nil && outcome.health == fleet.Unreachable {
 		outcome.health = fleet.Answered // the caller left or its time is over: not the replica's fault
 	}
-	if outcome.result != Answered {
+	if outcome.result != Answered && !errors.Is(outcome.cause, fleet.ErrLimited) { // it has turns for the call
 		running.tried = append(running.tried, pick.ID)
 	}
 	pick.Release(outcome.health, running.Target, time.Now())
@@ -68,11 +68,11 @@
 
 func (c *Core) exchange(ctx context.Context, running *run, pick *fleet.Pick) dispatchOutcome {
 	reply, err := c.Driver.Send(ctx, Dispatch{
-		Call: running.Call, ReplicaID: pick.ID, Address: pick.Address, Left: time.Until(running.Deadline), ResumeAfter: running.lastEvent,
+		Call: running.Call, ReplicaID: pick.ID, Address: pick.Address, Left: time.Until(running.Deadline), ResumeAfter: running.lastEvent, Permit: running.permit,
 	})
 	if err != nil {
 		var failed *SendError
-		if errors.Is(err, fleet.ErrLeaves) || errors.Is(err, fleet.ErrRests) {
+		if errors.Is(err, fleet.ErrLeaves) || errors.Is(err, fleet.ErrRests) || errors.Is(err, fleet.ErrLimited) {
 			return dispatchOutcome{result: NotWritten, cause: err, health: fleet.Unsent}
 		}
 		if errors.As(err, &failed) && !failed.Written {
--- a/core/rest_model_test.go
+++ b/core/replica_model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math"
 	"math/rand/v2"
@@ -17,15 +18,20 @@
 
 	"github.com/finchspoke/finchspoke/demand"
 	"github.com/finchspoke/finchspoke/fleet"
+	"github.com/finchspoke/finchspoke/permit"
 	"github.com/finchspoke/finchspoke/routing"
 )
 
-// restModel is a replica with the only copy of a model that turns away part of what comes and asks
-// each daemon for rest, with the daemons before it and callers that come back once, at another daemon.
-// The figures are those of the day that was handed over: nine daemons, two requests in five turned
-// away, three seconds of rest.
-type restModel struct {
+// replicaModel is a replica with the only copy of a model, with the daemons before it and callers that
+// come back once, at another daemon. It turns away part of what comes and asks each daemon for rest, or
+// it names a limit. The figures are those of the days that were handed over: nine daemons, two requests
+// in five turned away, three seconds of rest; a limit of one request a second.
+type replicaModel struct {
 	objective time.Duration
+	limit     float64 // requests a second that it takes; zero: it asks for rest
+	perSecond float64 // requests that come
+	book      *permit.Book
+	arrivals  []time.Time
 	cores     []*Core
 	resting   []time.Time // by daemon, as the replica counts
 
@@ -40,6 +46,8 @@
 const (
 	modelDaemons   = 9
 	modelTurnsAway = 0.4
+	modelLimit     = 1.0
+	modelWindow    = 4 * time.Second
 	modelRest      = 3 * time.Second
 	modelPerSecond = 3.0
 	modelSeconds   = 120.0
@@ -50,13 +58,18 @@
 
 // modelDriver is one daemon's way to the replica.
 type modelDriver struct {
-	model  *restModel
+	model  *replicaModel
 	daemon int
 }
 
 func (d *modelDriver) Send(ctx context.Context, dispatch Dispatch) (*Reply, error) {
 	time.Sleep(modelHop)
-	if d.model.turnsAway(d.daemon) {
+	if d.model.limit > 0 {
+		if err := d.model.cores[d.daemon].Fleet.Admit(dispatch.ReplicaID, dispatch.Permit, time.Now()); err != nil {
+			return nil, &SendError{Cause: err}
+		}
+		d.model.arrived()
+	} else if d.model.turnsAway(d.daemon) {
 		d.model.cores[d.daemon].Fleet.Hear(fleet.Notice{Replica: dispatch.ReplicaID, Rest: modelRest}, time.Now())
 		return disposed(Rejected)(ctx, dispatch)
 	}
@@ -65,7 +78,7 @@
 }
 
 // turnsAway takes in that a request came to the replica, and draws whether it runs it.
-func (m *restModel) turnsAway(daemon int) bool {
+func (m *replicaModel) turnsAway(daemon int) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	now := time.Now()
@@ -79,28 +92,79 @@
 	return true
 }
 
-func (m *restModel) prepare() {
+// arrived takes in that a request came to the replica with a limit.
+func (m *replicaModel) arrived() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.arrivals = append(m.arrivals, time.Now())
+}
+
+// most returns the most requests that came within a window.
+func (m *replicaModel) most() (most int) {
+	first := 0
+	for index, at := range m.arrivals {
+		for at.Sub(m.arrivals[first]) > modelWindow {
+			first++
+		}
+		most = max(most, index-first+1)
+	}
+	return most
+}
+
+// AskPermit implements ReplicaPermits, as the owner of the replica's turns.
+func (m *replicaModel) AskPermit(_ context.Context, ask permit.Ask) (ReplicaPermit, time.Duration) {
+	time.Sleep(2 * modelHop)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	answer := m.book.Ask(ask, 1, time.Now())
+	if !answer.Granted {
+		return nil, answer.RetryIn
+	}
+	return &modelPermit{turn: time.Now().Add(answer.In)}, 0
+}
+
+// modelPermit is a permit that may be used once.
+type modelPermit struct {
+	turn time.Time
+	used bool
+}
+
+func (p *modelPermit) In() time.Duration { return max(0, time.Until(p.turn)) }
+func (p *modelPermit) Return()           {}
+func (p *modelPermit) Source() string    { return "model" }
+func (p *modelPermit) Use() bool {
+	first := !p.used
+	p.used = true
+	return first
+}
+
+func (m *replicaModel) prepare() {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	m.random = rand.New(rand.NewPCG(1, 2))
 	m.resting = make([]time.Time, modelDaemons)
+	m.book = permit.NewBook(true, time.Now())
 	for daemon := range modelDaemons {
 		directory := fleet.NewDirectory("a", func() float64 { return 0 })
 		directory.Put(fleet.Entry{ID: "r1", Service: "press", Address: "r1:1", Zone: "a", Holdings: fleet.Holdings{"m": nil}}, time.Now())
 		made := &Core{Fleet: directory, Demand: demand.NewTracker(), Driver: &modelDriver{m, daemon}, Retries: RetryPolicy{Share: 0.2, Reserve: 40},
 			daemons: modelDaemons, Metrics: NewMetrics(prometheus.NewRegistry()), Log: log}
 		made.Prepare()
+		if m.limit > 0 {
+			directory.HearLimit(fleet.Notice{Replica: "r1", Limit: fleet.LimitNamed, PerSecond: m.limit}, time.Now())
+			made.Permits = m
+		}
 		m.cores = append(m.cores, made)
 	}
 }
 
-func (m *restModel) play() {
+func (m *replicaModel) play() {
 	m.prepare()
 	service := &routing.Service{Name: "press", Engine: &routing.Engine{Models: map[string]*routing.Model{"m": {Name: "m", StoreLoad: 4 * time.Second}}}}
 	route := &routing.Route{Name: "route", Kind: routing.Stream, Attempts: 2, Objective: m.objective, MaxGap: 300 * time.Millisecond, Resumable: true}
 	began := time.Now()
 	var callers sync.WaitGroup
-	for at := 0.0; at < modelSeconds; at -= math.Log(1-m.random.Float64()) / modelPerSecond {
+	for at := 0.0; at < modelSeconds; at -= math.Log(1-m.random.Float64()) / m.perSecond {
 		time.Sleep(time.Until(began.Add(time.Duration(at * float64(time.Second)))))
 		first := m.random.IntN(modelDaemons)
 		second := (first + 1 + m.random.IntN(modelDaemons-1)) % modelDaemons
@@ -110,7 +174,7 @@
 }
 
 // call sends a request to a daemon and, once it may come back, to another.
-func (m *restModel) call(service *routing.Service, route *routing.Route, daemons ...int) {
+func (m *replicaModel) call(service *routing.Service, route *routing.Route, daemons ...int) {
 	arrived := time.Now()
 	deadline := arrived.Add(15 * time.Second)
 	for _, daemon := range daemons {
@@ -127,7 +191,7 @@
 	m.unserved++
 }
 
-func (m *restModel) count(inTime bool) {
+func (m *replicaModel) count(inTime bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if inTime {
@@ -152,7 +216,7 @@
 	} {
 		t.Run(test.objective.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				model := &restModel{objective: test.objective}
+				model := &replicaModel{objective: test.objective, perSecond: modelPerSecond}
 				model.play()
 				total := float64(model.inTime + model.late + model.unserved)
 				t.Logf("in time %.3f, late %.3f, not served %.3f", float64(model.inTime)/total, float64(model.late)/total, float64(model.unserved)/total)
@@ -163,3 +227,32 @@
 		})
 	}
 }
+
+// inTimeShare is the least share of the requests which a limit can serve that are to be served in time.
+// The others come back after a refusal, and take turns of those that come then.
+const inTimeShare = 0.7
+
+func TestCallersOfAReplicaWithALimitAreServedInTimeOrToldWhenThereIsATurn(t *testing.T) {
+	for _, test := range []struct {
+		objective time.Duration
+		perSecond float64
+	}{
+		{600 * time.Millisecond, 0.5}, {600 * time.Millisecond, 1}, {600 * time.Millisecond, 2}, {600 * time.Millisecond, 4},
+		{6 * time.Second, 0.5}, {6 * time.Second, 1}, {6 * time.Second, 2}, {6 * time.Second, 4},
+	} {
+		t.Run(fmt.Sprintf("%s, %v a second", test.objective, test.perSecond), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				model := &replicaModel{objective: test.objective, limit: modelLimit, perSecond: test.perSecond}
+				model.play()
+				total := float64(model.inTime + model.late + model.unserved)
+				t.Logf("in time %.3f, late %.3f, not served %.3f; %d in a window", float64(model.inTime)/total, float64(model.late)/total, float64(model.unserved)/total, model.most())
+				servable := min(1, modelLimit/test.perSecond)
+				require.GreaterOrEqual(t, float64(model.inTime)/total, inTimeShare*servable, "of those that the limit can serve")
+				require.LessOrEqual(t, model.most(), int(modelLimit*modelWindow.Seconds())+2, "the rate, and two that may be saved up")
+				if test.perSecond >= 2*modelLimit {
+					require.GreaterOrEqual(t, float64(len(model.arrivals)), 0.9*modelLimit*modelSeconds, "callers want more than the limit")
+				}
+			})
+		})
+	}
+}
--- a/core/wait.go
+++ b/core/wait.go
@@ -29,6 +29,8 @@
 	// that nobody is known to have begun.
 	unknownShare = 0.4
 	recheck      = 200 * time.Millisecond
+	// leastPause is the least time between two looks for a turn.
+	leastPause = time.Millisecond
 	// untoldTime is how long a call waits for word of the replicas that serve its target, and
 	// untoldShare the share of its caller's patience that it waits at most. Within that time a
 	// daemon gives up a directory that is silent and asks another.
@@ -58,6 +60,13 @@
 	return until
 }
 
+// inTime returns until when a call may wait for its turn at a replica, to be answered within its
+// objective.
+func inTime(call *Call) time.Time {
+	objective := call.Route.Objective
+	return call.Arrived.Add(objective - min(looseEnd, objective/2))
+}
+
 // waitDecision is what to do with a call that no replica can take now.
 type waitDecision struct {
 	wait    bool
@@ -97,6 +106,12 @@
 			return waitDecision{wait: true, readyIn: max(0, expected.Sub(now)), source: miss.String()}
 		}
 		return waitDecision{readyIn: retrySoon, source: miss.String()}
+	case fleet.AtLimit:
+		// Of what comes beyond the limit some are served late or not at all, whoever waits: those are
+		// served that still are in time, and the others are told when the line has a turn.
+		decision := waitDecision{readyIn: max(0, expected.Sub(now)), source: miss.String()}
+		decision.wait = expected.Before(inTime(call))
+		return decision
 	case fleet.NotLoaded, fleet.AdapterAbsent:
 	}
 	decision := waitDecision{readyIn: guess.takes, source: guess.source}
@@ -173,13 +188,21 @@
 		ask.Patience = patience(running.Call).Sub(now)
 		pick, miss := c.Fleet.Choose(ask, now)
 		if pick != nil {
-			running.waited += now.Sub(began)
+			notBefore, hasTurn := c.awaitTurn(ctx, running, pick)
+			if !hasTurn {
+				ask.NotBefore = hold(ask.NotBefore, pick.ID, notBefore)
+				continue
+			}
+			running.waited += time.Since(began)
 			return pick, nil
 		}
 		expected, known := c.Fleet.Expected(running.Service.Name, missing(running.Target, miss), now)
 		var rest fleet.Rest
-		if miss == fleet.AskedRest {
+		switch miss {
+		case fleet.AskedRest:
 			rest, expected, known = c.awaitRest(running, expected, known, now)
+		case fleet.AtLimit:
+			rest, expected, known = sooner(firstTurn(ask.NotBefore, now), expected, known)
 		}
 		var guess loadEstimate
 		if !known { // looking at all replicas is not needed where the holder told
@@ -204,13 +227,19 @@
 			running.waited += now.Sub(began)
 			return nil, c.refused(running, miss, decision)
 		}
+		pause := recheck
+		if miss == fleet.AtLimit {
+			pause = min(recheck, max(leastPause, expected.Sub(now)))
+		}
 		select {
 		case <-ctx.Done():
 			return nil, c.ended(ctx, running, failure.DeadlineExceeded, errors.New(miss.String()))
 		case <-c.stopping:
 		case <-changed:
-		case <-time.After(recheck):
-			ask.Tried = nil
+		case <-time.After(pause):
+			if pause == recheck {
+				ask.Tried = nil
+			}
 		}
 	}
 }
@@ -219,7 +248,15 @@
 // is over, or a load that is expected has ended.
 func (c *Core) awaitRest(running *run, load time.Time, loads bool, now time.Time) (rest fleet.Rest, at time.Time, known bool) {
 	rest, rests := c.Fleet.FirstRested(running.Service.Name, running.Target, now)
-	if rests && (!loads || rest.Until.Before(load)) {
+	if !rests {
+		return rest, load, loads
+	}
+	return sooner(rest, load, loads)
+}
+
+// sooner returns which comes first: a replica that takes the call again, or the end of a load.
+func sooner(rest fleet.Rest, load time.Time, loads bool) (blocked fleet.Rest, at time.Time, known bool) {
+	if !loads || rest.Until.Before(load) {
 		return rest, rest.Until, true
 	}
 	return rest, load, loads
--- a/core/wait_test.go
+++ b/core/wait_test.go
@@ -69,3 +69,16 @@
 	require.True(t, decision.wait, "it ended since the replica was looked for")
 	require.Zero(t, decision.readyIn)
 }
+
+// A turn that comes too late is not waited for: the caller is told when the line has one.
+func TestARequestWaitsForItsTurnAtAReplicaOnlyIfItIsThenInTime(t *testing.T) {
+	now := time.Now()
+	call := &Call{Arrived: now, Deadline: now.Add(10 * time.Second), Route: &routing.Route{Kind: routing.Stream, Objective: time.Second, MaxGap: time.Second}}
+	require.Equal(t, now.Add(time.Second-looseEnd), inTime(call))
+	soon := decideWait(now, call, fleet.AtLimit, now.Add(700*time.Millisecond), true, loadEstimate{})
+	require.Equal(t, waitDecision{wait: true, readyIn: 700 * time.Millisecond, source: "at_limit"}, soon)
+	late := decideWait(now, call, fleet.AtLimit, now.Add(3*time.Second), true, loadEstimate{})
+	require.Equal(t, waitDecision{readyIn: 3 * time.Second, source: "at_limit"}, late)
+	call.Route.Objective = 150 * time.Millisecond
+	require.Equal(t, now.Add(75*time.Millisecond), inTime(call), "half of a short objective is for the answer")
+}
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -17,6 +17,9 @@
 	Prefix string
 	// Tried are the ids of replicas not to be used again.
 	Tried []string
+	// NotBefore says of replicas with a limit when they may have a turn for the request; others may at
+	// once.
+	NotBefore map[string]time.Time
 	// Patience is how long the request may wait at a replica; zero: without end.
 	Patience time.Duration
 	// PromptTokens is the length of the prompt; zero if it is not known.
@@ -36,11 +39,12 @@
 	Crowded            // requests wait too long wherever the target is loaded
 	Untold             // this daemon has not been told yet which replicas serve the target
 	AskedRest          // those that hold the target asked this daemon for rest
+	AtLimit            // those that hold the target named a limit and have no turn for the request
 )
 
 // String returns the reason's name in logs.
 func (m Miss) String() string {
-	return [...]string{"found", "no_replica", "all_tried", "model_not_loaded", "adapter_not_loaded", "crowded", "untold", "asked_for_rest"}[m]
+	return [...]string{"found", "no_replica", "all_tried", "model_not_loaded", "adapter_not_loaded", "crowded", "untold", "asked_for_rest", "at_limit"}[m]
 }
 
 // Pick is a replica chosen for one dispatch. It must be released.
@@ -48,10 +52,13 @@
 	Incarnation
 	Address  string
 	Inflight int // of this daemon there, this one excluded
-	began    time.Time
-	reading  int // tokens of the prompt, until the replica has read it
-	replica  *Replica
-	fleet    *Directory
+	// PerSecond is the limit that the replica named, in messages a second of all daemons together; a
+	// request needs a turn there. Zero: without a limit.
+	PerSecond float64
+	began     time.Time
+	reading   int // tokens of the prompt, until the replica has read it
+	replica   *Replica
+	fleet     *Directory
 }
 
 // Read notes that the replica has read the prompt: the answer has begun.
@@ -94,13 +101,14 @@
 		return nil, miss
 	}
 	owner := prefixOwner(ask.Prefix, candidates)
-	candidates = awake(candidates, now)
+	candidates = preferred(candidates, now)
 	costs := make([]float64, len(candidates))
 	for index, candidate := range candidates {
 		costs[index] = d.cost(candidate, ask, owner, now)
 	}
 	best := candidates[spread(costs, d.coming(candidates, now), d.random())]
-	pick := &Pick{Incarnation: best.Incarnation(), Address: best.Address, Inflight: best.inflight, began: now, reading: ask.PromptTokens, replica: best, fleet: d}
+	pick := &Pick{Incarnation: best.Incarnation(), Address: best.Address, Inflight: best.inflight, PerSecond: best.perSecond, began: now, reading: ask.PromptTokens, replica: best, fleet: d}
+	best.turnAt = now
 	best.inflight++
 	best.reading += ask.PromptTokens
 	return pick, Found
@@ -122,6 +130,8 @@
 			miss = worse(miss, AdapterAbsent)
 		case d.restsUntil(member.ID).After(now):
 			miss = worse(miss, AskedRest)
+		case member.perSecond > 0 && now.Before(ask.NotBefore[member.ID]):
+			miss = worse(miss, AtLimit)
 		case slices.Contains(ask.Tried, member.ID):
 			miss = worse(miss, AllTried)
 		case ask.Patience > 0 && d.queueTime(member, now) > ask.Patience:
@@ -155,6 +165,24 @@
 	d.runTime[service] = mean + time.Duration(runTimeWeight*float64(took-mean))
 }
 
+// limitAsked is how long a replica with a limit gets nothing of this daemon where others serve the target.
+// Then a request goes there again, if it has a turn: only an answer tells that the limit is over.
+const limitAsked = 2 * time.Second
+
+// preferred leaves out the candidates that rest, unless all do, and of the others those with a limit,
+// unless all have one: a replica in need names it, and others that serve the target don't need a turn.
+func preferred(candidates []*Replica, now time.Time) []*Replica {
+	able := awake(candidates, now)
+	isSpared := func(one *Replica) bool { return one.perSecond > 0 && now.Sub(one.turnAt) < limitAsked }
+	if !slices.ContainsFunc(able, isSpared) {
+		return able // nearly always
+	}
+	if others := slices.DeleteFunc(slices.Clone(able), isSpared); len(others) > 0 {
+		return others
+	}
+	return able
+}
+
 // awake leaves out the candidates that rest, unless all do. The others are in a fixed order.
 func awake(candidates []*Replica, now time.Time) []*Replica {
 	able := slices.DeleteFunc(slices.Clone(candidates), func(one *Replica) bool { return one.health.resting(now) })
@@ -166,7 +194,7 @@
 }
 
 // missRank orders the reasons by how close the request came to a replica.
-var missRank = [...]int{Found: 0, NoReplica: 1, NotLoaded: 2, AdapterAbsent: 3, AskedRest: 4, Crowded: 5, AllTried: 6, Untold: 7}
+var missRank = [...]int{Found: 0, NoReplica: 1, NotLoaded: 2, AdapterAbsent: 3, AskedRest: 4, Crowded: 5, AtLimit: 6, AllTried: 7, Untold: 8}
 
 func worse(a, b Miss) Miss {
 	if missRank[b] > missRank[a] {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -91,6 +91,7 @@
 	forgotten   bool                 // nothing more is told of it; it goes with its last request
 	unconfirmed bool                 // not in the registry's list so far
 	perSecond   float64              // messages that it takes from all daemons together; zero: without a limit
+	turnAt      time.Time            // when it was last chosen
 }
 
 // absentFor is how long a replica's own word that it lacks a target goes before
--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -102,7 +102,7 @@
 		return change, false
 	}
 	if d.members[incarnation.ID] != nil {
-		d.change(incarnation.ID, func(member *Replica) { member.perSecond = heard.perSecond })
+		d.change(incarnation.ID, func(member *Replica) { member.perSecond, member.turnAt = heard.perSecond, now })
 	}
 	return change, true
 }
--- a/fleet/limit_test.go
+++ b/fleet/limit_test.go
@@ -57,7 +57,9 @@
 func TestOfTwoWordsOfALimitTheLaterCounts(t *testing.T) {
 	d := noticeDirectory()
 	d.HearLimit(naming(2, start), start.Add(time.Second))
-	told := func(perSecond float64, at time.Time) ReplicaLimit { return ReplicaLimit{Incarnation{ID: "r1"}, perSecond, at} }
+	told := func(perSecond float64, at time.Time) ReplicaLimit {
+		return ReplicaLimit{Incarnation{ID: "r1"}, perSecond, at}
+	}
 	_, news := d.TellLimit(told(0, start), start.Add(3*time.Second))
 	require.False(t, news, "it was said before")
 	require.Len(t, d.WordsOfLimits(true), 1)
@@ -105,3 +107,52 @@
 	other.Learn(state, start)
 	require.Zero(t, other.LimitOf("r2"))
 }
+
+func TestAReplicaWithALimitIsChosenWhereOthersDoNotServeOrToHearWhetherItIsOver(t *testing.T) {
+	d := noticeDirectory()
+	d.HearLimit(naming(2, start), start)
+	id, _ := chosen(d, "m1", start)
+	require.Equal(t, "r2", id, "the other is farther, and without a limit")
+	pick, _ := d.Choose(Ask{Service: "press", Target: Target{Model: "m2"}}, start)
+	require.Equal(t, "r1", pick.ID, "no other has the model")
+	require.Equal(t, 2.0, pick.PerSecond)
+	pick.Withdraw()
+
+	held := map[string]time.Time{"r1": start.Add(time.Second)}
+	_, miss := d.Choose(Ask{Service: "press", Target: Target{Model: "m2"}, NotBefore: held}, start)
+	require.Equal(t, AtLimit, miss)
+	pick, _ = d.Choose(Ask{Service: "press", Target: Target{Model: "m2"}, NotBefore: held}, start.Add(time.Second))
+	require.Equal(t, "r1", pick.ID)
+	pick.Withdraw()
+
+	later := start.Add(time.Second + limitAsked)
+	id, _ = chosen(d, "m1", later)
+	require.Equal(t, "r1", id, "nothing came of it for a while")
+	id, _ = chosen(d, "m1", later)
+	require.Equal(t, "r2", id, "one request is enough")
+	d.HearLimit(Notice{Replica: "r1", Limit: LimitNone, SentAt: later}, later)
+	id, _ = chosen(d, "m1", later)
+	require.Equal(t, "r1", id)
+	_, miss = d.Choose(Ask{Service: "press", Target: Target{Model: "m2"}, NotBefore: held}, start)
+	require.Equal(t, Found, miss, "turns are for replicas with a limit")
+}
+
+// permitOf counts its uses.
+type permitOf struct{ uses, most int }
+
+func (p *permitOf) Use() bool {
+	p.uses++
+	return p.uses <= p.most
+}
+
+func TestARequestIsWrittenToAReplicaWithALimitOnlyWithAPermit(t *testing.T) {
+	d := noticeDirectory()
+	held := &permitOf{most: 1}
+	require.NoError(t, d.Admit("r1", held, start))
+	require.Zero(t, held.uses, "none is needed")
+	d.HearLimit(naming(2, start), start)
+	require.ErrorIs(t, d.Admit("r1", nil, start), ErrLimited, "it was chosen before the limit was heard")
+	require.NoError(t, d.Admit("r1", held, start))
+	require.ErrorIs(t, d.Admit("r1", held, start), ErrLimited)
+	require.NoError(t, d.Admit("r2", nil, start))
+}
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -88,14 +88,21 @@
 
 // Errors of Admit.
 var (
-	ErrLeaves = errors.New("the replica leaves")
-	ErrRests  = errors.New("the replica asked for rest")
+	ErrLeaves  = errors.New("the replica leaves")
+	ErrRests   = errors.New("the replica asked for rest")
+	ErrLimited = errors.New("the replica takes a limited rate, and the request has no turn")
 )
 
+// Permit is the permission to send one message to a replica with a limit.
+type Permit interface {
+	// Use uses it up; false: its time is over, or it was used.
+	Use() bool
+}
+
 // Admit tells whether a request that a replica was chosen for may still go there. It is asked right
 // before the request is written: a connection may take 0.4 s to open, and the replica may have said
-// something of itself to another request meanwhile.
-func (d *Directory) Admit(id string, now time.Time) error {
+// something of itself to another request meanwhile. A permit is used up there; nil: the request has none.
+func (d *Directory) Admit(id string, held Permit, now time.Time) error {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	known := d.notices[id]
@@ -106,6 +113,8 @@
 		return ErrLeaves
 	case now.Before(known.restUntil):
 		return ErrRests
+	case known.limit.perSecond > 0 && (held == nil || !held.Use()):
+		return ErrLimited
 	}
 	return nil
 }
--- a/fleet/notice_test.go
+++ b/fleet/notice_test.go
@@ -156,11 +156,11 @@
 
 func TestARequestThatWasChosenForAReplicaIsNotAdmittedOnceItSaidOtherwise(t *testing.T) {
 	d := noticeDirectory()
-	require.NoError(t, d.Admit("r1", start))
+	require.NoError(t, d.Admit("r1", nil, start))
 	d.Hear(Notice{Replica: "r1", Rest: time.Second}, start)
-	require.ErrorIs(t, d.Admit("r1", start), ErrRests)
-	require.NoError(t, d.Admit("r1", start.Add(time.Second)))
+	require.ErrorIs(t, d.Admit("r1", nil, start), ErrRests)
+	require.NoError(t, d.Admit("r1", nil, start.Add(time.Second)))
 	d.Hear(Notice{Replica: "r1", Leaving: true}, start)
-	require.ErrorIs(t, d.Admit("r1", start.Add(time.Second)), ErrLeaves)
-	require.NoError(t, d.Admit("r2", start))
+	require.ErrorIs(t, d.Admit("r1", nil, start.Add(time.Second)), ErrLeaves)
+	require.NoError(t, d.Admit("r2", nil, start))
 }
--- a/limiter/admit.go
+++ b/limiter/admit.go
@@ -79,20 +79,43 @@
 type told struct {
 	quota.Answer
 	fence int64
+	in    time.Duration // until the turn of a permit
 }
 
-// ask asks the holder; up is false if there is none that answers in time.
+// holderQuestion is one that the holder is asked.
+type holderQuestion struct {
+	// put makes it, under the mutex, and returns its id.
+	put func(now time.Time) uint64
+	// giveBack gives back what was granted to a request that waits no longer.
+	giveBack func(answer told)
+}
+
+// ask asks the holder whether a request is within its tenant's limit; up is false if there is none that
+// answers in time.
 func (c *Client) ask(ctx context.Context, tenant string, cost float64) (answer told, up bool) {
+	return c.askHolder(ctx, holderQuestion{
+		put: func(now time.Time) uint64 {
+			made := c.account.Ask(tenant, cost, now)
+			c.outbox.questions = append(c.outbox.questions, made)
+			return made.ID
+		},
+		giveBack: func(answer told) {
+			(&Grant{client: c, tenant: tenant, cost: cost, fence: answer.fence, slot: answer.Slot}).Return()
+		},
+	})
+}
+
+// askHolder asks the holder; up is false if there is none that answers in time.
+func (c *Client) askHolder(ctx context.Context, asked holderQuestion) (answer told, up bool) {
 	c.mutex.Lock()
 	if !c.answers() {
 		c.mutex.Unlock()
 		return told{}, false
 	}
 	now := c.Now()
-	question := c.account.Ask(tenant, cost, now)
+	id := asked.put(now)
 	answered := make(chan told, 1)
-	c.waiting[question.ID] = answered
-	c.outbox.questions = append(c.outbox.questions, question)
+	c.waiting[id] = answered
 	if c.silentSince.IsZero() {
 		c.silentSince = now
 	}
@@ -107,36 +130,33 @@
 		if c.Now().Sub(now) <= 2*answerPatience {
 			return answer, true
 		}
-		c.giveBack(question, answer)
+		if answer.Granted {
+			asked.giveBack(answer)
+		}
 		return told{}, false
 	case <-lost:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	c.abandon(question, answered)
+	c.abandon(id, asked, answered)
 	return told{}, false
 }
 
 // abandon gives back what a question may be granted, or was, whose request waits no longer.
-func (c *Client) abandon(question quota.Ask, answered <-chan told) {
+func (c *Client) abandon(id uint64, asked holderQuestion, answered <-chan told) {
 	c.mutex.Lock()
-	delete(c.waiting, question.ID)
-	c.account.Abandon(question.ID)
+	delete(c.waiting, id)
+	c.account.Abandon(id)
 	c.mutex.Unlock()
 	select {
 	case answer := <-answered:
-		c.giveBack(question, answer)
+		if answer.Granted {
+			asked.giveBack(answer)
+		}
 	default:
 	}
 }
 
-// giveBack gives back what was granted to a question, if it was.
-func (c *Client) giveBack(question quota.Ask, answer told) {
-	if answer.Granted {
-		(&Grant{client: c, tenant: question.Tenant, cost: question.Cost, fence: answer.fence, slot: answer.Slot}).Return()
-	}
-}
-
 // Answers tells whether the holder answers.
 func (c *Client) Answers() bool {
 	c.mutex.Lock()
--- a/limiter/client.go
+++ b/limiter/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -9,7 +10,9 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/finchspoke/finchspoke/fleet"
 	"github.com/finchspoke/finchspoke/logging"
+	"github.com/finchspoke/finchspoke/permit"
 	"github.com/finchspoke/finchspoke/quota"
 	"github.com/finchspoke/finchspoke/rpc"
 	"github.com/finchspoke/finchspoke/sleep"
@@ -40,7 +43,11 @@
 	Needed func() bool
 	// Now is the clock of credit; nil: time.Now.
 	Now func() time.Time
-	Log logrus.FieldLogger
+	// Daemons returns how many daemons share replicas' limits; nil, or zero: not known.
+	Daemons func() int
+	// Count counts the questions for permits by where the answer came from; nil: nobody counts.
+	Count func(source, outcome string)
+	Log   logrus.FieldLogger
 
 	process string
 	mutex   sync.Mutex
@@ -56,6 +63,10 @@
 	reports []uint64
 	// silentSince is when the first question was sent that has no answer; zero: none.
 	silentSince time.Time
+	// permitsAsked are the replicas of questions for permits without an answer.
+	permitsAsked map[uint64]fleet.Incarnation
+	shares       *permit.Shares
+	heardAt      time.Time // when a holder last answered, or none was needed
 }
 
 // outbox is what goes with the next message.
@@ -63,6 +74,8 @@
 	questions []quota.Ask
 	refunds   []quota.Refund
 	returned  []quota.Credit
+	permits   []permitQuestion
+	unused    []fleet.Incarnation // replicas for which permits were not used
 }
 
 // Prepare makes the client ready for use.
@@ -73,6 +86,9 @@
 	c.process = uuid.NewString()
 	c.account = quota.NewAccount(c.Bounds)
 	c.waiting = map[uint64]chan told{}
+	c.permitsAsked = map[uint64]fleet.Incarnation{}
+	c.shares = permit.NewShares(rand.Float64)
+	c.heardAt = c.Now()
 	c.wake = make(chan struct{}, 1)
 	c.connected = make(chan struct{})
 }
@@ -91,7 +107,11 @@
 func (c *Client) Serve(ctx context.Context) error {
 	pause := connectPause
 	for ctx.Err() == nil {
-		if address := c.Holder(); address != "" && (c.Needed == nil || c.Needed()) {
+		isNeeded := c.Needed == nil || c.Needed()
+		if !isNeeded {
+			c.notNeeded()
+		}
+		if address := c.Holder(); address != "" && isNeeded {
 			answered, err := c.borrow(ctx, address)
 			if answered {
 				pause = connectPause
@@ -105,6 +125,13 @@
 	return ctx.Err()
 }
 
+// notNeeded notes that no holder is asked now, so that none is missed.
+func (c *Client) notNeeded() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.heardAt = c.Now()
+}
+
 // dependencyHolder names the holder in log lines.
 const dependencyHolder = "holder of tenants' limits"
 
@@ -210,6 +237,12 @@
 	for _, refund := range c.outbox.refunds {
 		message.Refunds = append(message.Refunds, &rpc.QuotaRefund{Tenant: refund.Tenant, Cost: refund.Cost, Slot: refund.Slot})
 	}
+	for _, question := range c.outbox.permits {
+		message.Questions = append(message.Questions, question.message())
+	}
+	for _, replica := range c.outbox.unused {
+		message.Refunds = append(message.Refunds, &rpc.QuotaRefund{Replica: rpc.IncarnationMessage(replica)})
+	}
 	message.Returned = messageOf(c.outbox.returned)
 	c.outbox = outbox{}
 	return message
@@ -255,6 +288,8 @@
 		c.Log.WithFields(logrus.Fields{logging.Dependency: dependencyHolder, logging.Fence: message.GetFence()}).Info(logging.MessageDependencyRegained)
 	}
 	c.fence = message.GetFence()
+	c.heardAt = now
+	c.shares.Reset()
 	if len(c.reports) > 0 { // each message gets one reply
 		c.account.Confirmed(c.reports[0])
 		c.reports = c.reports[1:]
@@ -264,11 +299,9 @@
 			ID: one.GetId(), Granted: one.GetGranted(), Unknown: one.GetUnknown(), RetryIn: time.Duration(one.GetRetryMs()) * time.Millisecond,
 			Slot: one.GetSlot(), Renewed: one.GetRenewed(), Ahead: one.GetAhead(), Unsettled: one.GetUnsettled(),
 		}
-		if unused := c.account.Take(answer, now); unused != nil {
-			c.outbox.refunds = append(c.outbox.refunds, *unused)
-		}
+		c.settle(answer, now)
 		if waiting := c.waiting[answer.ID]; waiting != nil {
-			waiting <- told{answer, c.fence}
+			waiting <- told{Answer: answer, fence: c.fence, in: time.Duration(one.GetInMs()) * time.Millisecond}
 			delete(c.waiting, answer.ID)
 		}
 	}
@@ -285,6 +318,21 @@
 	}
 }
 
+// settle takes in an answer, and gives back what it grants to a request that waits no longer; the mutex
+// is held.
+func (c *Client) settle(answer quota.Answer, now time.Time) {
+	replica, isPermit := c.permitsAsked[answer.ID]
+	delete(c.permitsAsked, answer.ID)
+	unused := c.account.Take(answer, now)
+	switch {
+	case unused == nil:
+	case isPermit:
+		c.outbox.unused = append(c.outbox.unused, replica)
+	default:
+		c.outbox.refunds = append(c.outbox.refunds, *unused)
+	}
+}
+
 // down notes that the holder is lost: what waits for it uses credit, or waits for the next. It
 // tells whether the holder had answered.
 func (c *Client) down() (answered bool) {
@@ -295,6 +343,7 @@
 	close(c.connected)
 	c.connected = make(chan struct{})
 	clear(c.waiting)
+	clear(c.permitsAsked)
 	c.account.Disconnected()
 	return answered
 }
--- /dev/null
+++ b/limiter/permits_test.go
@@ -0,0 +1,203 @@
+package limiter
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+
+	"github.com/finchspoke/finchspoke/core"
+	"github.com/finchspoke/finchspoke/election"
+	"github.com/finchspoke/finchspoke/fleet"
+	"github.com/finchspoke/finchspoke/permit"
+	"github.com/finchspoke/finchspoke/routing"
+	"github.com/finchspoke/finchspoke/rpc"
+	"github.com/finchspoke/finchspoke/transport"
+)
+
+// owner is a daemon that hands out permits; the test says what it knows.
+type owner struct {
+	*Server
+	*term
+	address string
+	reached atomic.Int64 // percent
+	first   bool
+}
+
+func startOwner(t *testing.T, first bool) *owner {
+	t.Helper()
+	log, _ := test.NewNullLogger()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	made := &owner{term: &term{fence: 1, standing: election.Sure}, address: listener.Addr().String(), first: first}
+	made.reached.Store(100)
+	made.Server = &Server{
+		Bounds: testBounds, Table: &routing.Store{}, Term: made.get, First: func() bool { return first },
+		Reached: func() float64 { return float64(made.reached.Load()) / 100 }, Log: log,
+	}
+	server := transport.NewServer(listener)
+	require.NoError(t, rpc.DRPCRegisterQuotas(server.Mux(), made.Server))
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = server.Serve(ctx) }()
+	return made
+}
+
+func permitAsk(perSecond float64, patience time.Duration) permit.Ask {
+	return permit.Ask{Replica: fleet.Incarnation{ID: "r1", Born: 1000}, PerSecond: perSecond, Patience: patience}
+}
+
+// connected returns a client that the holder answers.
+func connected(t *testing.T, address string) *Client {
+	t.Helper()
+	client := clientOf(t, address)
+	require.Eventually(t, client.Answers, 5*time.Second, time.Millisecond)
+	return client
+}
+
+func TestDaemonsGetTurnsOneAfterTheOther(t *testing.T) {
+	held := startOwner(t, true)
+	first, second := connected(t, held.address), connected(t, held.address)
+	ask := permitAsk(4, time.Second)
+	var turns []time.Time
+	for _, client := range []*Client{first, second, first, second} {
+		granted, _ := client.AskPermit(t.Context(), ask)
+		require.NotNil(t, granted)
+		require.Equal(t, sourceHolder, granted.Source())
+		turns = append(turns, granted.(*Permit).turn)
+	}
+	require.InDelta(t, 0.75, turns[3].Sub(turns[0]).Seconds(), 0.1)
+	require.GreaterOrEqual(t, held.Waiting(), 2)
+	refused, retryIn := first.AskPermit(t.Context(), permitAsk(4, 0))
+	require.Nil(t, refused)
+	require.InDelta(t, 1, retryIn.Seconds(), 0.15)
+	_, later := second.AskPermit(t.Context(), permitAsk(4, 0))
+	require.Greater(t, later, retryIn)
+	taken, _ := held.TakeTurn(ask)
+	require.False(t, taken, "the holder's own messages wait for a free turn")
+}
+
+func TestAPermitIsGoodOnceAndForAShortWhile(t *testing.T) {
+	held := startOwner(t, true)
+	client := connected(t, held.address)
+	asked := func() core.ReplicaPermit {
+		var granted core.ReplicaPermit
+		require.Eventually(t, func() bool {
+			granted, _ = client.AskPermit(t.Context(), permitAsk(0.5, 0))
+			return granted != nil
+		}, 5*time.Second, time.Millisecond)
+		return granted
+	}
+	unused := asked()
+	require.Zero(t, unused.In())
+	unused.Return()
+	unused.Return()
+	require.False(t, unused.Use())
+	used := asked() // it was given back
+	require.True(t, used.Use())
+	require.False(t, used.Use())
+	used.Return()
+	none, _ := client.AskPermit(t.Context(), permitAsk(0.5, 0))
+	require.Nil(t, none, "what was used is not given back")
+	used.(*Permit).spent = false
+	used.(*Permit).turn = time.Now().Add(-permit.Life - time.Millisecond)
+	require.False(t, used.Use(), "its process stood still")
+}
+
+func TestAHolderGivesOutThePartOfTheDaemonsThatReachIt(t *testing.T) {
+	held := startOwner(t, true)
+	client := connected(t, held.address)
+	held.reached.Store(50)
+	_, _ = client.AskPermit(t.Context(), permitAsk(1, 0))
+	_, retryIn := client.AskPermit(t.Context(), permitAsk(1, 0))
+	require.InDelta(t, 2, retryIn.Seconds(), 0.1)
+	held.set(1, election.Blind)
+	_, retryIn = client.AskPermit(t.Context(), permitAsk(1, 0))
+	require.Greater(t, retryIn, 2*time.Second, "it goes on without the key-value service")
+	held.set(1, election.Unsure)
+	none, retryIn := client.AskPermit(t.Context(), permitAsk(1, time.Second))
+	require.Nil(t, none, "another may have begun")
+	require.Equal(t, unsureReturn, retryIn)
+	held.reached.Store(0)
+	taken, _ := held.TakeTurn(permitAsk(1, 0))
+	require.False(t, taken)
+}
+
+func TestAFurtherHolderCountsTheTurnsThatAreOutFromTheBeginOfItsTerm(t *testing.T) {
+	held := startOwner(t, false)
+	held.Begin()
+	begun := time.Now()
+	client := connected(t, held.address)
+	time.Sleep(200 * time.Millisecond)
+	_, retryIn := client.AskPermit(t.Context(), permitAsk(2, 0))
+	require.InDelta(t, (permit.MostAhead + 500*time.Millisecond).Seconds(), (time.Since(begun) + retryIn).Seconds(), 0.05)
+}
+
+func TestAMessageThatGoesWithoutATurnIsCounted(t *testing.T) {
+	held := startOwner(t, true)
+	client := connected(t, held.address)
+	ask := permitAsk(1, 0)
+	for range 3 {
+		client.Charge(ask.Replica, ask.PerSecond)
+	}
+	require.Eventually(t, func() bool {
+		held.Server.mutex.Lock()
+		defer held.Server.mutex.Unlock()
+		return held.book != nil && held.book.Waiting(time.Now()) >= 2
+	}, 5*time.Second, time.Millisecond)
+}
+
+// At first a daemon without a holder waits for the next; then it uses its own share.
+func TestWithoutAHolderADaemonUsesItsOwnShareAfterAWhile(t *testing.T) {
+	held := startOwner(t, true)
+	client := connected(t, held.address)
+	var daemons atomic.Int64
+	client.Daemons = func() int { return int(daemons.Load()) }
+	ask := permitAsk(1000, 10*time.Millisecond)
+	held.set(0, election.None)
+	require.Eventually(t, func() bool {
+		none, _ := client.AskPermit(t.Context(), ask)
+		return none == nil
+	}, 5*time.Second, time.Millisecond)
+	none, retryIn := client.AskPermit(t.Context(), ask)
+	require.Nil(t, none)
+	require.Equal(t, ownerReturn, retryIn)
+
+	client.mutex.Lock()
+	client.heardAt = client.heardAt.Add(-ownerSilent)
+	client.mutex.Unlock()
+	none, _ = client.AskPermit(t.Context(), ask)
+	require.Nil(t, none, "nobody knows how many share the limit")
+	daemons.Store(3)
+	granted, _ := client.AskPermit(t.Context(), ask)
+	require.NotNil(t, granted)
+	require.Equal(t, sourceOwn, granted.Source())
+	granted.Return()
+	require.False(t, granted.Use())
+}
+
+// The daemons of an earlier version answer that they know no such tenant.
+func TestAHolderOfAnEarlierVersionIsAsGoodAsNone(t *testing.T) {
+	held := startOwner(t, true)
+	client := connected(t, held.address)
+	client.Daemons = func() int { return 3 }
+	own, alone := client.ownTurn(permitAsk(1000, time.Second), true)
+	require.True(t, alone)
+	require.True(t, own.Granted)
+	_, alone = client.ownTurn(permitAsk(1000, time.Second), false)
+	require.False(t, alone, "it was there just now")
+}
+
+func TestNonsenseGetsNoPermit(t *testing.T) {
+	held := startOwner(t, true)
+	held.Begin()
+	for _, asked := range []*rpc.PermitQuestion{{}, {PerSecond: -1}, {PatienceMs: -5}} {
+		require.False(t, held.answerPermit(7, asked, election.Sure, time.Now()).GetGranted())
+	}
+	held.ledger.Heard("d1", time.Now())
+	held.book.Return(fleet.Incarnation{})
+}
--- a/limiter/server.go
+++ b/limiter/server.go
@@ -1,6 +1,7 @@
-// Package limiter keeps tenants within their limits over all daemons: the holder of load
-// orders answers for each request whether it is within its tenant's limit, and daemons ask it.
-// What is decided is in package quota.
+// Package limiter keeps tenants within their limits, and requests to replicas within those that the
+// replicas name, over all daemons: the holder of load orders answers for each request whether it is
+// within its tenant's limit, or whether the replica has a turn for it, and daemons ask it. What is
+// decided is in packages quota and permit.
 package limiter
 
 import (
@@ -12,6 +13,7 @@
 
 	"github.com/finchspoke/finchspoke/election"
 	"github.com/finchspoke/finchspoke/logging"
+	"github.com/finchspoke/finchspoke/permit"
 	"github.com/finchspoke/finchspoke/quota"
 	"github.com/finchspoke/finchspoke/routing"
 	"github.com/finchspoke/finchspoke/rpc"
@@ -28,10 +30,15 @@
 	First func() bool
 	// Now is the clock of credit and limits; nil: time.Now.
 	Now func() time.Time
-	Log logrus.FieldLogger
+	// Reached returns the share of all daemons that reach this one, as the holder of load orders; nil: all.
+	Reached func() float64
+	// LimitOf returns the limit of a replica, as far as this daemon knows; zero: none. nil: it knows none.
+	LimitOf func(replica string) float64
+	Log     logrus.FieldLogger
 
 	mutex   sync.Mutex
 	ledger  *quota.Ledger
+	book    *permit.Book
 	fence   int64 // of the term that the ledger belongs to
 	version int64 // of the table that its limits are from
 }
@@ -92,6 +99,10 @@
 	}
 	s.ledger.TakeBack(process, creditsOf(message.GetReturned()), now)
 	for _, refund := range message.GetRefunds() {
+		if replica := refund.GetReplica(); replica != nil {
+			s.book.Return(replica.Incarnation())
+			continue
+		}
 		s.ledger.Return(quota.Refund{Tenant: refund.GetTenant(), Cost: refund.GetCost(), Slot: refund.GetSlot()})
 	}
 	answer := s.ledger.Answer
@@ -100,6 +111,10 @@
 	}
 	answers := &rpc.QuotaAnswers{Fence: term, CallIn: unsure}
 	for _, question := range message.GetQuestions() {
+		if asked := question.GetPermit(); asked != nil {
+			answers.Answers = append(answers.Answers, s.answerPermit(question.GetId(), asked, standing, now))
+			continue
+		}
 		answer := answer(process, quota.Ask{ID: question.GetId(), Tenant: question.GetTenant(), Cost: question.GetCost()}, now)
 		answers.Answers = append(answers.Answers, &rpc.QuotaAnswer{
 			Id: answer.ID, Granted: answer.Granted, Unknown: answer.Unknown, RetryMs: answer.RetryIn.Milliseconds(), Slot: answer.Slot,
@@ -122,6 +137,7 @@
 	if s.ledger == nil || term != s.fence {
 		first := s.ledger == nil && s.First()
 		s.ledger, s.fence, s.version = quota.NewLedger(s.Bounds, first, now), term, 0
+		s.book = permit.NewBook(first, now)
 		s.Log.WithFields(logrus.Fields{logging.Fence: term, logging.FirstTerm: first}).Info(logging.MessageLedgerBegun)
 	}
 	table := s.Table.Current()
--- a/loader/attach.go
+++ b/loader/attach.go
@@ -85,10 +85,12 @@
 	defer h.mutex.Unlock()
 	h.attached++
 	h.attachedMax = max(h.attachedMax, h.attached)
+	h.reach.join(daemonID)
 	return func() {
 		h.mutex.Lock()
 		defer h.mutex.Unlock()
 		h.attached--
+		h.reach.leave(daemonID)
 		if reported := h.daemons[daemonID]; reported != nil {
 			reported.detached = time.Now()
 		}
--- a/loader/directories.go
+++ b/loader/directories.go
@@ -103,7 +103,7 @@
 // that the last holder had have attached. The mutex is held.
 func (h *Holder) mostAttached(now time.Time) bool {
 	age := now.Sub(h.yields.began)
-	if h.FirstStart && !h.others {
+	if h.FirstStart && !h.others.Load() {
 		return true // there was no holder before
 	}
 	if age < adoptTime || age >= adoptMost || h.Expected == nil {
--- a/loader/holder.go
+++ b/loader/holder.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -118,9 +119,11 @@
 	// TermDelay is how long this daemon waits before it campaigns for the term: the stronger
 	// its machine, the shorter.
 	TermDelay time.Duration
+	// Turns hands out turns at replicas with a limit; nil: none has one.
+	Turns Turns
 
 	started time.Time
-	others  bool // another daemon is known to have held the term, or this one before
+	others  atomic.Bool // another daemon is known to have held the term, or this one before
 
 	mutex  sync.Mutex
 	fence  int64 // of the term that the state belongs to; zero without one
@@ -140,6 +143,7 @@
 	grewAt      time.Time // when a replica was last seen for the first time
 	attached    int
 	attachedMax int
+	reach       reach
 	directories directories
 	version     uint64
 	loads       *touches // of each replica's state
@@ -240,6 +244,7 @@
 	if fence != h.fence {
 		h.beginTerm(fence, now)
 	}
+	h.reach.note(now)
 	if fence == 0 || h.Table.Current() == nil {
 		return
 	}
@@ -288,6 +293,12 @@
 		begins = now.Add(h.Limits.TermGap)
 	}
 	h.reset(fence, begins)
+	if h.Expected != nil {
+		h.reach.expect(h.Expected(), now)
+	}
+	if h.Turns != nil {
+		h.Turns.Begin()
+	}
 }
 
 // justStarted tells whether this process is so young that it need not keep a distance from
@@ -308,18 +319,10 @@
 
 // FirstOfAll tells that no holder can have been at work before this daemon's term: the whole
 // system has just started, and none was heard of.
-func (h *Holder) FirstOfAll() bool {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	return h.FirstStart && !h.others
-}
+func (h *Holder) FirstOfAll() bool { return h.FirstStart && !h.others.Load() }
 
 // OtherHeld notes that another daemon held the term.
-func (h *Holder) OtherHeld() {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	h.others = true
-}
+func (h *Holder) OtherHeld() { h.others.Store(true) }
 
 // Informed tells whether this daemon has heard from a holder of orders.
 func (h *Holder) Informed() bool {
@@ -394,6 +397,7 @@
 	}
 	state.Draining = entry.Draining
 	state.RestsUntil = h.Fleet.RestsUntil(id)
+	state.PerSecond = h.Fleet.LimitOf(id)
 }
 
 // snapshot joins what is known into the input of a decision; the mutex is held.
--- a/loader/leaving.go
+++ b/loader/leaving.go
@@ -47,7 +47,7 @@
 func (h *Holder) leavingView(after uint64) (view []*rpc.ReplicaIncarnation) {
 	for _, id := range h.leaving.after(after) {
 		if one, leaves := h.Fleet.Leaves(id); leaves {
-			view = append(view, incarnationMessage(one))
+			view = append(view, rpc.IncarnationMessage(one))
 		}
 	}
 	return view
@@ -59,20 +59,16 @@
 	for _, one := range f.Fleet.LeavingHere() {
 		if !sent.leaving[one] {
 			sent.leaving[one] = true
-			news = append(news, incarnationMessage(one))
+			news = append(news, rpc.IncarnationMessage(one))
 		}
 	}
 	return news
 }
 
-func incarnationMessage(one fleet.Incarnation) *rpc.ReplicaIncarnation {
-	return &rpc.ReplicaIncarnation{ReplicaId: one.ID, BornUnixMs: one.Born}
-}
-
 func incarnationsOf(messages []*rpc.ReplicaIncarnation) []fleet.Incarnation {
 	incarnations := make([]fleet.Incarnation, 0, len(messages))
 	for _, message := range messages {
-		incarnations = append(incarnations, fleet.Incarnation{ID: message.GetReplicaId(), Born: message.GetBornUnixMs()})
+		incarnations = append(incarnations, message.Incarnation())
 	}
 	return incarnations
 }
--- a/loader/orders.go
+++ b/loader/orders.go
@@ -20,7 +20,7 @@
 		return
 	}
 	entry, found := h.Fleet.Entry(order.ReplicaID)
-	if !found {
+	if !found || !h.mayMessage(h.states[order.ReplicaID], now) {
 		return
 	}
 	h.calling[order.ReplicaID] = &order
@@ -133,7 +133,7 @@
 // mutex is held.
 func (h *Holder) ask(ctx context.Context, order loading.Order, now time.Time) {
 	entry, found := h.Fleet.Entry(order.ReplicaID)
-	if !found {
+	if !found || !h.mayMessage(h.states[order.ReplicaID], now) {
 		return
 	}
 	h.calling[order.ReplicaID] = nil
@@ -161,7 +161,7 @@
 // check asks a replica for its report; the mutex is held.
 func (h *Holder) check(ctx context.Context, id string, now time.Time) {
 	entry, found := h.Fleet.Entry(id)
-	if !found {
+	if !found || !h.mayMessage(h.states[id], now) {
 		return
 	}
 	h.calling[id] = nil
--- a/loading/loading.go
+++ b/loading/loading.go
@@ -104,6 +104,8 @@
 	HeldUntil time.Time
 	// RestsUntil keeps orders and questions back: the replica asked the daemon that gives them for rest.
 	RestsUntil time.Time
+	// PerSecond is the limit that the replica named, in messages a second of all daemons; zero: none.
+	PerSecond float64
 	// PromisedTo is the model for which room was made, until a moment.
 	PromisedTo    string
 	PromisedUntil time.Time
@@ -114,6 +116,9 @@
 	ReadAgainAt time.Time
 }
 
+// Incarnation names the process that the state is of.
+func (r *Replica) Incarnation() fleet.Incarnation { return fleet.Incarnation{ID: r.ID, Born: r.Born} }
+
 // underWay returns an order that concerns a target.
 func (r *Replica) underWay(target fleet.Target) *UnderWay {
 	for index := range r.UnderWay {
--- a/node/node.go
+++ b/node/node.go
@@ -202,7 +202,7 @@
 	n.pool = upstream.NewPool(opened.Inc)
 	n.fleet.Connected(n.pool.Rests)
 	n.notices = newNoticeCounts(n.metrics)
-	replicas := adapters.Replicas(n.pool, Notices{Hear: n.hear, Admit: func(replica string) error { return n.fleet.Admit(replica, time.Now()) }})
+	replicas := adapters.Replicas(n.pool, Notices{Hear: n.hear, Admit: func(replica string, held fleet.Permit) error { return n.fleet.Admit(replica, held, time.Now()) }})
 	tracker := demand.NewTracker()
 	requests := &core.Core{
 		Fleet: n.fleet, Demand: tracker, Driver: replicas.Driver, Retries: n.config.Retries,
@@ -250,10 +250,13 @@
 	n.quarantine.Prepare()
 	requests.Quarantine = n.quarantine
 	n.follow(adapters)
-	n.quotas = &limiter.Client{Bounds: n.config.Quotas, Holder: n.election.HolderAddress, Needed: n.limitsTenants, Now: boottime.Now, Log: n.log}
+	n.quotas = &limiter.Client{Bounds: n.config.Quotas, Holder: n.election.HolderAddress, Needed: n.needsQuotas, Now: boottime.Now,
+		Daemons: requests.Daemons, Count: newPermitCounts(n.metrics), Log: n.log}
 	n.quotas.Prepare()
-	requests.Limits = n.quotas
-	n.limits = &limiter.Server{Bounds: n.config.Quotas, Table: n.routes, Term: n.election.Term, First: n.holder.FirstOfAll, Now: boottime.Now, Log: n.log}
+	requests.Limits, requests.Permits = n.quotas, n.quotas
+	n.limits = &limiter.Server{Bounds: n.config.Quotas, Table: n.routes, Term: n.election.Term, First: n.holder.FirstOfAll, Now: boottime.Now,
+		Reached: n.holder.Reached, LimitOf: n.fleet.LimitOf, Log: n.log}
+	n.holder.Turns = n.limits
 	subscriber := &records.Subscriber{Daemon: n.config.ID, Mirror: n.mirror, Source: n.recordSource, Deputy: n.deputySource, Seeds: n.replicas.recordPeers, Log: n.log}
 	n.registerGauges()
 	n.frontend = frontend.New(n.listeners.callers, adapters.Callers(n.routes, n.gate, requests), frontend.Options{
@@ -314,6 +317,9 @@
 	return 0
 }
 
+// needsQuotas tells whether the holder of load orders has to be asked for some requests.
+func (n *Node) needsQuotas() bool { return n.limitsTenants() || n.fleet.Limits() > 0 }
+
 // limitsTenants tells whether a tenant of the table has a limit.
 func (n *Node) limitsTenants() bool {
 	table := n.routes.Current()
--- a/node/notices.go
+++ b/node/notices.go
@@ -15,7 +15,7 @@
 	// Hear takes in a notice, before the answer that it came with is used.
 	Hear func(fleet.Notice)
 	// Admit tells, right before a request is written, whether its replica still takes it.
-	Admit func(replica string) error
+	Admit func(replica string, held fleet.Permit) error
 }
 
 // hear takes in what a replica said of itself.
@@ -53,6 +53,15 @@
 	limits  prometheus.Counter // changes of replicas' limits
 }
 
+// newPermitCounts registers the counter of questions for permits, and returns how to count one.
+func newPermitCounts(registry *prometheus.Registry) func(source, outcome string) {
+	asked := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "finchspoke_permits_asked_total", Help: "Questions for permits at replicas with a limit, by who answered and how.",
+	}, []string{"source", "outcome"})
+	registry.MustRegister(asked)
+	return func(source, outcome string) { asked.WithLabelValues(source, outcome).Inc() }
+}
+
 func newNoticeCounts(registry *prometheus.Registry) *noticeCounts {
 	made := &noticeCounts{
 		leaving: prometheus.NewCounter(prometheus.CounterOpts{
--- a/permit/book.go
+++ b/permit/book.go
@@ -8,6 +8,8 @@
 
 import (
 	"time"
+
+	"github.com/finchspoke/finchspoke/fleet"
 )
 
 const (
@@ -28,11 +30,13 @@
 	urgencyTime = 10 * time.Second
 	// lineKept is how long a line is kept that nobody asks for.
 	lineKept = time.Minute
+	// LeastUrgent is the priority of messages that come after all requests.
+	LeastUrgent = 1000
 )
 
 // Ask is a daemon's question whether a message may go to a replica.
 type Ask struct {
-	Replica   string  // names its incarnation
+	Replica   fleet.Incarnation
 	PerSecond float64 // that the replica takes; above zero
 	Priority  int     // of the request; 0 is the most urgent
 	// Patience is how long it may wait for its turn.
@@ -52,7 +56,7 @@
 // use.
 type Book struct {
 	opens time.Time // before that no turn is given out
-	lines map[string]*line
+	lines map[fleet.Incarnation]*line
 }
 
 // line is the order of messages to one replica.
@@ -71,7 +75,7 @@
 // NewBook returns the book of a term that begins at a moment. first tells that nobody gave out permits
 // before; else the turns that are out have to pass first.
 func NewBook(first bool, now time.Time) *Book {
-	made := &Book{opens: now, lines: map[string]*line{}}
+	made := &Book{opens: now, lines: map[fleet.Incarnation]*line{}}
 	if !first {
 		made.opens = now.Add(MostAhead)
 	}
@@ -105,7 +109,7 @@
 func (b *Book) Charge(ask Ask, reached float64, now time.Time) { b.line(ask, reached, now).take(now) }
 
 // Return takes back a permit that was not used.
-func (b *Book) Return(replica string) {
+func (b *Book) Return(replica fleet.Incarnation) {
 	if known := b.lines[replica]; known != nil {
 		known.next = known.next.Add(-known.pause())
 	}
--- a/permit/book_test.go
+++ b/permit/book_test.go
@@ -5,12 +5,14 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/finchspoke/finchspoke/fleet"
 )
 
 var start = time.Unix(1_000, 0)
 
 func live(perSecond float64, patience time.Duration) Ask {
-	return Ask{Replica: "r1", PerSecond: perSecond, Patience: patience}
+	return Ask{Replica: fleet.Incarnation{ID: "r1"}, PerSecond: perSecond, Patience: patience}
 }
 
 func TestTurnsComeAtTheRateAndAreGivenOutOnlyInTime(t *testing.T) {
@@ -21,7 +23,7 @@
 	require.Equal(t, 2, book.Waiting(start))
 	require.Equal(t, Answer{RetryIn: 1500 * time.Millisecond}, book.Ask(live(2, time.Hour), 1, start), "no further ahead than the next owner waits")
 	require.Equal(t, Answer{RetryIn: 2 * time.Second}, book.Ask(live(2, time.Second), 1, start), "one after the other")
-	require.Equal(t, Answer{Granted: true}, book.Ask(Ask{Replica: "r2", PerSecond: 2}, 1, start), "another replica")
+	require.Equal(t, Answer{Granted: true}, book.Ask(Ask{Replica: fleet.Incarnation{ID: "r2"}, PerSecond: 2}, 1, start), "another replica")
 }
 
 func TestOfTheTurnsThatNobodyTakesTwoAreKept(t *testing.T) {
@@ -57,11 +59,11 @@
 	book := NewBook(true, start)
 	require.True(t, book.Ask(live(1, 0), 1, start).Granted)
 	require.False(t, book.Ask(live(1, 0), 1, start).Granted)
-	book.Return("r1")
+	book.Return(fleet.Incarnation{ID: "r1"})
 	require.True(t, book.Ask(live(1, 0), 1, start).Granted)
 	book.Charge(live(1, 0), 1, start)
 	require.Equal(t, 2*time.Second, book.Ask(live(1, 0), 1, start).RetryIn, "what went without a permit counts too")
-	book.Return("r9")
+	book.Return(fleet.Incarnation{ID: "r9"})
 }
 
 func TestAnotherRateCountsFromNowOn(t *testing.T) {
@@ -87,7 +89,7 @@
 	book := NewBook(true, start)
 	for replica := range 100 {
 		ask := live(1, 0)
-		ask.Replica = string(rune('a' + replica))
+		ask.Replica.ID = string(rune('a' + replica))
 		book.Ask(ask, 1, start.Add(time.Duration(replica)*lineKept))
 	}
 	require.LessOrEqual(t, len(book.lines), 3)
--- a/permit/model_test.go
+++ b/permit/model_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/finchspoke/finchspoke/fleet"
 )
 
 // The model plays daemons with requests for one replica, the owner that they ask, and messages that take
@@ -148,13 +150,13 @@
 	m.hop()
 	m.locked(func() {
 		if owner != nil && !owner.over {
-			owner.book.Return("r1")
+			owner.book.Return(fleet.Incarnation{ID: "r1"})
 		}
 	})
 }
 
 func (m *model) ask(daemon *modelDaemon, patience time.Duration) (answer Answer, owner *modelOwner) {
-	asked := Ask{Replica: "r1", PerSecond: m.perSecond, Patience: patience}
+	asked := Ask{Replica: fleet.Incarnation{ID: "r1"}, PerSecond: m.perSecond, Patience: patience}
 	if m.way != owned {
 		m.locked(func() { answer = m.byItself(daemon) })
 		return answer, nil
--- a/permit/shares.go
+++ b/permit/shares.go
@@ -1,6 +1,10 @@
 package permit
 
-import "time"
+import (
+	"time"
+
+	"github.com/finchspoke/finchspoke/fleet"
+)
 
 // ownPart is which part of its even share of a limit a daemon uses by itself. Daemons that have lost
 // their owner do not know when the others send: with the whole share, 69 daemons with requests without
@@ -12,13 +16,13 @@
 // for concurrent use.
 type Shares struct {
 	random func() float64 // in [0, 1)
-	next   map[string]time.Time
+	next   map[fleet.Incarnation]time.Time
 }
 
 // NewShares returns shares of which none was used. random spreads the first turns of daemons that lost
 // their owner at the same moment.
 func NewShares(random func() float64) *Shares {
-	return &Shares{random: random, next: map[string]time.Time{}}
+	return &Shares{random: random, next: map[fleet.Incarnation]time.Time{}}
 }
 
 // Ask answers a question where so many daemons share the limit.
--- a/rpc/limit.go
+++ b/rpc/replicas.go
@@ -9,16 +9,25 @@
 // LimitMessage makes the message of what a replica said of its limit.
 func LimitMessage(word fleet.ReplicaLimit, now time.Time) *ReplicaLimit {
 	return &ReplicaLimit{
-		Replica:   &ReplicaIncarnation{ReplicaId: word.ID, BornUnixMs: word.Born},
+		Replica:   IncarnationMessage(word.Incarnation),
 		PerSecond: word.PerSecond, AgeMs: max(0, now.Sub(word.HeardAt).Milliseconds()),
 	}
 }
 
 // Word reads the message.
 func (m *ReplicaLimit) Word(now time.Time) fleet.ReplicaLimit {
-	replica := m.GetReplica()
 	return fleet.ReplicaLimit{
-		Incarnation: fleet.Incarnation{ID: replica.GetReplicaId(), Born: replica.GetBornUnixMs()},
+		Incarnation: m.GetReplica().Incarnation(),
 		PerSecond:   max(0, m.GetPerSecond()), HeardAt: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
 	}
 }
+
+// IncarnationMessage makes the message that names an incarnation.
+func IncarnationMessage(one fleet.Incarnation) *ReplicaIncarnation {
+	return &ReplicaIncarnation{ReplicaId: one.ID, BornUnixMs: one.Born}
+}
+
+// Incarnation reads the message.
+func (m *ReplicaIncarnation) Incarnation() fleet.Incarnation {
+	return fleet.Incarnation{ID: m.GetReplicaId(), Born: m.GetBornUnixMs()}
+}
