The quarantine's questions count toward a replica's limit

Whether a replica still runs is asked by each daemon on its own: where a connection broke, and 0.7 s after a request was given up. Both are messages to the replica. The first goes in any case, or a request under which replicas end would go to the next, and moves the line of turns; the second waits for a free turn.

Left: where that turn comes late, what was given up may be too long ago to be accused.

--- a/node/node.go
+++ b/node/node.go
@@ -254,6 +254,7 @@
 		Daemons: requests.Daemons, Count: newPermitCounts(n.metrics), Log: n.log}
 	n.quotas.Prepare()
 	requests.Limits, requests.Permits = n.quotas, n.quotas
+	n.quarantine.Turns = &replicaTurns{fleet: n.fleet, quotas: n.quotas}
 	n.limits = &limiter.Server{Bounds: n.config.Quotas, Table: n.routes, Term: n.election.Term, First: n.holder.FirstOfAll, Now: boottime.Now,
 		Reached: n.holder.Reached, LimitOf: n.fleet.LimitOf, Log: n.log}
 	n.holder.Turns = n.limits
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -37,6 +37,14 @@
 	Probe(ctx context.Context, replica fleet.Incarnation, address string) Liveness
 }
 
+// Turns shares out the messages that replicas with a limit take.
+type Turns interface {
+	// Take takes a turn for a message if one is free now.
+	Take(ctx context.Context, replica fleet.Incarnation) bool
+	// Charge counts a message that goes to a replica whether it has a turn or not.
+	Charge(replica fleet.Incarnation)
+}
+
 const (
 	// probeTime bounds a probe. A process that has ended is noticed within one round trip; the
 	// caller of a request that is retried elsewhere waits no longer than this for it.
@@ -62,6 +70,8 @@
 	// RestsUntil returns until when a replica wants nothing of this daemon; a moment that has passed,
 	// or zero, if it wants requests.
 	RestsUntil func(replica string) time.Time
+	// Turns has the questions counted that go to replicas with a limit; nil: none has one.
+	Turns Turns
 	// Leading tells whether this daemon forgets old records for all.
 	Leading func() bool
 	Now     func() time.Time
@@ -117,11 +127,24 @@
 	if g.Leaves(replica.ID) {
 		return
 	}
-	if g.probe(ctx, replica, address) == Ended {
+	if g.probe(ctx, replica, address, g.charge) == Ended {
 		g.ended(replica, request)
 	}
 }
 
+// charge counts a question to a replica with a limit. Where a connection broke under a request it is
+// asked in any case: the request may be one under which replicas end, and would go to the next.
+func (g *Guard) charge(replica fleet.Incarnation) {
+	if g.Turns != nil {
+		g.Turns.Charge(replica)
+	}
+}
+
+// hasTurn tells whether a replica may be asked after what was merely given up there.
+func (g *Guard) hasTurn(ctx context.Context, replica fleet.Incarnation) bool {
+	return g.Turns == nil || g.Turns.Take(ctx, replica)
+}
+
 // rests tells whether a replica wants nothing of this daemon now.
 func (g *Guard) rests(replica string) bool { return g.Now().Before(g.RestsUntil(replica)) }
 
@@ -149,8 +172,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
 	defer cancel()
 	// Of what was merely given up nothing shows that a replica at rest ended.
-	if !g.Leaves(replica.ID) && !g.rests(replica.ID) && g.probe(ctx, replica, address) == Ended {
-		g.ended(replica)
+	if !g.Leaves(replica.ID) && !g.rests(replica.ID) {
+		if !g.hasTurn(ctx, replica) {
+			g.checkLater(replica, address)
+			return
+		}
+		isPaid := func(fleet.Incarnation) {}
+		if g.probe(ctx, replica, address, isPaid) == Ended {
+			g.ended(replica)
+		}
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -169,8 +199,9 @@
 	}
 }
 
-// probe asks whether a replica still runs, once for all that ask at a time.
-func (g *Guard) probe(ctx context.Context, replica fleet.Incarnation, address string) Liveness {
+// probe asks whether a replica still runs, once for all that ask at a time. pay counts the question where
+// the replica has a limit.
+func (g *Guard) probe(ctx context.Context, replica fleet.Incarnation, address string, pay func(fleet.Incarnation)) Liveness {
 	rest := g.RestsUntil(replica.ID)
 	g.mutex.Lock()
 	known := g.probes[replica]
@@ -181,6 +212,7 @@
 	if known == nil {
 		known = &probe{done: make(chan struct{})}
 		g.probes[replica] = known
+		pay(replica)
 		go g.ask(known, replica, address)
 	}
 	g.mutex.Unlock()
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -411,3 +411,43 @@
 		require.Equal(t, 2, prober.asked())
 	})
 }
+
+// turns grants some turns and counts the messages that went without one.
+type turns struct {
+	left, charged int
+	asked         int
+}
+
+func (t *turns) Take(context.Context, fleet.Incarnation) bool {
+	t.asked++
+	t.left--
+	return t.left >= 0
+}
+
+func (t *turns) Charge(fleet.Incarnation) { t.charged++ }
+
+// A replica with a limit is asked at once where a connection to it broke, and that is counted; about what
+// was given up there it is asked when it has a turn.
+func TestQuestionsToAReplicaWithALimitAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prober := &answers{is: map[string]Liveness{"r0": Running}}
+		_, guards := fleetOf(t, 1, prober)
+		counted := &turns{}
+		guards[0].Turns = counted
+		limited := fleet.Incarnation{ID: "r0"}
+		guards[0].Broke(t.Context(), limited, "address", named(1))
+		require.Equal(t, 1, counted.charged)
+		require.Equal(t, 1, prober.asked())
+
+		guards[0].Left(limited, "address", named(1))
+		time.Sleep(2*checkAfter + time.Millisecond)
+		require.Equal(t, 2, counted.asked)
+		require.Equal(t, 1, prober.asked(), "no turn")
+		counted.left = 1
+		time.Sleep(checkAfter)
+		require.Equal(t, 2, prober.asked())
+		require.Equal(t, 1, counted.charged)
+		time.Sleep(2 * checkAfter)
+		require.Equal(t, 3, counted.asked, "it is not asked again")
+	})
+}
