Copies on a replica with a limit count for as much as the limit lets through

A replica that takes one request a second is worth one a second, and all models on it share that. Where more is asked of what only such replicas hold, their copies count for nothing, so a further one is loaded elsewhere; once the limit is lifted both count, and one gives way to whoever needs room. Models and adapters are loaded on replicas with a limit only where there is no other: each order takes a turn of a request.

--- a/loading/adapters.go
+++ b/loading/adapters.go
@@ -89,13 +89,21 @@
 	if need == nil {
 		return nil // not declared any more
 	}
+	if best := p.adapterSpotOn(need, target, false); best != nil || !p.anyLimited {
+		return best
+	}
+	return p.adapterSpotOn(need, target, true) // each order takes a turn of a request
+}
+
+// adapterSpotOn is adapterSpot among the holders with, or without, a limit.
+func (p *planner) adapterSpotOn(need *modelNeed, target fleet.Target, limited bool) *Replica {
 	var best *Replica
 	bestUsed, bestScore := 0, uint64(0)
 	for _, candidate := range need.holders {
-		if candidate.freeIn > 0 {
+		replica := candidate.replica
+		if candidate.freeIn > 0 || replica.PerSecond > 0 != limited {
 			continue
 		}
-		replica := candidate.replica
 		if unloading(replica, target.Model) || adaptersComing(replica) >= mostAdaptersComing {
 			continue
 		}
--- a/loading/loading.go
+++ b/loading/loading.go
@@ -229,16 +229,19 @@
 
 type planner struct {
 	Snapshot
-	service  string
-	engine   *routing.Engine
-	meant    copyLoad // what one copy of a model is meant for
-	models   []*modelNeed
-	byName   map[string]*modelNeed
-	places   []*place             // of the service
-	placeOf  map[*Replica]*place  // the same, by replica
-	fetching int                  // loads from the weight store under way
-	adapters map[fleet.Target]int // copies of each adapter, those being loaded included
-	orders   []Order
+	service string
+	engine  *routing.Engine
+	meant   copyLoad // what one copy of a model is meant for
+	models  []*modelNeed
+	byName  map[string]*modelNeed
+	places  []*place            // of the service
+	placeOf map[*Replica]*place // the same, by replica
+	spared  map[*Replica]bool   // replicas whose limit is too low for what is asked of their models
+	// anyLimited tells that a replica of the service has a limit.
+	anyLimited bool
+	fetching   int                  // loads from the weight store under way
+	adapters   map[fleet.Target]int // copies of each adapter, those being loaded included
+	orders     []Order
 }
 
 // give adds an order.
--- a/loading/models.go
+++ b/loading/models.go
@@ -116,8 +116,20 @@
 // bestSpot returns the replica where the model is loaded soonest at the least cost
 // to others, which may have other orders to carry out first. value bounds what may be
 // unloaded for it; fromStore allows loads from the weight store.
+//
+// A replica with a limit comes into question where no other does: each order and question takes a turn of
+// a request.
 func (p *planner) bestSpot(need *modelNeed, value float64, fromStore bool) (spot, bool) {
-	search := spotSearch{need: need, value: value}
+	best, found := p.search(spotSearch{need: need, value: value}, fromStore)
+	if !found && p.anyLimited {
+		best, found = p.search(spotSearch{need: need, value: value, limited: true}, fromStore)
+	}
+	return best, found
+}
+
+// search looks through the places for a model.
+func (p *planner) search(search spotSearch, fromStore bool) (spot, bool) {
+	need := search.need
 	if !fromStore {
 		for _, kept := range need.keepers {
 			if _, held := kept.place.replica.Holdings[need.model.Name]; !held {
@@ -149,12 +161,13 @@
 	best     spot
 	found    bool
 	reserved bool // best is a place whose room is kept for the model
+	limited  bool // replicas with a limit come into question
 }
 
 // consider compares a place with the best so far. The first whose room is kept for the
 // model, and needs no more of it, is taken.
 func (s *spotSearch) consider(candidate *place, from source) {
-	if slices.Contains(s.need.taken, candidate) {
+	if slices.Contains(s.need.taken, candidate) || candidate.replica.PerSecond > 0 && !s.limited {
 		return
 	}
 	promised := candidate.promised == s.need.model.Name
--- a/loading/needs.go
+++ b/loading/needs.go
@@ -102,6 +102,7 @@
 		byName[name] = &modelNeed{model: model}
 	}
 	p.addDemand(byName)
+	p.noteSpared(byName)
 	replicas := p.countCopies(byName)
 	needs := make([]*modelNeed, 0, len(byName))
 	for _, name := range sortedKeys(byName) {
@@ -138,13 +139,16 @@
 }
 
 // countCopies counts the copies of each model and returns how many replicas the
-// service has; those that leave count for nothing.
+// service has; those that leave count for nothing, and copies on spared replicas neither.
 func (p *planner) countCopies(byName map[string]*modelNeed) (replicas int) {
 	for _, replica := range p.Replicas {
 		if replica.Service != p.service || replica.Draining {
 			continue
 		}
 		replicas++
+		if !p.counts(replica) {
+			continue
+		}
 		for model := range replica.Holdings {
 			if need := byName[model]; need != nil && !unloading(replica, model) {
 				need.addCopy(replica.Zone)
--- a/loading/place.go
+++ b/loading/place.go
@@ -211,7 +211,7 @@
 func (p *planner) countAdapters() map[fleet.Target]int {
 	copies := map[fleet.Target]int{}
 	for _, replica := range p.Replicas {
-		if replica.Service != p.service || replica.Draining {
+		if !p.counts(replica) {
 			continue
 		}
 		for model, adapters := range replica.Holdings {
