Lines lead from a request to the limit that held it back

A request that waits for its turn, or gets none in time, writes which replica, the limit, how old that word is, when there is a turn and who said so: the holder, the daemon's own share, or nobody.

--- a/core/core.go
+++ b/core/core.go
@@ -146,7 +146,8 @@
 	// failedStatus is that of a replica's own failure that went to the caller; zero
 	// without one.
 	failedStatus int
-	pick         *fleet.Pick   // of the present dispatch, until its answer begins
+	pick         *fleet.Pick // of the present dispatch, until its answer begins
+	turns        turnless
 	permit       ReplicaPermit // for the present dispatch; nil: the replica is without a limit
 }
 
--- a/core/log.go
+++ b/core/log.go
@@ -26,8 +26,21 @@
 	}
 	entry.WithFields(logrus.Fields{
 		logging.Reason: miss.String(), logging.ReadyInMs: decision.readyIn.Milliseconds(), logging.Source: decision.source,
-		logging.Outcome: map[bool]string{true: "waits", false: "refused"}[decision.wait],
-	}).Info("no replica at once")
+		logging.Outcome: waitOutcome(decision),
+	}).Info(logging.MessageNoReplica)
+}
+
+// logTurn records that a call has to wait for its turn at a replica with a limit, or gets none in time.
+func (c *Core) logTurn(running *run, limit replicaLimit, decision waitDecision) {
+	c.entry(running).WithFields(logrus.Fields{
+		logging.Replica: limit.replica, logging.Limit: limit.perSecond, logging.LimitAgeMs: time.Since(limit.heardAt).Milliseconds(),
+		logging.Reason: fleet.AtLimit.String(), logging.ReadyInMs: decision.readyIn.Milliseconds(), logging.Source: decision.source,
+		logging.Priority: running.Priority(), logging.Outcome: waitOutcome(decision),
+	}).Info(logging.MessageNoReplica)
+}
+
+func waitOutcome(decision waitDecision) string {
+	return map[bool]string{true: "waits", false: "refused"}[decision.wait]
 }
 
 // logDispatch records a dispatch that did not end in an answer.
--- a/core/replica_model_test.go
+++ b/core/replica_model_test.go
@@ -112,15 +112,15 @@
 }
 
 // AskPermit implements ReplicaPermits, as the owner of the replica's turns.
-func (m *replicaModel) AskPermit(_ context.Context, ask permit.Ask) (ReplicaPermit, time.Duration) {
+func (m *replicaModel) AskPermit(_ context.Context, ask permit.Ask) (ReplicaPermit, NoTurn) {
 	time.Sleep(2 * modelHop)
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	answer := m.book.Ask(ask, 1, time.Now())
 	if !answer.Granted {
-		return nil, answer.RetryIn
+		return nil, NoTurn{RetryIn: answer.RetryIn}
 	}
-	return &modelPermit{turn: time.Now().Add(answer.In)}, 0
+	return &modelPermit{turn: time.Now().Add(answer.In)}, NoTurn{}
 }
 
 // modelPermit is a permit that may be used once.
--- a/core/replicalimit.go
+++ b/core/replicalimit.go
@@ -12,8 +12,14 @@
 // ReplicaPermits shares out the messages that replicas with a limit take, over all daemons.
 type ReplicaPermits interface {
 	// AskPermit asks for the permission to send one message to a replica. It returns nil if the message
-	// gets no turn in time, and when to ask again.
-	AskPermit(ctx context.Context, ask permit.Ask) (granted ReplicaPermit, retryIn time.Duration)
+	// gets no turn in time, and why.
+	AskPermit(ctx context.Context, ask permit.Ask) (ReplicaPermit, NoTurn)
+}
+
+// NoTurn says why a message gets no turn in time.
+type NoTurn struct {
+	RetryIn time.Duration // when to ask again
+	Source  string        // who said so, in log lines
 }
 
 // ReplicaPermit is the permission to send one message to a replica.
@@ -28,51 +34,81 @@
 }
 
 // awaitTurn waits for the call's turn at a replica that was chosen for it, if that one takes a limited
-// rate. Without a turn in time it withdraws the choice and tells when the replica may have one.
-func (c *Core) awaitTurn(ctx context.Context, running *run, pick *fleet.Pick) (notBefore time.Time, hasTurn bool) {
+// rate. Without a turn in time it withdraws the choice and notes when the replica may have one.
+func (c *Core) awaitTurn(ctx context.Context, running *run, pick *fleet.Pick) (hasTurn bool) {
 	if pick.PerSecond == 0 || c.Permits == nil {
-		return time.Time{}, true
+		return true
 	}
-	granted, retryIn := c.Permits.AskPermit(ctx, permit.Ask{
+	granted, none := c.Permits.AskPermit(ctx, permit.Ask{
 		Replica: pick.Incarnation, PerSecond: pick.PerSecond, Priority: running.Priority(), Patience: max(0, time.Until(inTime(running.Call))),
 	})
 	if granted == nil {
 		pick.Withdraw()
-		return time.Now().Add(max(leastPause, retryIn)), false
+		running.turns.hold(heldBack{limitOf(pick), none.Source, time.Now().Add(max(leastPause, none.RetryIn))})
+		return false
 	}
 	if wait := granted.In(); wait > 0 {
 		if running.miss == fleet.Found {
 			running.miss, running.estimate = fleet.AtLimit, wait
 		}
+		c.logTurn(running, limitOf(pick), waitDecision{wait: true, readyIn: wait, source: granted.Source()})
 		sleep.For(ctx, wait)
 	}
 	running.permit = granted
-	return time.Time{}, true
+	return true
 }
 
-// returnPermit gives back the call's permit, unless a dispatch has used it.
-func (r *run) returnPermit() {
-	if r.permit != nil {
-		r.permit.Return()
-		r.permit = nil
+// replicaLimit is the limit by which a call waits, or is refused.
+type replicaLimit struct {
+	replica   string
+	perSecond float64
+	heardAt   time.Time
+}
+
+func limitOf(pick *fleet.Pick) replicaLimit {
+	return replicaLimit{pick.ID, pick.PerSecond, pick.LimitHeard}
+}
+
+// heldBack is a replica with a limit that has no turn for a call.
+type heldBack struct {
+	replicaLimit
+	source    string
+	notBefore time.Time
+}
+
+// turnless are the replicas that had no turn for a call, by id.
+type turnless map[string]heldBack
+
+func (t *turnless) hold(one heldBack) {
+	if *t == nil {
+		*t = turnless{}
 	}
+	(*t)[one.replica] = one
 }
 
-// hold notes when a replica may have a turn.
-func hold(notBefore map[string]time.Time, replica string, at time.Time) map[string]time.Time {
-	if notBefore == nil {
-		notBefore = map[string]time.Time{}
+// notBefore returns when each of them may have a turn.
+func (t turnless) notBefore() map[string]time.Time {
+	at := make(map[string]time.Time, len(t))
+	for id, one := range t {
+		at[id] = one.notBefore
 	}
-	notBefore[replica] = at
-	return notBefore
+	return at
 }
 
-// firstTurn returns the replica that may have a turn first, of those that have none now.
-func firstTurn(notBefore map[string]time.Time, now time.Time) (first fleet.Rest) {
-	for replica, at := range notBefore {
-		if at.After(now) && (first.Until.IsZero() || at.Before(first.Until)) {
-			first = fleet.Rest{Replica: replica, Until: at}
+// first returns the one that may have a turn first, of those that have none now.
+func (t turnless) first(now time.Time) (first heldBack) {
+	for _, one := range t {
+		if one.notBefore.After(now) && (first.replica == "" || one.notBefore.Before(first.notBefore)) {
+			first = one
 		}
 	}
 	return first
 }
+
+// returnPermit gives back the call's permit, unless a dispatch has used it.
+func (r *run) returnPermit() {
+	if r.permit != nil {
+		r.permit.Return()
+		r.permit = nil
+	}
+}
--- a/core/replicalimit_test.go
+++ b/core/replicalimit_test.go
@@ -6,10 +6,12 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
 	"github.com/finchspoke/finchspoke/failure"
 	"github.com/finchspoke/finchspoke/fleet"
+	"github.com/finchspoke/finchspoke/logging"
 	"github.com/finchspoke/finchspoke/permit"
 	"github.com/finchspoke/finchspoke/routing"
 )
@@ -21,14 +23,14 @@
 	returned int
 }
 
-func (p *scriptPermits) AskPermit(_ context.Context, ask permit.Ask) (ReplicaPermit, time.Duration) {
+func (p *scriptPermits) AskPermit(_ context.Context, ask permit.Ask) (ReplicaPermit, NoTurn) {
 	p.asked = append(p.asked, ask)
 	in := p.in[0]
 	p.in = p.in[1:]
 	if in < 0 {
-		return nil, -in
+		return nil, NoTurn{RetryIn: -in, Source: "holder"}
 	}
-	return &countedPermit{modelPermit: modelPermit{turn: time.Now().Add(in)}, permits: p}, 0
+	return &countedPermit{modelPermit: modelPermit{turn: time.Now().Add(in)}, permits: p}, NoTurn{}
 }
 
 // countedPermit counts what is given back.
@@ -126,3 +128,20 @@
 		require.Len(t, permits.asked, 1)
 	})
 }
+
+// From a request's id to the replica that had no turn for it, its limit, and who said so.
+func TestALineTellsWhichLimitARequestMet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := arrange(t, routing.Stream, 2, usingPermits)
+		log, lines := test.NewNullLogger()
+		s.core.Log = log
+		s.limitReplicas(&scriptPermits{in: []time.Duration{-9 * time.Second, -7 * time.Second}}, "r1", "r2")
+		time.Sleep(time.Second)
+		_, _ = s.serve(t)
+		require.Equal(t, logging.MessageNoReplica, lines.Entries[0].Message)
+		fields := lines.Entries[0].Data
+		require.Equal(t, []any{"at_limit", "holder", 2.0, int64(1000), int64(7000), "refused"}, []any{fields[logging.Reason], fields[logging.Source],
+			fields[logging.Limit], fields[logging.LimitAgeMs], fields[logging.ReadyInMs], fields[logging.Outcome]})
+		require.Equal(t, "at_limit", lines.LastEntry().Data[logging.WaitReason])
+	})
+}
--- a/core/wait.go
+++ b/core/wait.go
@@ -188,9 +188,8 @@
 		ask.Patience = patience(running.Call).Sub(now)
 		pick, miss := c.Fleet.Choose(ask, now)
 		if pick != nil {
-			notBefore, hasTurn := c.awaitTurn(ctx, running, pick)
-			if !hasTurn {
-				ask.NotBefore = hold(ask.NotBefore, pick.ID, notBefore)
+			if !c.awaitTurn(ctx, running, pick) {
+				ask.NotBefore = running.turns.notBefore()
 				continue
 			}
 			running.waited += time.Since(began)
@@ -198,11 +197,13 @@
 		}
 		expected, known := c.Fleet.Expected(running.Service.Name, missing(running.Target, miss), now)
 		var rest fleet.Rest
+		var held heldBack
 		switch miss {
 		case fleet.AskedRest:
 			rest, expected, known = c.awaitRest(running, expected, known, now)
 		case fleet.AtLimit:
-			rest, expected, known = sooner(firstTurn(ask.NotBefore, now), expected, known)
+			held = running.turns.first(now)
+			_, expected, known = sooner(fleet.Rest{Replica: held.replica, Until: held.notBefore}, expected, known)
 		}
 		var guess loadEstimate
 		if !known { // looking at all replicas is not needed where the holder told
@@ -221,7 +222,12 @@
 			if running.miss == fleet.Found {
 				running.miss = miss
 			}
-			c.logWait(running, miss, decision, rest.Replica)
+			if miss == fleet.AtLimit {
+				decision.source = held.source
+				c.logTurn(running, held.replicaLimit, decision)
+			} else {
+				c.logWait(running, miss, decision, rest.Replica)
+			}
 		}
 		if !decision.wait {
 			running.waited += now.Sub(began)
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -54,11 +54,12 @@
 	Inflight int // of this daemon there, this one excluded
 	// PerSecond is the limit that the replica named, in messages a second of all daemons together; a
 	// request needs a turn there. Zero: without a limit.
-	PerSecond float64
-	began     time.Time
-	reading   int // tokens of the prompt, until the replica has read it
-	replica   *Replica
-	fleet     *Directory
+	PerSecond  float64
+	LimitHeard time.Time // when it said so
+	began      time.Time
+	reading    int // tokens of the prompt, until the replica has read it
+	replica    *Replica
+	fleet      *Directory
 }
 
 // Read notes that the replica has read the prompt: the answer has begun.
@@ -107,7 +108,7 @@
 		costs[index] = d.cost(candidate, ask, owner, now)
 	}
 	best := candidates[spread(costs, d.coming(candidates, now), d.random())]
-	pick := &Pick{Incarnation: best.Incarnation(), Address: best.Address, Inflight: best.inflight, PerSecond: best.perSecond, began: now, reading: ask.PromptTokens, replica: best, fleet: d}
+	pick := &Pick{Incarnation: best.Incarnation(), Address: best.Address, Inflight: best.inflight, PerSecond: best.perSecond, LimitHeard: best.limitHeard, began: now, reading: ask.PromptTokens, replica: best, fleet: d}
 	best.turnAt = now
 	best.inflight++
 	best.reading += ask.PromptTokens
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -91,6 +91,7 @@
 	forgotten   bool                 // nothing more is told of it; it goes with its last request
 	unconfirmed bool                 // not in the registry's list so far
 	perSecond   float64              // messages that it takes from all daemons together; zero: without a limit
+	limitHeard  time.Time            // when it said so
 	turnAt      time.Time            // when it was last chosen
 }
 
@@ -168,7 +169,7 @@
 	known.take(d.withNotices(entry), now)
 	known.perSecond = 0
 	if noticed := d.notices[entry.ID]; noticed != nil {
-		known.perSecond = noticed.limit.perSecond
+		known.perSecond, known.limitHeard = noticed.limit.perSecond, noticed.limit.heardAt
 	}
 }
 
--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -102,7 +102,9 @@
 		return change, false
 	}
 	if d.members[incarnation.ID] != nil {
-		d.change(incarnation.ID, func(member *Replica) { member.perSecond, member.turnAt = heard.perSecond, now })
+		d.change(incarnation.ID, func(member *Replica) {
+			member.perSecond, member.limitHeard, member.turnAt = heard.perSecond, heard.heardAt, now
+		})
 	}
 	return change, true
 }
--- a/limiter/permits.go
+++ b/limiter/permits.go
@@ -27,6 +27,7 @@
 const (
 	sourceHolder = "order_holder"
 	sourceOwn    = "own_share"
+	sourceNone   = "unanswered"
 )
 
 // permitQuestion is a question for a permit, or the word that a message goes without one.
@@ -93,7 +94,7 @@
 
 // AskPermit implements core.ReplicaPermits: it asks the holder, and uses this daemon's own share of the
 // limit where none has answered for long.
-func (c *Client) AskPermit(ctx context.Context, ask permit.Ask) (core.ReplicaPermit, time.Duration) {
+func (c *Client) AskPermit(ctx context.Context, ask permit.Ask) (core.ReplicaPermit, core.NoTurn) {
 	for deadline := time.Now().Add(min(ask.Patience, ownerPatience)); ; {
 		answer, up := c.askHolder(ctx, c.permitQuestion(ask))
 		if up && !answer.Unknown {
@@ -103,8 +104,8 @@
 			return c.granted(ask, sourceOwn, own, 0)
 		}
 		if !c.awaitHolder(ctx, time.Until(deadline)) {
-			c.count(sourceHolder, "unanswered")
-			return nil, ownerReturn
+			c.count(sourceNone, "refused")
+			return nil, core.NoTurn{RetryIn: ownerReturn, Source: sourceNone}
 		}
 	}
 }
@@ -125,13 +126,13 @@
 }
 
 // granted makes the permit of an answer, or tells when to ask again.
-func (c *Client) granted(ask permit.Ask, source string, answer permit.Answer, fence int64) (core.ReplicaPermit, time.Duration) {
+func (c *Client) granted(ask permit.Ask, source string, answer permit.Answer, fence int64) (core.ReplicaPermit, core.NoTurn) {
 	if !answer.Granted {
 		c.count(source, "refused")
-		return nil, answer.RetryIn
+		return nil, core.NoTurn{RetryIn: answer.RetryIn, Source: source}
 	}
 	c.count(source, "granted")
-	return &Permit{client: c, replica: ask.Replica, turn: c.Now().Add(answer.In), source: source, fence: fence}, 0
+	return &Permit{client: c, replica: ask.Replica, turn: c.Now().Add(answer.In), source: source, fence: fence}, core.NoTurn{}
 }
 
 // ownTurn takes a turn of this daemon's own share; alone tells whether it may. A holder that knows
--- a/logging/fields.go
+++ b/logging/fields.go
@@ -43,6 +43,7 @@
 	RestMs          = "rest_ms"
 	Limit           = "limit_per_second"
 	LimitBefore     = "limit_before"
+	LimitAgeMs      = "limit_age_ms"
 	Listed          = "listed"
 	Gone            = "gone"
 	Daemon          = "daemon"
--- a/logging/messages.go
+++ b/logging/messages.go
@@ -4,6 +4,7 @@
 // changes of what a daemon believes.
 const (
 	MessageRequestEnded       = "request ended"
+	MessageNoReplica          = "no replica at once"
 	MessageTableRead          = "routing table read"
 	MessageHolderChanged      = "order holder changed"
 	MessageTermBegins         = "term begins"
--- a/logstory/logstory.go
+++ b/logstory/logstory.go
@@ -26,7 +26,7 @@
 	logging.MessageTableRead, logging.MessageHolderChanged, logging.MessageTermBegins, logging.MessageTermLost,
 	logging.MessageReplicaListed, logging.MessageReplicaGone, logging.MessageRegistryFollowed, logging.MessageLoadOrder, logging.MessageReplicaHeard,
 	logging.MessageDependencyLost, logging.MessageDependencyRegained, logging.MessageReplicaLeaves, logging.MessageReplicaRests,
-	logging.MessageReplicaLimit,
+	logging.MessageReplicaLimit, logging.MessageLimitTold,
 }
 
 // holderMessages are those that the order holder writes for all daemons.
