--- a/core/replica_model_test.go
+++ b/core/replica_model_test.go
@@ -20,6 +20,7 @@
 	"github.com/finchspoke/finchspoke/fleet"
 	"github.com/finchspoke/finchspoke/permit"
 	"github.com/finchspoke/finchspoke/routing"
+	"github.com/finchspoke/finchspoke/testwindow"
 )
 
 // replicaModel is a replica with the only copy of a model, with the daemons before it and callers that
@@ -99,18 +100,6 @@
 	m.arrivals = append(m.arrivals, time.Now())
 }
 
-// most returns the most requests that came within a window.
-func (m *replicaModel) most() (most int) {
-	first := 0
-	for index, at := range m.arrivals {
-		for at.Sub(m.arrivals[first]) > modelWindow {
-			first++
-		}
-		most = max(most, index-first+1)
-	}
-	return most
-}
-
 // AskPermit implements ReplicaPermits, as the owner of the replica's turns.
 func (m *replicaModel) AskPermit(_ context.Context, ask permit.Ask) (ReplicaPermit, NoTurn) {
 	time.Sleep(2 * modelHop)
@@ -245,10 +234,10 @@
 				model := &replicaModel{objective: test.objective, limit: modelLimit, perSecond: test.perSecond}
 				model.play()
 				total := float64(model.inTime + model.late + model.unserved)
-				t.Logf("in time %.3f, late %.3f, not served %.3f; %d in a window", float64(model.inTime)/total, float64(model.late)/total, float64(model.unserved)/total, model.most())
+				t.Logf("in time %.3f, late %.3f, not served %.3f; %d in a window", float64(model.inTime)/total, float64(model.late)/total, float64(model.unserved)/total, testwindow.Most(model.arrivals, modelWindow))
 				servable := min(1, modelLimit/test.perSecond)
 				require.GreaterOrEqual(t, float64(model.inTime)/total, inTimeShare*servable, "of those that the limit can serve")
-				require.LessOrEqual(t, model.most(), int(modelLimit*modelWindow.Seconds())+2, "the rate, and two that may be saved up")
+				require.LessOrEqual(t, testwindow.Most(model.arrivals, modelWindow), int(modelLimit*modelWindow.Seconds())+2, "the rate, and two that may be saved up")
 				if test.perSecond >= 2*modelLimit {
 					require.GreaterOrEqual(t, float64(len(model.arrivals)), 0.9*modelLimit*modelSeconds, "callers want more than the limit")
 				}
--- a/loader/holder_test.go
+++ b/loader/holder_test.go
@@ -132,9 +132,9 @@
 	require.Empty(t, replicas.orders)
 }
 
-// A replica that asked this daemon for rest wants neither orders nor questions of it.
-func TestAHolderLeavesAReplicaAloneThatAskedItForRest(t *testing.T) {
-	const rest = 3 * time.Second
+// orderingHolder returns a holder that is to load a model, with the replicas that hear its orders.
+func orderingHolder(t *testing.T) (*Holder, reportingReplicas) {
+	t.Helper()
 	log := discarding()
 	table, err := routing.NewTable(routing.Revision{Version: 1, Services: []*routing.Service{{Name: "press", Engine: &routing.Engine{
 		MemoryMB: 200, LoadsPerSecond: 4, Models: map[string]*routing.Model{"m1": {Name: "m1", MemoryMB: 90, StoreLoad: 4 * time.Second}},
@@ -148,6 +148,13 @@
 		Metrics: NewMetrics(prometheus.NewRegistry()), Log: log, FirstStart: true, Limits: Limits{Window: 5 * time.Second, Slack: 1, Extra: 3},
 	}
 	holder.Prepare()
+	return holder, replicas
+}
+
+// A replica that asked this daemon for rest wants neither orders nor questions of it.
+func TestAHolderLeavesAReplicaAloneThatAskedItForRest(t *testing.T) {
+	const rest = 3 * time.Second
+	holder, replicas := orderingHolder(t)
 	now := time.Now()
 	holder.Fleet.Put(fleet.Entry{ID: "r1", Service: "press", Address: "r1:1"}, now)
 	holder.report(&rpc.LoadsDemand{DaemonId: "d2", Keys: []*rpc.TargetLoadDemand{{Service: "press", Model: "m1", Arrivals: 1, Waiting: 1}}})
--- a/loader/turns_test.go
+++ b/loader/turns_test.go
@@ -5,13 +5,10 @@
 	"testing"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 
 	"github.com/finchspoke/finchspoke/fleet"
-	"github.com/finchspoke/finchspoke/loading"
 	"github.com/finchspoke/finchspoke/permit"
-	"github.com/finchspoke/finchspoke/routing"
 	"github.com/finchspoke/finchspoke/rpc"
 )
 
@@ -33,21 +30,10 @@
 // of them either.
 func TestOrdersAndQuestionsToAReplicaWithALimitNeedTurns(t *testing.T) {
 	const pause = 5 * time.Second
-	log := discarding()
-	table, err := routing.NewTable(routing.Revision{Version: 1, Services: []*routing.Service{{Name: "press", Engine: &routing.Engine{
-		MemoryMB: 200, LoadsPerSecond: 4, Models: map[string]*routing.Model{"m1": {Name: "m1", MemoryMB: 90, StoreLoad: 4 * time.Second}},
-	}}}})
-	require.NoError(t, err)
-	routes := &routing.Store{}
-	routes.Put(table)
-	replicas := reportingReplicas{recordingReplicas{orders: make(chan loading.Order, 10)}, make(chan string, 10)}
+	holder, replicas := orderingHolder(t)
 	now := time.Now()
 	turns := &turnsOf{book: permit.NewBook(true, now), now: now}
-	holder := &Holder{
-		Daemon: "d1", Fleet: emptyFleet(), Table: routes, Replicas: replicas, Election: elected(t, log), Turns: turns,
-		Metrics: NewMetrics(prometheus.NewRegistry()), Log: log, FirstStart: true, Limits: Limits{Window: pause, Slack: 1, Extra: 3},
-	}
-	holder.Prepare()
+	holder.Turns = turns
 	holder.Fleet.Put(fleet.Entry{ID: "r1", Service: "press", Address: "r1:1"}, now)
 	holder.Fleet.HearLimit(naming("r1", 1/pause.Seconds()), now)
 	holder.report(&rpc.LoadsDemand{DaemonId: "d2", Keys: []*rpc.TargetLoadDemand{{Service: "press", Model: "m1", Arrivals: 1, Waiting: 1}}})
--- a/permit/model_test.go
+++ b/permit/model_test.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -13,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/finchspoke/finchspoke/fleet"
+	"github.com/finchspoke/finchspoke/testwindow"
 )
 
 // The model plays daemons with requests for one replica, the owner that they ask, and messages that take
@@ -253,19 +253,6 @@
 	}
 }
 
-// most returns the most arrivals within a window.
-func (m *model) most() (most int) {
-	slices.SortFunc(m.arrivals, time.Time.Compare)
-	first := 0
-	for index, at := range m.arrivals {
-		for at.Sub(m.arrivals[first]) > modelWindow {
-			first++
-		}
-		most = max(most, index-first+1)
-	}
-	return most
-}
-
 // bound is what the aim allows within a window: the rate, what is saved up, and for messages on their way
 // what comes at the rate in the life of a permit.
 func bound(perSecond float64) int {
@@ -283,7 +270,7 @@
 					m := newModel(owned, 1, daemons, perSecond)
 					m.lossy = 0.02
 					m.callers(3*perSecond, 5*time.Second, time.Now().Add(length))
-					require.LessOrEqual(t, m.most(), bound(perSecond))
+					require.LessOrEqual(t, testwindow.Most(m.arrivals, modelWindow), bound(perSecond))
 					require.GreaterOrEqual(t, float64(len(m.arrivals)), 0.9*perSecond*length.Seconds(), "callers want more")
 				})
 			})
@@ -302,7 +289,7 @@
 					m.lossy = 0.1
 					go m.troubles(length)
 					m.callers(3*perSecond, 2*time.Second, time.Now().Add(length))
-					require.LessOrEqual(t, m.most(), bound(perSecond))
+					require.LessOrEqual(t, testwindow.Most(m.arrivals, modelWindow), bound(perSecond))
 					require.Positive(t, len(m.arrivals))
 					time.Sleep(time.Minute)
 				})
@@ -367,7 +354,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			m := newModel(way, 1, 69, perSecond)
 			m.callers(2*perSecond, 2*time.Second, time.Now().Add(length))
-			played[way] = figures{m.most(), len(m.arrivals)}
+			played[way] = figures{testwindow.Most(m.arrivals, modelWindow), len(m.arrivals)}
 		})
 	}
 	t.Log(played)
