--- a/core/replica_model_test.go
+++ b/core/replica_model_test.go
@@ -153,15 +153,24 @@
 	route := &routing.Route{Name: "route", Kind: routing.Stream, Attempts: 2, Objective: m.objective, MaxGap: 300 * time.Millisecond, Resumable: true}
 	began := time.Now()
 	var callers sync.WaitGroup
-	for at := 0.0; at < modelSeconds; at -= math.Log(1-m.random.Float64()) / m.perSecond {
+	for at := 0.0; at < modelSeconds; {
 		time.Sleep(time.Until(began.Add(time.Duration(at * float64(time.Second)))))
-		first := m.random.IntN(modelDaemons)
-		second := (first + 1 + m.random.IntN(modelDaemons-1)) % modelDaemons
+		first, second, pause := m.next()
 		callers.Go(func() { m.call(service, route, first, second) })
+		at += pause
 	}
 	callers.Wait()
 }
 
+// next draws the daemons of a request, and the seconds until the next one.
+func (m *replicaModel) next() (first, second int, pause float64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	first = m.random.IntN(modelDaemons)
+	second = (first + 1 + m.random.IntN(modelDaemons-1)) % modelDaemons
+	return first, second, -math.Log(1-m.random.Float64()) / m.perSecond
+}
+
 // call sends a request to a daemon and, once it may come back, to another.
 func (m *replicaModel) call(service *routing.Service, route *routing.Route, daemons ...int) {
 	arrived := time.Now()
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -413,18 +413,14 @@
 }
 
 // turns grants some turns and counts the messages that went without one.
-type turns struct {
-	left, charged int
-	asked         int
-}
+type turns struct{ left, charged, asked atomic.Int64 }
 
 func (t *turns) Take(context.Context, fleet.Incarnation) bool {
-	t.asked++
-	t.left--
-	return t.left >= 0
+	t.asked.Add(1)
+	return t.left.Add(-1) >= 0
 }
 
-func (t *turns) Charge(fleet.Incarnation) { t.charged++ }
+func (t *turns) Charge(fleet.Incarnation) { t.charged.Add(1) }
 
 // A replica with a limit is asked at once where a connection to it broke, and that is counted; about what
 // was given up there it is asked when it has a turn.
@@ -436,18 +432,18 @@
 		guards[0].Turns = counted
 		limited := fleet.Incarnation{ID: "r0"}
 		guards[0].Broke(t.Context(), limited, "address", named(1))
-		require.Equal(t, 1, counted.charged)
+		require.EqualValues(t, 1, counted.charged.Load())
 		require.Equal(t, 1, prober.asked())
 
 		guards[0].Left(limited, "address", named(1))
 		time.Sleep(2*checkAfter + time.Millisecond)
-		require.Equal(t, 2, counted.asked)
+		require.EqualValues(t, 2, counted.asked.Load())
 		require.Equal(t, 1, prober.asked(), "no turn")
-		counted.left = 1
+		counted.left.Store(1)
 		time.Sleep(checkAfter)
 		require.Equal(t, 2, prober.asked())
-		require.Equal(t, 1, counted.charged)
+		require.EqualValues(t, 1, counted.charged.Load())
 		time.Sleep(2 * checkAfter)
-		require.Equal(t, 3, counted.asked, "it is not asked again")
+		require.EqualValues(t, 3, counted.asked.Load(), "it is not asked again")
 	})
 }
