--- a/core/replicalimit_test.go
+++ b/core/replicalimit_test.go
@@ -85,6 +85,7 @@
 		failed, _ := s.serve(t)
 		require.Nil(t, failed)
 		require.NotEqual(t, permits.asked[0].Replica, permits.asked[1].Replica)
+		require.Empty(t, s.core.Fleet.Running(), "nothing of it is left anywhere")
 	})
 }
 
@@ -126,6 +127,7 @@
 		failed, _ := s.serve(t)
 		require.Nil(t, failed)
 		require.Len(t, permits.asked, 1)
+		require.Equal(t, s.driver.dispatches[0].ReplicaID, s.driver.dispatches[1].ReplicaID, "nothing speaks against the replica")
 	})
 }
 
--- a/limiter/permits_test.go
+++ b/limiter/permits_test.go
@@ -14,6 +14,7 @@
 	"github.com/finchspoke/finchspoke/election"
 	"github.com/finchspoke/finchspoke/fleet"
 	"github.com/finchspoke/finchspoke/permit"
+	"github.com/finchspoke/finchspoke/quota"
 	"github.com/finchspoke/finchspoke/routing"
 	"github.com/finchspoke/finchspoke/rpc"
 	"github.com/finchspoke/finchspoke/transport"
@@ -87,7 +88,7 @@
 	asked := func() core.ReplicaPermit {
 		var granted core.ReplicaPermit
 		require.Eventually(t, func() bool {
-			granted, _ = client.AskPermit(t.Context(), permitAsk(0.5, 0))
+			granted, _ = client.AskPermit(t.Context(), permitAsk(0.05, 0))
 			return granted != nil
 		}, 5*time.Second, time.Millisecond)
 		return granted
@@ -101,7 +102,7 @@
 	require.True(t, used.Use())
 	require.False(t, used.Use())
 	used.Return()
-	none, _ := client.AskPermit(t.Context(), permitAsk(0.5, 0))
+	none, _ := client.AskPermit(t.Context(), permitAsk(0.05, 0))
 	require.Nil(t, none, "what was used is not given back")
 	used.(*Permit).spent = false
 	used.(*Permit).turn = time.Now().Add(-permit.Life - time.Millisecond)
@@ -201,3 +202,19 @@
 	held.ledger.Heard("d1", time.Now())
 	held.book.Return(fleet.Incarnation{})
 }
+
+// A turn that is granted to a request which waits no longer is for others.
+func TestALateAnswerGivesItsTurnBack(t *testing.T) {
+	held := startOwner(t, true)
+	client := connected(t, held.address)
+	ask := permitAsk(1, 0)
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	asked := client.permitQuestion(ask)
+	id := asked.put(time.Now())
+	client.account.Abandon(id)
+	client.outbox.unused = nil
+	client.settle(quota.Answer{ID: id, Granted: true}, time.Now())
+	require.Equal(t, []fleet.Incarnation{ask.Replica}, client.outbox.unused)
+	client.outbox = outbox{}
+}
--- a/loader/limits_test.go
+++ b/loader/limits_test.go
@@ -41,6 +41,8 @@
 	require.Empty(t, holder.view(told, now).GetLimits())
 	require.Equal(t, map[string]float64{"r1": 2}, limitsSaid(holder.view(0, now).GetLimits()), "a daemon that attaches hears of all")
 
+	require.InDelta(t, 60_000, holder.view(0, now.Add(time.Minute)).GetLimits()[0].GetAgeMs(), 5_000, "and of its age, which is as of now")
+
 	holder.reset(7, now)
 	require.Equal(t, map[string]float64{"r1": 2}, limitsSaid(holder.view(0, now).GetLimits()), "the next term too")
 
