At a replica with a limit, the models asked for least keep their copies

Before, all copies on a replica counted for nothing as soon as more was asked of them than its limit: each model there got a further copy, and others gave way for them. Now what is left of the limit is for the models asked for least; mostly one popular model needs a copy elsewhere.

--- a/loading/limits.go
+++ b/loading/limits.go
@@ -1,6 +1,7 @@
 package loading
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/finchspoke/finchspoke/fleet"
@@ -10,9 +11,10 @@
 // further copies are loaded: arrivals are averaged over some seconds, and orders take turns as well.
 const copesShare = 0.8
 
-// noteSpared works out which replicas with a limit can't serve what is asked of the models on them. Their
-// copies count for nothing: a replica that takes one request a second is worth one a second, however many
-// places it has. They count again once the limit is lifted, or others serve the models.
+// noteSpared works out which models replicas with a limit can't serve all requests for. A replica that takes
+// one request a second is worth one a second, however many places it has. What is left of the limit is for
+// the models that are asked for least, so that few need a further copy. The others' copies count for
+// nothing, until the limit is lifted or others serve them.
 func (p *planner) noteSpared(byName map[string]*modelNeed) {
 	p.spared, p.anyLimited = nil, slices.ContainsFunc(p.Replicas, func(one *Replica) bool {
 		return one.Service == p.service && one.PerSecond > 0
@@ -20,35 +22,56 @@
 	if !p.anyLimited {
 		return // nearly always
 	}
-	p.spared = map[*Replica]bool{}
+	p.spared = map[*Replica]map[string]bool{}
 	elsewhere := p.heldWithoutLimit()
 	for _, replica := range p.Replicas {
-		if replica.Service != p.service || replica.PerSecond == 0 {
-			continue
+		if replica.Service == p.service && replica.PerSecond > 0 {
+			p.spared[replica] = beyond(copesShare*replica.PerSecond, p.wantedOf(replica, byName, elsewhere))
 		}
-		wanted := p.wantedOf(replica, byName, elsewhere)
-		p.spared[replica] = wanted > copesShare*replica.PerSecond
 	}
 }
 
-// wantedOf returns the requests a second for what only this replica and others with a limit hold.
-func (p *planner) wantedOf(replica *Replica, byName map[string]*modelNeed, elsewhere map[fleet.Target]bool) (perSecond float64) {
-	for model, adapters := range replica.Holdings {
-		need := byName[model]
+// wantedModel is how often a model is asked for that only replicas with a limit hold, or adapters of it.
+type wantedModel struct {
+	name      string
+	perSecond float64
+}
+
+// beyond returns the models that don't fit into a rate, of which those that are asked for least come first.
+func beyond(perSecond float64, models []wantedModel) map[string]bool {
+	slices.SortFunc(models, func(a, b wantedModel) int {
+		return cmp.Or(cmp.Compare(a.perSecond, b.perSecond), cmp.Compare(a.name, b.name))
+	})
+	left, spared := perSecond, map[string]bool{}
+	for _, one := range models {
+		left -= one.perSecond
+		spared[one.name] = left < 0
+	}
+	return spared
+}
+
+// wantedOf returns how often the models on a replica are asked for that only it and others with a limit
+// hold.
+func (p *planner) wantedOf(replica *Replica, byName map[string]*modelNeed, elsewhere map[fleet.Target]bool) (models []wantedModel) {
+	for name, adapters := range replica.Holdings {
+		need := byName[name]
 		if need == nil {
 			continue
 		}
-		if !elsewhere[fleet.Target{Model: model}] {
-			perSecond += need.perSecond
+		wanted := wantedModel{name: name}
+		if !elsewhere[fleet.Target{Model: name}] {
+			wanted.perSecond = need.perSecond
+			models = append(models, wanted)
 			continue
 		}
 		for _, adapter := range adapters {
-			if target := (fleet.Target{Model: model, Adapter: adapter}); !elsewhere[target] {
-				perSecond += p.askedFor(target).PerSecond
+			if target := (fleet.Target{Model: name, Adapter: adapter}); !elsewhere[target] {
+				wanted.perSecond += p.askedFor(target).PerSecond
 			}
 		}
+		models = append(models, wanted)
 	}
-	return perSecond
+	return models
 }
 
 // heldWithoutLimit returns the targets that a replica without a limit holds, and takes requests for.
@@ -71,7 +94,7 @@
 	return held
 }
 
-// counts tells whether what is loaded on a replica serves those who ask for it.
-func (p *planner) counts(replica *Replica) bool {
-	return replica.Service == p.service && !replica.Draining && !p.spared[replica]
+// counts tells whether a model on a replica, with its adapters, serves those who ask for it.
+func (p *planner) counts(replica *Replica, model string) bool {
+	return replica.Service == p.service && !replica.Draining && !p.spared[replica][model]
 }
--- a/loading/limits_test.go
+++ b/loading/limits_test.go
@@ -78,3 +78,18 @@
 	orders = decideOnDemand(snapshot(waitingFor("m0", "a2"), limitedTo(5, replica("r1", "m0"))))
 	require.Equal(t, "r1", orders[0].ReplicaID)
 }
+
+// What fits into the limit stays where it is: fewer loads, and fewer models that give way for them.
+func TestTheModelsAskedForLeastKeepTheirCopiesAtALimit(t *testing.T) {
+	asked := comingAt(2, "m1")
+	asked[key("m2", "")] = Demand{PerSecond: 0.3, LastUsed: start}
+	kept := replica("r2")
+	kept.OnDisk = []string{"m1", "m2"}
+	served := replica("r3")
+	served.OnDisk = []string{"m1", "m2"}
+	orders := decideOnDemand(snapshot(asked, limitedTo(1, replica("r1", "m1", "m2")), kept, served))
+	require.NotEmpty(t, orders)
+	for _, order := range orders {
+		require.Equal(t, "m1", order.Target.Model)
+	}
+}
--- a/loading/loading.go
+++ b/loading/loading.go
@@ -236,7 +236,8 @@
 	byName  map[string]*modelNeed
 	places  []*place            // of the service
 	placeOf map[*Replica]*place // the same, by replica
-	spared  map[*Replica]bool   // replicas whose limit is too low for what is asked of their models
+	// spared are the models, by replica, for which its limit is too low.
+	spared map[*Replica]map[string]bool
 	// anyLimited tells that a replica of the service has a limit.
 	anyLimited bool
 	fetching   int                  // loads from the weight store under way
--- a/loading/needs.go
+++ b/loading/needs.go
@@ -139,18 +139,15 @@
 }
 
 // countCopies counts the copies of each model and returns how many replicas the
-// service has; those that leave count for nothing, and copies on spared replicas neither.
+// service has; those that leave count for nothing, nor do copies whose limit is too low.
 func (p *planner) countCopies(byName map[string]*modelNeed) (replicas int) {
 	for _, replica := range p.Replicas {
 		if replica.Service != p.service || replica.Draining {
 			continue
 		}
 		replicas++
-		if !p.counts(replica) {
-			continue
-		}
 		for model := range replica.Holdings {
-			if need := byName[model]; need != nil && !unloading(replica, model) {
+			if need := byName[model]; need != nil && !unloading(replica, model) && p.counts(replica, model) {
 				need.addCopy(replica.Zone)
 				need.loaded++
 				if replica.usage() < crowdedShare {
--- a/loading/place.go
+++ b/loading/place.go
@@ -211,10 +211,13 @@
 func (p *planner) countAdapters() map[fleet.Target]int {
 	copies := map[fleet.Target]int{}
 	for _, replica := range p.Replicas {
-		if !p.counts(replica) {
+		if replica.Service != p.service || replica.Draining {
 			continue
 		}
 		for model, adapters := range replica.Holdings {
+			if !p.counts(replica, model) {
+				continue
+			}
 			for _, adapter := range adapters {
 				if target := (fleet.Target{Model: model, Adapter: adapter}); replica.underWay(target) == nil {
 					copies[target]++
