--- a/core/replicalimit_test.go
+++ b/core/replicalimit_test.go
@@ -147,3 +147,19 @@
 		require.Equal(t, "at_limit", lines.LastEntry().Data[logging.WaitReason])
 	})
 }
+
+// A caller that leaves while its request waits for a turn gives the turn back.
+func TestACallerThatLeavesInItsWaitForATurnSendsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := arrange(t, routing.Stream, 2, usingPermits)
+		permits := &scriptPermits{in: []time.Duration{700 * time.Millisecond}}
+		s.limitReplicas(permits, "r1", "r2")
+		ctx, leave := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer leave()
+		failed, _ := s.core.Serve(ctx, s.call, &s.caller)
+		require.Equal(t, failure.NotRun, failed.Execution)
+		require.Empty(t, s.driver.dispatches)
+		require.Equal(t, 1, permits.returned)
+		require.Empty(t, s.core.Fleet.Running())
+	})
+}
--- a/core/wait.go
+++ b/core/wait.go
@@ -192,6 +192,11 @@
 				ask.NotBefore = running.turns.notBefore()
 				continue
 			}
+			if ctx.Err() != nil { // in its wait for the turn
+				pick.Withdraw()
+				running.returnPermit()
+				return nil, c.ended(ctx, running, failure.DeadlineExceeded, errors.New(fleet.AtLimit.String()))
+			}
 			running.waited += time.Since(began)
 			return pick, nil
 		}
--- a/limiter/client.go
+++ b/limiter/client.go
@@ -31,6 +31,10 @@
 	connectTime      = 500 * time.Millisecond
 	// silentTime ends a stream on which questions got no answer for so long.
 	silentTime = time.Second
+	// unneededTime is how long a stream stands on which nothing has to be asked any more: replicas name
+	// limits for a while, and again. A thousand streams that stood for ever cost the holder 500 messages a
+	// second.
+	unneededTime = 10 * time.Second
 )
 
 // Client asks the holder for each request of a tenant. It is a suture service.
@@ -107,7 +111,7 @@
 func (c *Client) Serve(ctx context.Context) error {
 	pause := connectPause
 	for ctx.Err() == nil {
-		isNeeded := c.Needed == nil || c.Needed()
+		isNeeded := c.isNeeded()
 		if !isNeeded {
 			c.notNeeded()
 		}
@@ -125,6 +129,9 @@
 	return ctx.Err()
 }
 
+// isNeeded tells whether there is anything to be asked.
+func (c *Client) isNeeded() bool { return c.Needed == nil || c.Needed() }
+
 // notNeeded notes that no holder is asked now, so that none is missed.
 func (c *Client) notNeeded() {
 	c.mutex.Lock()
@@ -136,8 +143,9 @@
 const dependencyHolder = "holder of tenants' limits"
 
 var (
-	errOther  = errors.New("another daemon holds the term")
-	errSilent = errors.New("the holder answers no questions")
+	errOther    = errors.New("another daemon holds the term")
+	errSilent   = errors.New("the holder answers no questions")
+	errUnneeded = errors.New("no tenant and no replica has a limit any more")
 )
 
 // borrow keeps a stream to a holder until it breaks, falls silent or is that of another one,
@@ -180,6 +188,7 @@
 	defer beat.Stop()
 	check := time.NewTicker(connectPause)
 	defer check.Stop()
+	neededAt := c.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -190,6 +199,11 @@
 			if err := c.unfit(address); err != nil {
 				return err
 			}
+			if now := c.Now(); c.isNeeded() {
+				neededAt = now
+			} else if now.Sub(neededAt) > unneededTime {
+				return errUnneeded
+			}
 			continue
 		case <-c.wake:
 		case <-beat.C:
--- a/limiter/permits_test.go
+++ b/limiter/permits_test.go
@@ -218,3 +218,25 @@
 	require.Equal(t, []fleet.Incarnation{ask.Replica}, client.outbox.unused)
 	client.outbox = outbox{}
 }
+
+// A thousand daemons keep no streams to the holder for limits that were lifted.
+func TestAStreamOnWhichNothingIsAskedEnds(t *testing.T) {
+	held := startOwner(t, true)
+	var needed, passed atomic.Int64
+	needed.Store(1)
+	log, _ := test.NewNullLogger()
+	client := &Client{Bounds: testBounds, Holder: func() string { return held.address }, Needed: func() bool { return needed.Load() == 1 },
+		Now: func() time.Time { return time.Now().Add(time.Duration(passed.Load())) }, Log: log}
+	client.Prepare()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = client.Serve(ctx) }()
+	require.Eventually(t, client.Answers, 5*time.Second, time.Millisecond)
+	needed.Store(0)
+	time.Sleep(3 * connectPause)
+	require.True(t, client.Answers(), "a limit may be named again")
+	passed.Store(int64(unneededTime))
+	require.Eventually(t, func() bool { return !client.Answers() }, 5*time.Second, time.Millisecond)
+	needed.Store(1)
+	require.Eventually(t, client.Answers, 5*time.Second, time.Millisecond)
+}
