core: the wait for a replica in small steps: what is in the way, what is decided, what is noted

The loop had grown to eighty lines with rests and limits. Waits that end with the caller's leaving or the deadline now count toward waited_ms as well; else nothing changes.

--- a/core/wait.go
+++ b/core/wait.go
@@ -172,13 +172,10 @@
 // it; otherwise the failure that ends the call.
 func (c *Core) await(ctx context.Context, running *run) (*fleet.Pick, *failure.Error) {
 	ask := fleet.Ask{Service: running.Service.Name, Target: running.Target, Prefix: running.Prefix, Tried: running.tried, PromptTokens: running.PromptTokens}
-	var stopWaiting func()
-	defer func() {
-		if stopWaiting != nil {
-			stopWaiting()
-		}
-	}()
+	waiting := waiting{}
+	defer waiting.end()
 	began := time.Now()
+	defer func() { running.waited += time.Since(began) }()
 	for {
 		if failed := c.withheld(running); failed != nil {
 			return nil, failed
@@ -188,60 +185,22 @@
 		ask.Patience = patience(running.Call).Sub(now)
 		pick, miss := c.Fleet.Choose(ask, now)
 		if pick != nil {
-			if !c.awaitTurn(ctx, running, pick) {
-				ask.NotBefore = running.turns.notBefore()
-				continue
-			}
-			if ctx.Err() != nil { // in its wait for the turn
-				pick.Withdraw()
-				running.returnPermit()
-				return nil, c.ended(ctx, running, failure.DeadlineExceeded, errors.New(fleet.AtLimit.String()))
+			if c.awaitTurn(ctx, running, pick) {
+				return c.chosen(ctx, running, pick)
 			}
-			running.waited += time.Since(began)
-			return pick, nil
-		}
-		expected, known := c.Fleet.Expected(running.Service.Name, missing(running.Target, miss), now)
-		var rest fleet.Rest
-		var held heldBack
-		switch miss {
-		case fleet.AskedRest:
-			rest, expected, known = c.awaitRest(running, expected, known, now)
-		case fleet.AtLimit:
-			held = running.turns.first(now)
-			_, expected, known = sooner(fleet.Rest{Replica: held.replica, Until: held.notBefore}, expected, known)
-		}
-		var guess loadEstimate
-		if !known { // looking at all replicas is not needed where the holder told
-			guess = c.estimateLoad(running.Call, miss, now)
+			ask.NotBefore = running.turns.notBefore()
+			continue
 		}
-		decision := decideWait(now, running.Call, miss, expected, known, guess)
-		if c.isStopping() {
-			// Another daemon waits as well, and has the time to serve.
-			decision.wait, decision.readyIn, decision.source = false, 0, "stopping"
-		}
-		if stopWaiting == nil && miss != fleet.Untold { // what is loaded already is no demand for a load
-			stopWaiting = c.Demand.Wait(running.key(), now)
-			if decision.wait && running.estimate == 0 {
-				running.estimate = decision.readyIn
-			}
-			if running.miss == fleet.Found {
-				running.miss = miss
-			}
-			if miss == fleet.AtLimit {
-				decision.source = held.source
-				c.logTurn(running, held.replicaLimit, decision)
-			} else {
-				c.logWait(running, miss, decision, rest.Replica)
-			}
+		met := c.obstacleOf(running, miss, now)
+		decision := c.decide(running, met, now)
+		if waiting.begins(miss) {
+			waiting.stop = c.Demand.Wait(running.key(), now)
+			c.noteWait(running, met, decision)
 		}
 		if !decision.wait {
-			running.waited += now.Sub(began)
 			return nil, c.refused(running, miss, decision)
 		}
-		pause := recheck
-		if miss == fleet.AtLimit {
-			pause = min(recheck, max(leastPause, expected.Sub(now)))
-		}
+		pause := met.recheckIn(now)
 		select {
 		case <-ctx.Done():
 			return nil, c.ended(ctx, running, failure.DeadlineExceeded, errors.New(miss.String()))
@@ -255,24 +214,6 @@
 	}
 }
 
-// awaitRest returns the rest that a call has to wait for, and when a replica may serve it: once that
-// is over, or a load that is expected has ended.
-func (c *Core) awaitRest(running *run, load time.Time, loads bool, now time.Time) (rest fleet.Rest, at time.Time, known bool) {
-	rest, rests := c.Fleet.FirstRested(running.Service.Name, running.Target, now)
-	if !rests {
-		return rest, load, loads
-	}
-	return sooner(rest, load, loads)
-}
-
-// sooner returns which comes first: a replica that takes the call again, or the end of a load.
-func sooner(rest fleet.Rest, load time.Time, loads bool) (blocked fleet.Rest, at time.Time, known bool) {
-	if !loads || rest.Until.Before(load) {
-		return rest, rest.Until, true
-	}
-	return rest, load, loads
-}
-
 // missing returns what has to be loaded first for a target.
 func missing(target fleet.Target, miss fleet.Miss) fleet.Target {
 	if miss == fleet.NotLoaded {
