Each change of a limit that the holder's own requests hear reaches the others

Found by reading: the holder's directory knows what its own requests heard before its own stream tells, so a second change was no news, and the other daemons kept the first limit until their own answers told otherwise. What the others were told last decides now. The test failed first.

--- a/loader/holder.go
+++ b/loader/holder.go
@@ -148,8 +148,8 @@
 	version     uint64
 	loads       *touches // of each replica's state
 	running     *requestCounts
-	leaving     *touches                  // of replicas that said to any daemon that they leave
-	limits      *touches                  // of what replicas said of their limits
+	leaving     *touches // of replicas that said to any daemon that they leave
+	limits      *limitsTold
 	views       map[uint64]*rpc.LoadsView // of the present version, by the version that a daemon heard
 	changed     chan struct{}
 	wake        chan struct{}
--- a/loader/limits.go
+++ b/loader/limits.go
@@ -13,14 +13,15 @@
 // takeLimits takes in what replicas said to a daemon of their limits; the mutex is held.
 //
 // The other daemons have to know, or each would send what it had sent before until it met an answer that
-// names the limit. Whoever tells last is believed: the order in which the holder hears is that of all.
+// names the limit. What this daemon's own requests heard comes by its own stream, as from any other; its
+// directory then knows it before, so what counts as news is what the others were told last.
 func (h *Holder) takeLimits(message *rpc.LoadsDemand, now time.Time) {
 	var news []fleet.ReplicaLimit
-	for _, told := range message.GetLimits() {
-		one := told.Word(now)
-		// This daemon's own requests may have told its directory before.
-		if _, isNews := h.Fleet.TellLimit(one, now); isNews || !h.limits.has(one.ID) {
-			news = append(news, one)
+	for _, message := range message.GetLimits() {
+		told := message.Word(now)
+		h.Fleet.TellLimit(told, now)
+		if word, said := h.Fleet.WordOfLimit(told.ID); said && !h.limits.isTold(word) {
+			news = append(news, word)
 		}
 	}
 	if len(news) == 0 {
@@ -28,7 +29,7 @@
 	}
 	h.notify()
 	for _, one := range news {
-		h.limits.mark(one.ID, h.version)
+		h.limits.tell(one, h.version)
 		h.registry.note(one.ID)
 		h.Log.WithFields(logrus.Fields{logging.Replica: one.ID, logging.Limit: one.PerSecond, logging.Source: message.GetDaemonId(), logging.Fence: h.fence}).
 			Info(logging.MessageLimitTold)
@@ -36,11 +37,33 @@
 	h.Wake()
 }
 
+// limitsTold are the limits that the daemons were told in a term.
+type limitsTold struct {
+	*touches
+	last map[fleet.Incarnation]float64
+}
+
+func newLimitsTold() *limitsTold {
+	return &limitsTold{newTouches(), map[fleet.Incarnation]float64{}}
+}
+
+// tell notes that a limit is told in a version.
+func (l *limitsTold) tell(word fleet.ReplicaLimit, version uint64) {
+	l.mark(word.ID, version)
+	l.last[word.Incarnation] = word.PerSecond
+}
+
+// isTold tells whether the daemons were last told the same.
+func (l *limitsTold) isTold(word fleet.ReplicaLimit) bool {
+	perSecond, known := l.last[word.Incarnation]
+	return known && perSecond == word.PerSecond
+}
+
 // retellLimits begins a term with the limits that are known; the mutex is held.
 func (h *Holder) retellLimits() {
-	h.limits = newTouches()
+	h.limits = newLimitsTold()
 	for _, one := range h.Fleet.WordsOfLimits(false) {
-		h.limits.mark(one.ID, h.version)
+		h.limits.tell(one, h.version)
 	}
 }
 
--- a/loader/limits_test.go
+++ b/loader/limits_test.go
@@ -61,6 +61,13 @@
 	holder.report(&rpc.LoadsDemand{DaemonId: "self", Limits: follower.limitNews(sent, now)})
 	require.Equal(t, map[string]float64{"r1": 2}, limitsSaid(holder.view(0, now).GetLimits()))
 	require.Empty(t, follower.limitNews(sent, now), "once on a stream")
+
+	for _, perSecond := range []float64{5, 1} {
+		told := holder.version
+		holder.Fleet.HearLimit(naming("r1", perSecond), now)
+		holder.report(&rpc.LoadsDemand{DaemonId: "self", Limits: follower.limitNews(sent, now)})
+		require.Equal(t, map[string]float64{"r1": perSecond}, limitsSaid(holder.view(told, now).GetLimits()), "each change")
+	}
 }
 
 // A word that crosses a later one is followed by that one again, so that all end with the later.
