--- a/node/notices.go
+++ b/node/notices.go
@@ -20,14 +20,13 @@
 
 // hear takes in what a replica said of itself.
 func (n *Node) hear(notice fleet.Notice) {
-	entry := n.log.WithFields(logrus.Fields{logging.RequestID: notice.RequestID, logging.Replica: notice.Replica})
 	now := time.Now()
 	if notice.Unreadable != "" {
-		entry.WithField(logging.Limit, notice.Unreadable).Warn(logging.MessageLimitUnreadable)
+		n.noticeEntry(notice).WithField(logging.Limit, notice.Unreadable).Warn(logging.MessageLimitUnreadable)
 	}
 	if change, news := n.fleet.HearLimit(notice, now); news {
 		n.notices.limits.Inc()
-		entry.WithFields(logrus.Fields{logging.Limit: change.PerSecond, logging.LimitBefore: change.Before}).Info(logging.MessageReplicaLimit)
+		n.noticeEntry(notice).WithFields(logrus.Fields{logging.Limit: change.PerSecond, logging.LimitBefore: change.Before}).Info(logging.MessageReplicaLimit)
 		n.follower.LimitHeard()
 		n.holder.RegistryChanged(notice.Replica)
 	}
@@ -38,14 +37,19 @@
 	n.holder.RegistryChanged(notice.Replica)
 	if leaves {
 		n.notices.leaving.Inc()
-		entry.Info(logging.MessageReplicaLeaves)
+		n.noticeEntry(notice).Info(logging.MessageReplicaLeaves)
 	}
 	if notice.Rest > 0 {
 		n.notices.rests.Inc()
-		entry.WithField(logging.RestMs, notice.Rest.Milliseconds()).Info(logging.MessageReplicaRests)
+		n.noticeEntry(notice).WithField(logging.RestMs, notice.Rest.Milliseconds()).Info(logging.MessageReplicaRests)
 	}
 }
 
+// noticeEntry begins a line of a notice. It is made where one is written: most answers say nothing.
+func (n *Node) noticeEntry(notice fleet.Notice) *logrus.Entry {
+	return n.log.WithFields(logrus.Fields{logging.RequestID: notice.RequestID, logging.Replica: notice.Replica})
+}
+
 // noticeCounts count what replicas said of themselves.
 type noticeCounts struct {
 	leaving prometheus.Counter // replicas that say that they leave, each once
--- a/permit/shares.go
+++ b/permit/shares.go
@@ -8,8 +8,8 @@
 
 // ownPart is which part of its even share of a limit a daemon uses by itself. Daemons that have lost
 // their owner do not know when the others send: with the whole share, 69 daemons with requests without
-// end pass what a limit of one a second allows within 4 s (1.5 times as much, and five) in about one
-// window of a thousand; with half of it in one of a million.
+// end pass what a limit of one a second allows within 4 s (1.5 times as much, and five) by
+// reckoning in one window of a thousand; with half of it in one of a million.
 const ownPart = 0.5
 
 // Shares is a daemon's own part of each limit, for the time in which no owner answers. It is not safe
