A permit lives from its question, and a turn that passed unused is not given out again

The model's draws depend on which of two goroutines is first, so a run does not repeat; the bound has to hold in each.

Causes, in the design: a permit's life counted from when its answer was read, up to 0.3 s after the owner's turn; and a permit given back after its turn was a turn of another time, beside those of then.

Mend: the life counts from the question, so that what is written comes within the life of the owner's turn; a turn is given back within 20 ms after it, as long as a message is on its way, else it is lost. The test of a late answer that gives its turn back asserted the second fault; in its place stands one that the turn is not given out again.

--- a/limiter/admit.go
+++ b/limiter/admit.go
@@ -80,6 +80,7 @@
 	quota.Answer
 	fence int64
 	in    time.Duration // until the turn of a permit
+	asked time.Time     // when the question was made
 }
 
 // holderQuestion is one that the holder is asked.
@@ -128,6 +129,7 @@
 	case answer = <-answered:
 		// A process that stood still finds an answer from before: it counts for another time.
 		if c.Now().Sub(now) <= 2*answerPatience {
+			answer.asked = now
 			return answer, true
 		}
 		if answer.Granted {
--- a/limiter/client.go
+++ b/limiter/client.go
@@ -67,8 +67,8 @@
 	reports []uint64
 	// silentSince is when the first question was sent that has no answer; zero: none.
 	silentSince time.Time
-	// permitsAsked are the replicas of questions for permits without an answer.
-	permitsAsked map[uint64]fleet.Incarnation
+	// permitsAsked are the questions for permits without an answer.
+	permitsAsked map[uint64]bool
 	shares       *permit.Shares
 	heardAt      time.Time // when a holder last answered, or none was needed
 }
@@ -90,7 +90,7 @@
 	c.process = uuid.NewString()
 	c.account = quota.NewAccount(c.Bounds)
 	c.waiting = map[uint64]chan told{}
-	c.permitsAsked = map[uint64]fleet.Incarnation{}
+	c.permitsAsked = map[uint64]bool{}
 	c.shares = permit.NewShares(rand.Float64)
 	c.heardAt = c.Now()
 	c.wake = make(chan struct{}, 1)
@@ -332,17 +332,12 @@
 	}
 }
 
-// settle takes in an answer, and gives back what it grants to a request that waits no longer; the mutex
-// is held.
+// settle takes in an answer, and gives back what it grants to a request that waits no longer, unless that
+// is a turn, which passes; the mutex is held.
 func (c *Client) settle(answer quota.Answer, now time.Time) {
-	replica, isPermit := c.permitsAsked[answer.ID]
+	isPermit := c.permitsAsked[answer.ID]
 	delete(c.permitsAsked, answer.ID)
-	unused := c.account.Take(answer, now)
-	switch {
-	case unused == nil:
-	case isPermit:
-		c.outbox.unused = append(c.outbox.unused, replica)
-	default:
+	if unused := c.account.Take(answer, now); unused != nil && !isPermit {
 		c.outbox.refunds = append(c.outbox.refunds, *unused)
 	}
 }
--- a/limiter/permits.go
+++ b/limiter/permits.go
@@ -19,6 +19,10 @@
 	// ownerPatience is how long a request waits for a holder that does not answer, at most: a stream to
 	// it may just be opening.
 	ownerPatience = 300 * time.Millisecond
+	// giveBackTime is how long after its turn a permit is given back: as long as a message is on its way.
+	// A turn that passed unused is lost. Given out again later, it came beside the turns of that time: two
+	// of them were two messages too many in 4 s.
+	giveBackTime = 20 * time.Millisecond
 	// ownerReturn is the advice to requests that find none.
 	ownerReturn = 500 * time.Millisecond
 )
@@ -48,7 +52,8 @@
 type Permit struct {
 	client  *Client
 	replica fleet.Incarnation
-	turn    time.Time
+	turn    time.Time // by when the answer was read, which is no earlier than the owner's
+	until   time.Time // when it is good for nothing any more; by when the question was made
 	source  string
 	fence   int64
 
@@ -63,9 +68,11 @@
 func (p *Permit) Source() string { return p.source }
 
 // Use implements fleet.Permit. A permit that a process finds after it stood still is good for nothing:
-// the replica had the turn, and has others now.
+// the replica had the turn, and has others now. Its life counts from the question, since the answer may
+// have waited: what is written then comes within the life of the owner's turn. Counted from the answer,
+// messages came up to 0.3 s later, and one more than the limit allows in 4 s.
 func (p *Permit) Use() bool {
-	if p.client.Now().Sub(p.turn) > permit.Life {
+	if p.client.Now().After(p.until) {
 		return false
 	}
 	p.mutex.Lock()
@@ -81,10 +88,10 @@
 	spent := p.spent
 	p.spent = true
 	p.mutex.Unlock()
-	if spent || p.source != sourceHolder {
+	c := p.client
+	if spent || p.source != sourceHolder || c.Now().Sub(p.turn) > giveBackTime {
 		return
 	}
-	c := p.client
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.isUp && p.fence == c.fence {
@@ -99,10 +106,10 @@
 	for deadline := time.Now().Add(min(ask.Patience, ownerPatience)); ; {
 		answer, up := c.askHolder(ctx, c.permitQuestion(ask))
 		if up && !answer.Unknown {
-			return c.granted(ask, sourceHolder, permit.Answer{Granted: answer.Granted, In: answer.in, RetryIn: answer.RetryIn}, answer.fence)
+			return c.granted(ask, sourceHolder, permit.Answer{Granted: answer.Granted, In: answer.in, RetryIn: answer.RetryIn}, answer)
 		}
 		if own, alone := c.ownTurn(ask, up); alone {
-			return c.granted(ask, sourceOwn, own, 0)
+			return c.granted(ask, sourceOwn, own, told{asked: c.Now()})
 		}
 		if !c.awaitHolder(ctx, time.Until(deadline)) {
 			c.count(sourceNone, "refused")
@@ -116,24 +123,25 @@
 	return holderQuestion{
 		put: func(now time.Time) uint64 {
 			made := permitQuestion{id: c.account.Ask("", 0, now).ID, ask: ask}
-			c.permitsAsked[made.id] = ask.Replica
+			c.permitsAsked[made.id] = true
 			c.outbox.permits = append(c.outbox.permits, made)
 			return made.id
 		},
-		giveBack: func(answer told) {
-			(&Permit{client: c, replica: ask.Replica, source: sourceHolder, fence: answer.fence}).Return()
-		},
+		giveBack: func(told) {}, // its turn has passed meanwhile, or soon will have
 	}
 }
 
 // granted makes the permit of an answer, or tells when to ask again.
-func (c *Client) granted(ask permit.Ask, source string, answer permit.Answer, fence int64) (core.ReplicaPermit, core.NoTurn) {
+func (c *Client) granted(ask permit.Ask, source string, answer permit.Answer, said told) (core.ReplicaPermit, core.NoTurn) {
 	if !answer.Granted {
 		c.count(source, "refused")
 		return nil, core.NoTurn{RetryIn: answer.RetryIn, Source: source}
 	}
 	c.count(source, "granted")
-	return &Permit{client: c, replica: ask.Replica, turn: c.Now().Add(answer.In), source: source, fence: fence}, core.NoTurn{}
+	return &Permit{
+		client: c, replica: ask.Replica, source: source, fence: said.fence,
+		turn: c.Now().Add(answer.In), until: said.asked.Add(answer.In + permit.Life),
+	}, core.NoTurn{}
 }
 
 // ownTurn takes a turn of this daemon's own share; alone tells whether it may. A holder that knows
--- a/limiter/permits_test.go
+++ b/limiter/permits_test.go
@@ -70,6 +70,7 @@
 		require.NotNil(t, granted)
 		require.Equal(t, sourceHolder, granted.Source())
 		turns = append(turns, granted.(*Permit).turn)
+		require.LessOrEqual(t, granted.(*Permit).until.Sub(granted.(*Permit).turn), permit.Life, "its life counts from the question")
 	}
 	require.InDelta(t, 0.75, turns[3].Sub(turns[0]).Seconds(), 0.1)
 	require.GreaterOrEqual(t, held.Waiting(), 2)
@@ -105,7 +106,7 @@
 	none, _ := client.AskPermit(t.Context(), permitAsk(0.05, 0))
 	require.Nil(t, none, "what was used is not given back")
 	used.(*Permit).spent = false
-	used.(*Permit).turn = time.Now().Add(-permit.Life - time.Millisecond)
+	used.(*Permit).until = time.Now().Add(-time.Millisecond)
 	require.False(t, used.Use(), "its process stood still")
 }
 
@@ -203,19 +204,24 @@
 	held.book.Return(fleet.Incarnation{})
 }
 
-// A turn that is granted to a request which waits no longer is for others.
-func TestALateAnswerGivesItsTurnBack(t *testing.T) {
+// A turn that passed unused is lost: given out again, it would come beside the turns of that time.
+func TestATurnThatPassedIsNotGivenOutAgain(t *testing.T) {
 	held := startOwner(t, true)
 	client := connected(t, held.address)
-	ask := permitAsk(1, 0)
+	granted, _ := client.AskPermit(t.Context(), permitAsk(1, 0))
+	require.NotNil(t, granted)
+	granted.(*Permit).turn = time.Now().Add(-giveBackTime - time.Millisecond)
 	client.mutex.Lock()
-	defer client.mutex.Unlock()
-	asked := client.permitQuestion(ask)
+	asked := client.permitQuestion(permitAsk(1, 0))
 	id := asked.put(time.Now())
 	client.account.Abandon(id)
-	client.outbox.unused = nil
-	client.settle(quota.Answer{ID: id, Granted: true}, time.Now())
-	require.Equal(t, []fleet.Incarnation{ask.Replica}, client.outbox.unused)
+	client.settle(quota.Answer{ID: id, Granted: true}, time.Now()) // the answer came late
+	client.mutex.Unlock()
+	granted.Return()
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	require.Empty(t, client.outbox.unused)
+	require.Empty(t, client.outbox.refunds)
 	client.outbox = outbox{}
 }
 
--- a/permit/book.go
+++ b/permit/book.go
@@ -22,7 +22,7 @@
 	// not know what its predecessor gave out, begins that much later.
 	MostAhead = time.Second
 	// Life is how long after its turn a permit may be used: a connection may take 0.4 s to open. What a
-	// daemon that stood still finds later is worth nothing.
+	// daemon that stood still finds later is worth nothing. It counts from the question.
 	Life = 500 * time.Millisecond
 	// mostReturn bounds the advice to callers.
 	mostReturn = 10 * time.Second
--- a/permit/model_test.go
+++ b/permit/model_test.go
@@ -108,7 +108,8 @@
 // request leads one request to the replica, or gives it up.
 func (m *model) request(daemon *modelDaemon, patience time.Duration) {
 	for end := time.Now().Add(patience); ; {
-		answer, owner := m.ask(daemon, time.Until(end))
+		asked := time.Now()
+		answer := m.ask(daemon, time.Until(end))
 		if !answer.Granted {
 			if time.Now().Add(answer.RetryIn).After(end) {
 				return
@@ -116,13 +117,12 @@
 			time.Sleep(answer.RetryIn)
 			continue
 		}
-		turn := time.Now().Add(answer.In)
+		until := asked.Add(answer.In + Life)
 		time.Sleep(answer.In)
 		m.connect()
 		m.awake(&daemon.frozen)
-		if time.Since(turn) > Life {
-			m.giveBack(owner)
-			continue
+		if time.Now().After(until) {
+			continue // its turn has passed
 		}
 		m.hop()
 		m.locked(func() { m.arrivals = append(m.arrivals, time.Now()) })
@@ -146,26 +146,18 @@
 	time.Sleep(time.Until(until))
 }
 
-func (m *model) giveBack(owner *modelOwner) {
-	m.hop()
-	m.locked(func() {
-		if owner != nil && !owner.over {
-			owner.book.Return(fleet.Incarnation{ID: "r1"})
-		}
-	})
-}
-
-func (m *model) ask(daemon *modelDaemon, patience time.Duration) (answer Answer, owner *modelOwner) {
+func (m *model) ask(daemon *modelDaemon, patience time.Duration) (answer Answer) {
 	asked := Ask{Replica: fleet.Incarnation{ID: "r1"}, PerSecond: m.perSecond, Patience: patience}
 	if m.way != owned {
 		m.locked(func() { answer = m.byItself(daemon) })
-		return answer, nil
+		return answer
 	}
 	began := time.Now()
+	var owner *modelOwner
 	m.locked(func() { owner = daemon.owner })
 	if owner != nil {
 		if answer, answered := m.askOwner(daemon, owner, asked, began); answered {
-			return answer, owner
+			return answer
 		}
 	}
 	m.locked(func() {
@@ -174,7 +166,7 @@
 			answer = daemon.shares.Ask(asked, len(m.daemons), time.Now())
 		}
 	})
-	return answer, nil
+	return answer
 }
 
 // askOwner asks the owner; answered is false if no answer came in time.
@@ -197,10 +189,7 @@
 	if late := modelPatience - time.Since(began); late > 0 && !answered {
 		time.Sleep(late)
 	}
-	if time.Since(began) > 2*modelPatience && answered { // the request has given it up
-		if answer.Granted {
-			m.giveBack(owner)
-		}
+	if time.Since(began) > 2*modelPatience { // the request has given it up
 		answered = false
 	}
 	if answered {
