Sight: a list of records that is left out as old is told

The lines of the incident tell that the service refused changes (it lacks them) and that records were listed, but not what became of the list. Line: the records that the key-value service lists are left out, with the revision that is known and the one that was listed. No change of what is done.

--- a/logging/fields.go
+++ b/logging/fields.go
@@ -48,6 +48,7 @@
 	Gone            = "gone"
 	Daemon          = "daemon"
 	Dependency      = "dependency"
+	ListedRevision  = "listed_revision"
 	Revision        = "revision"
 	Dropped         = "dropped"
 	LeftOut         = "left_out"
--- a/records/records.go
+++ b/records/records.go
@@ -248,7 +248,9 @@
 	m.turn.Lock()
 	defer m.turn.Unlock()
 	lacks := m.lacksBulk()
-	if revision < m.Revision() && !lacks {
+	if known := m.Revision(); revision < known && !lacks {
+		m.log.WithFields(logrus.Fields{logging.Revision: known, logging.ListedRevision: revision}).
+			Warn("the records that the key-value service lists are left out: they lie behind those known here")
 		return
 	}
 	m.replace(pairs, revision, !m.WithoutBulk() || lacks)
