Records follow a key-value service that was restored from a copy

Cause: a revision was taken for ordered for ever. After a restore the service counts from the copy again. The age of contact and proof stayed small all the time. Fences, which are revisions, fell. Ruled out: calls refused for their number (the line is written for 410 alone), and peers that hold the records back (the daemon that follows the service did not know them either).

Change: a revision carries the era that the service names above its count (package kv), so all comparisons hold over restores. The mirror lists again, passes the whole on, and takes neither records nor proof nor contact of a peer that has not heard of the restore. Log lines name the era, and a gauge does.

Weighed: bumping past the known revision by trusting any 410 (a restore whose count has climbed past shows none); an era field beside each revision (each of some thirty comparisons could forget it).

Records over 60 random histories of writes, outages and restores become the service's.

--- a/kv/kv.go
+++ b/kv/kv.go
@@ -29,7 +29,7 @@
 type Pair struct {
 	Key         string
 	Value       []byte
-	ModRevision int64 // store revision of the last change of the key
+	ModRevision int64 // store revision of the last change of the key, with its era
 }
 
 // Condition holds when the key's last change was at ModRevision; zero means
--- a/kv/lease.go
+++ b/kv/lease.go
@@ -40,6 +40,7 @@
 	// Changes returns the changes under prefix after a revision, as soon as there are
 	// any, and the revision up to which they are whole. After wait it returns none; no
 	// change that was acknowledged before the call is missing. The error wraps
-	// ErrCompacted if the service no longer has them.
+	// ErrCompacted if the service no longer has them, and ErrRestored if it was restored from a
+	// copy since the revision.
 	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error)
 }
--- a/kv/metered.go
+++ b/kv/metered.go
@@ -25,6 +25,8 @@
 		return "uncertain"
 	case errors.Is(err, ErrCompacted):
 		return "history_dropped"
+	case errors.Is(err, ErrRestored):
+		return "restored"
 	case errors.Is(err, ErrNoLease):
 		return "no_lease"
 	}
--- a/logging/fields.go
+++ b/logging/fields.go
@@ -49,6 +49,9 @@
 	Daemon          = "daemon"
 	Dependency      = "dependency"
 	ListedRevision  = "listed_revision"
+	Era             = "era" // of the key-value service: how often it was restored
+	EraBefore       = "era_before"
+	RevisionBefore  = "revision_before"
 	Revision        = "revision"
 	Dropped         = "dropped"
 	LeftOut         = "left_out"
--- a/logging/messages.go
+++ b/logging/messages.go
@@ -27,6 +27,7 @@
 	MessageReplicaEndedUnder  = "replica ended under a request"
 	MessageRequestCleared     = "request served whole after replicas had ended"
 	MessageDependencyLost     = "dependency lost"
+	MessageServiceRestored    = "records of a restored key-value service taken"
 	MessageDependencyRegained = "dependency regained"
 	MessageReplicasKnown      = "which replicas are known has changed"
 	MessageDirectories        = "directories of replicas changed"
--- /dev/null
+++ b/logging/revision.go
@@ -0,0 +1,12 @@
+package logging
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/finchspoke/finchspoke/kv"
+)
+
+// AtRevision returns the fields of a revision of the key-value service: its era and the service's own count.
+func AtRevision(revision int64) logrus.Fields {
+	return logrus.Fields{Era: kv.EraOf(revision), Revision: kv.CountOf(revision)}
+}
--- a/node/follow.go
+++ b/node/follow.go
@@ -48,13 +48,13 @@
 				now := time.Now()
 				n.tableAt.Store(&now)
 			}
-			n.log.WithFields(logrus.Fields{logging.ConfigVersion: table.Version, logging.Revision: pair.ModRevision, logging.Outcome: taken}).
+			n.log.WithFields(logrus.Fields{logging.ConfigVersion: table.Version, logging.Outcome: taken}).WithFields(logging.AtRevision(pair.ModRevision)).
 				Info(logging.MessageTableRead)
 			n.holder.Wake()
 			return
 		}
 	}
-	n.log.WithFields(logrus.Fields{logging.Cause: err.Error(), logging.ConfigVersion: n.routes.Version(), logging.Revision: pair.ModRevision}).
+	n.log.WithFields(logrus.Fields{logging.Cause: err.Error(), logging.ConfigVersion: n.routes.Version()}).WithFields(logging.AtRevision(pair.ModRevision)).
 		Error("routing table not used; the one in force stays")
 }
 
--- a/node/gauges.go
+++ b/node/gauges.go
@@ -15,6 +15,7 @@
 		value      func() float64
 	}{
 		{"finchspoke_config_version", "Version of the routing table in force; 0 before the first.", func() float64 { return float64(n.routes.Version()) }},
+		{"finchspoke_store_era", "How often the key-value service was restored from a copy, by the records known here.", func() float64 { return float64(kv.EraOf(n.mirror.Revision())) }},
 		{"finchspoke_replicas_known", "Replicas in the registry.", func() float64 { return float64(n.fleet.Len()) }},
 		{"finchspoke_config_age_seconds", "Time since the configuration in force was taken; 0 without one.", n.tableAge},
 		{"finchspoke_config_proof_age_seconds", "Time for which the configuration in force may have been out of date; -1 if it was never proven.", n.proofAge},
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -313,7 +313,7 @@
 	}
 	report, err := ParseReport(event.Pair.Value)
 	if err != nil {
-		g.Log.WithFields(logrus.Fields{logging.Cause: err.Error(), logging.Revision: event.Pair.ModRevision}).Warn("report of replicas that ended not used")
+		g.Log.WithField(logging.Cause, err.Error()).WithFields(logging.AtRevision(event.Pair.ModRevision)).Warn("report of replicas that ended not used")
 		return
 	}
 	g.ledger.put(event.Pair.Key, report, event.Pair.ModRevision, g.Now())
--- a/records/bulk.go
+++ b/records/bulk.go
@@ -3,8 +3,6 @@
 import (
 	"strings"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/finchspoke/finchspoke/kv"
 	"github.com/finchspoke/finchspoke/logging"
 )
@@ -136,7 +134,7 @@
 
 // tellBulk tells that this daemon now does without the bulk, or knows it again; the turn is held.
 func (m *Mirror) tellBulk(without bool) {
-	m.log.WithFields(logrus.Fields{logging.WithoutReplicas: without, logging.Revision: m.Revision()}).Info(logging.MessageReplicasKnown)
+	m.log.WithField(logging.WithoutReplicas, without).WithFields(logging.AtRevision(m.Revision())).Info(logging.MessageReplicasKnown)
 	if m.bulkChanged != nil {
 		m.bulkChanged(without)
 	}
--- a/records/contact.go
+++ b/records/contact.go
@@ -22,7 +22,7 @@
 func (m *Mirror) regain() {
 	if !m.reached {
 		m.reached = true
-		m.log.WithFields(logrus.Fields{logging.Dependency: dependencyService, logging.Revision: m.revision}).Info(logging.MessageDependencyRegained)
+		m.log.WithField(logging.Dependency, dependencyService).WithFields(logging.AtRevision(m.revision)).Info(logging.MessageDependencyRegained)
 	}
 }
 
@@ -34,7 +34,7 @@
 		return
 	}
 	m.reached = false
-	m.log.WithFields(logrus.Fields{logging.Dependency: dependencyService, logging.Revision: m.revision, logging.Cause: cause.Error()}).
+	m.log.WithFields(logrus.Fields{logging.Dependency: dependencyService, logging.Cause: cause.Error()}).WithFields(logging.AtRevision(m.revision)).
 		Warn(logging.MessageDependencyLost)
 }
 
--- /dev/null
+++ b/records/era_test.go
@@ -0,0 +1,174 @@
+package records
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/finchspoke/finchspoke/kv"
+)
+
+// copied returns what the store holds, and its count of changes.
+func (s *fakeStore) copied() (pairs map[string]kv.Pair, count int64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return maps.Clone(s.pairs), kv.CountOf(s.revision)
+}
+
+// restore makes the store go on from a copy, in its next era.
+func (s *fakeStore) restore(pairs map[string]kv.Pair, count int64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	era := kv.EraOf(s.revision) + 1
+	s.pairs, s.revision = map[string]kv.Pair{}, kv.RevisionIn(era, count)
+	for key, pair := range pairs {
+		pair.ModRevision = kv.RevisionIn(era, kv.CountOf(pair.ModRevision))
+		s.pairs[key] = pair
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) values() map[string]string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	values := map[string]string{}
+	for key, pair := range s.pairs {
+		values[key] = string(pair.Value)
+	}
+	return values
+}
+
+func values(mirror *Mirror) map[string]string {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	values := map[string]string{}
+	for key, pair := range mirror.pairs {
+		values[key] = string(pair.Value)
+	}
+	return values
+}
+
+func TestARestoredServiceIsListedThoughItsCountIsLower(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, mirror, stop := followedOne(t)
+		defer stop()
+		earlier, count := store.copied()
+		for number := range 30 {
+			store.put("servers/a", fmt.Sprint(number))
+		}
+		time.Sleep(2 * time.Second)
+		require.Equal(t, "29", value(mirror, "servers/a"))
+		store.restore(earlier, count)
+		store.put("config", "2")
+		time.Sleep(time.Second)
+		require.Equal(t, store.values(), values(mirror))
+		require.EqualValues(t, 1, kv.EraOf(mirror.Revision()))
+		require.LessOrEqual(t, store.lists, 3, "one list for each era, and one more for a change that came meanwhile")
+	})
+}
+
+// A peer that has not heard of the restore vouches for nothing and proves nothing, however high its count.
+func TestTheWordOfAPeerOfAnEarlierEraDoesNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mirror := mirrorOf(t, newFakeStore())
+		restored, earlier := kv.RevisionIn(2, 5), kv.RevisionIn(1, 90)
+		require.True(t, mirror.Take(Update{Revision: restored, Whole: true, Events: []kv.Event{put("config", "3", kv.RevisionIn(2, 3))}, Contact: time.Now().Add(-vouchTime / 2)}))
+		for _, update := range []Update{
+			{Revision: earlier, Contact: time.Now(), Proven: time.Now()},
+			{Revision: earlier, Whole: true, Events: []kv.Event{put("config", "9", kv.RevisionIn(1, 80))}, Contact: time.Now(), Proven: time.Now()},
+			{Revision: earlier, Events: []kv.Event{put("servers/a", "1", earlier)}, Contact: time.Now(), Proven: time.Now()},
+		} {
+			require.True(t, mirror.Take(update), "the peer is listened to until it hears of the restore")
+		}
+		require.Equal(t, map[string]string{"config": "3"}, values(mirror))
+		require.True(t, mirror.ProvenAt().IsZero())
+		time.Sleep(vouchTime / 2)
+		require.False(t, mirror.InContact())
+	})
+}
+
+// A daemon that hears of the restore from the service itself stops listening to peers of the era before.
+func TestARestoreThatTheServiceTellsEndsTheVouchingOfPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("config", "1")
+		mirror := mirrorOf(t, store)
+		mirror.LimitProof("config", time.Second)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go func() { _ = mirror.Serve(ctx) }()
+		vouchFor(mirror, 2*time.Second)
+		pairs, count := store.copied()
+		store.restore(pairs, count)
+		store.put("config", "2")
+		for range 20 { // the peer goes on vouching
+			mirror.Take(Update{Revision: 1, Contact: time.Now()})
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.Equal(t, "2", value(mirror, "config"))
+	})
+}
+
+func TestAPeerOfAnEarlierEraGetsAllRecords(t *testing.T) {
+	source := mirrorOf(t, newFakeStore())
+	source.replace([]kv.Pair{put("config", "1", 5).Pair}, 90, true)
+	before, _ := source.since(view{})
+	follower := mirrorOf(t, newFakeStore())
+	require.True(t, follower.Take(before))
+	source.replace([]kv.Pair{put("config", "2", kv.RevisionIn(1, 6)).Pair}, kv.RevisionIn(1, 6), true)
+	after, _ := source.since(view{revision: before.Revision})
+	require.True(t, after.Whole)
+	require.True(t, follower.Take(after))
+	require.Equal(t, "2", value(follower, "config"))
+	require.Equal(t, source.Revision(), follower.Revision())
+}
+
+// Over random histories of writes, outages and restores, a daemon that follows the service and one that
+// listens to it come to know what the service holds.
+func TestRecordsBecomeThoseOfTheServiceOverRandomRestores(t *testing.T) {
+	const (
+		histories = 60
+		steps     = 40
+	)
+	for seed := range uint64(histories) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 45))
+			store, mirror, stop := followedOne(t)
+			defer stop()
+			follower := mirrorOf(t, newFakeStore())
+			told := view{}
+			earlier, count := store.copied()
+			for range steps {
+				switch random.IntN(8) {
+				case 0:
+					earlier, count = store.copied()
+				case 1:
+					store.restore(earlier, count)
+				case 2:
+					store.set(random.IntN(2) == 0)
+				case 3:
+					update, _ := mirror.since(told)
+					require.True(t, follower.Take(update))
+					told.revision = max(told.revision, update.Revision)
+				case 4:
+					time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+				default:
+					store.put(fmt.Sprintf("servers/%d", random.IntN(5)), fmt.Sprint(random.IntN(100)))
+				}
+			}
+			store.set(false)
+			time.Sleep(5 * time.Second)
+			require.Equal(t, store.values(), values(mirror), "seed %d", seed)
+			update, _ := mirror.since(told)
+			require.True(t, follower.Take(update))
+			require.Equal(t, store.values(), values(follower), "seed %d", seed)
+		})
+	}
+}
--- a/records/pauses.go
+++ b/records/pauses.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/finchspoke/finchspoke/kv"
 	"github.com/finchspoke/finchspoke/logging"
 	"github.com/finchspoke/finchspoke/sleep"
@@ -26,7 +24,7 @@
 	if left <= 0 || m.leading {
 		if (vouchedFor <= 0 || m.leading) && !m.vouched.IsZero() {
 			m.vouched = time.Time{}
-			m.log.WithFields(logrus.Fields{logging.Dependency: dependencyPeer, logging.Revision: m.revision}).Info(logging.MessageDependencyLost)
+			m.log.WithField(logging.Dependency, dependencyPeer).WithFields(logging.AtRevision(m.revision)).Info(logging.MessageDependencyLost)
 		}
 		m.mutex.Unlock()
 		return false
--- a/records/proof.go
+++ b/records/proof.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/finchspoke/finchspoke/kv"
 	"github.com/finchspoke/finchspoke/sleep"
 )
 
@@ -39,6 +42,8 @@
 	sent := m.now()
 	events, _, err := m.store.Changes(ctx, m.proofKey, m.Revision(), soonWait)
 	switch {
+	case errors.Is(err, kv.ErrRestored):
+		return false // the peer has not heard of it
 	case err != nil:
 		sleep.For(ctx, pauseLongest)
 		return true // the peer still passes the records on
--- a/records/records.go
+++ b/records/records.go
@@ -77,8 +77,10 @@
 	mutex      sync.Mutex
 	handlers   []subscription
 	pairs      map[string]kv.Pair
-	revision   int64     // up to which changes are known; zero before the first list
-	contact    time.Time // when the service last answered here
+	revision   int64 // up to which changes are known; zero before the first list
+	// outdated tells that the service was restored from a copy since that revision.
+	outdated bool
+	contact  time.Time // when the service last answered here
 	// vouched is when the service last answered the peer that passes its records on;
 	// zero once that is too long ago. It is never passed on itself: two peers that
 	// listen to each other would vouch for each other without end.
@@ -174,8 +176,12 @@
 		case ctx.Err() != nil:
 		case err == nil:
 			pause = pauseFirst
+		case errors.Is(err, kv.ErrRestored):
+			m.outdate()
+			whole = false
+			m.awaitList(ctx)
 		case errors.Is(err, kv.ErrCompacted):
-			m.log.WithField(logging.Revision, m.Revision()).Warn("the key-value service lacks changes; its records are listed again")
+			m.log.WithFields(logging.AtRevision(m.Revision())).Warn("the key-value service lacks changes; its records are listed again")
 			whole = false
 			m.awaitList(ctx)
 		default:
@@ -249,7 +255,7 @@
 	defer m.turn.Unlock()
 	lacks := m.lacksBulk()
 	if known := m.Revision(); revision < known && !lacks {
-		m.log.WithFields(logrus.Fields{logging.Revision: known, logging.ListedRevision: revision}).
+		m.log.WithFields(logging.AtRevision(known)).WithField(logging.ListedRevision, kv.CountOf(revision)).
 			Warn("the records that the key-value service lists are left out: they lie behind those known here")
 		return
 	}
@@ -272,8 +278,10 @@
 func (m *Mirror) replace(pairs []kv.Pair, revision int64, withBulk bool) {
 	m.mutex.Lock()
 	known, widened := m.pairs, m.without && withBulk
+	before := m.revision
 	m.pairs, m.others = make(map[string]kv.Pair, len(pairs)), 0
 	m.revision = revision
+	m.leaveEra(before)
 	if withBulk {
 		m.without = false
 	}
@@ -303,6 +311,7 @@
 	m.weighBulk()
 	m.notify(true)
 	m.mutex.Unlock()
+	m.logRestore(before, revision, events)
 	if widened {
 		m.tellBulk(false)
 	}
--- a/records/records_test.go
+++ b/records/records_test.go
@@ -135,6 +135,8 @@
 		revision, changed, answers, compacted, refuse := s.revision, s.changed, life == s.life, after < s.compacted, s.refuse
 		s.mutex.Unlock()
 		switch {
+		case answers && kv.EraOf(revision) > kv.EraOf(after):
+			return nil, after, kv.ErrRestored
 		case refuse:
 			return nil, after, kv.ErrUnavailable
 		case answers && compacted:
--- a/records/update.go
+++ b/records/update.go
@@ -33,6 +33,9 @@
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if m.isOfEarlierEra(update) {
+		return true // once the peer hears of the restore, it passes on all records
+	}
 	if m.revision > 0 && update.Contact.After(m.vouched) {
 		m.vouched = update.Contact
 		m.regain()
@@ -51,10 +54,15 @@
 func (m *Mirror) takeRecords(update Update) bool {
 	m.turn.Lock()
 	defer m.turn.Unlock()
+	m.mutex.Lock()
+	known, isEarlier := m.revision, m.isOfEarlierEra(update)
+	m.mutex.Unlock()
+	if isEarlier {
+		return true
+	}
 	if !m.suits(update) {
 		return false
 	}
-	known := m.Revision()
 	newer := update.Revision > known
 	if m.WithoutBulk() && !update.WithoutBulk {
 		newer = update.Revision >= known // the bulk is news
