--- a/election/election.go
+++ b/election/election.go
@@ -193,7 +193,7 @@
 // loseTerm ends this daemon's term; the mutex is held.
 func (e *Election) loseTerm(reason string) {
 	e.log.WithFields(logrus.Fields{logging.Fence: e.term.Fence, logging.Reason: reason}).Warn(logging.MessageTermLost)
-	e.term, e.lease = Holder{}, 0
+	e.term, e.lease = Holder{}, kv.LeaseID{}
 }
 
 // Term returns the fence of this daemon's term and how sure it is.
@@ -428,7 +428,7 @@
 	case e.lease != lease:
 	case err == nil:
 		e.renewed = sent
-	case errors.Is(err, kv.ErrNoLease):
+	case errors.Is(err, kv.ErrNoLease), errors.Is(err, kv.ErrRestored):
 		e.loseTerm("the lease is over")
 		e.vacant = true
 	default:
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -56,10 +56,10 @@
 
 func (v view) GrantLease(ctx context.Context, _ time.Duration) (kv.LeaseID, error) {
 	if err := v.answers(); err != nil {
-		return 0, err
+		return kv.LeaseID{}, err
 	}
 	v.mutex.Lock()
-	v.leases++
+	v.leases.Number++
 	lease, lost := v.leases, v.loseGrants > 0
 	if lost {
 		v.loseGrants--
@@ -67,7 +67,7 @@
 	v.mutex.Unlock()
 	if lost {
 		<-ctx.Done()
-		return 0, kv.ErrUncertain
+		return kv.LeaseID{}, kv.ErrUncertain
 	}
 	return lease, nil
 }
--- a/election/handover.go
+++ b/election/handover.go
@@ -84,7 +84,7 @@
 	e.mutex.Lock()
 	term, lease := e.term, e.lease
 	e.mutex.Unlock()
-	if lease == 0 {
+	if lease == (kv.LeaseID{}) {
 		return
 	}
 	err := e.handOver(ctx, term, lease, handover())
--- a/kv/client.go
+++ b/kv/client.go
@@ -85,7 +85,7 @@
 	}
 	for _, put := range txn.Puts {
 		ask.Success = append(ask.Success, WireOperation{
-			Put: &WirePut{Key: []byte(put.Key), Value: put.Value, Lease: Int64(put.Lease)}})
+			Put: &WirePut{Key: []byte(put.Key), Value: put.Value, Lease: Int64(put.Lease.Number)}})
 	}
 	for _, key := range txn.Deletes {
 		ask.Success = append(ask.Success, WireOperation{Delete: &WireRange{Key: []byte(key)}})
@@ -110,9 +110,9 @@
 	var answer WireLeaseAnswer
 	ask := WireLeaseGrant{TTL: Int64(math.Ceil(ttl.Seconds()))}
 	if err := c.call(ctx, PathLeaseGrant, ask, &answer); err != nil {
-		return 0, err
+		return LeaseID{}, err
 	}
-	return LeaseID(answer.ID), nil
+	return LeaseID{Number: int64(answer.ID)}, nil
 }
 
 // Watch implements Store.
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -22,8 +22,11 @@
 // ErrCompacted means that a watch asked for revisions no longer kept.
 var ErrCompacted = errors.New("key-value service no longer keeps the revisions asked for")
 
-// LeaseID names a lease; zero is no lease.
-type LeaseID int64
+// LeaseID names a lease; the zero value is no lease.
+type LeaseID struct {
+	Number int64
+	Era    int64 // in which it was granted: a later one may give the number to another lease
+}
 
 // Pair is a key with its value.
 type Pair struct {
--- a/kv/lease.go
+++ b/kv/lease.go
@@ -13,7 +13,8 @@
 // LeaseStore is a Store whose leases can be renewed and ended.
 type LeaseStore interface {
 	Store
-	// KeepLease renews a lease. The error wraps ErrNoLease if it is over.
+	// KeepLease renews a lease. The error wraps ErrNoLease if it is over, and ErrRestored if the
+	// service was restored from a copy since it was granted.
 	KeepLease(ctx context.Context, lease LeaseID) error
 	// EndLease ends a lease; the keys bound to it go with it.
 	EndLease(ctx context.Context, lease LeaseID) error
--- a/kv/metered_test.go
+++ b/kv/metered_test.go
@@ -18,9 +18,11 @@
 func (s scripted) Changes(context.Context, string, int64, time.Duration) ([]Event, int64, error) {
 	return nil, 0, s.err
 }
-func (s scripted) Commit(context.Context, Txn) (TxnResult, error)             { return TxnResult{}, s.err }
-func (s scripted) GrantLease(context.Context, time.Duration) (LeaseID, error) { return 0, s.err }
-func (s scripted) KeepLease(context.Context, LeaseID) error                   { return s.err }
+func (s scripted) Commit(context.Context, Txn) (TxnResult, error) { return TxnResult{}, s.err }
+func (s scripted) GrantLease(context.Context, time.Duration) (LeaseID, error) {
+	return LeaseID{}, s.err
+}
+func (s scripted) KeepLease(context.Context, LeaseID) error { return s.err }
 
 func TestCallsAreCountedByWhatCameOfThem(t *testing.T) {
 	counted := map[string]int{}
@@ -30,7 +32,7 @@
 		require.Equal(t, err, got)
 		_, got = store.Commit(t.Context(), Txn{})
 		require.Equal(t, err, got)
-		require.Equal(t, err, store.KeepLease(t.Context(), 1))
+		require.Equal(t, err, store.KeepLease(t.Context(), LeaseID{Number: 1}))
 	}
 	require.Equal(t, map[string]int{
 		"changes done": 1, "changes uncertain": 1, "changes not_done": 1, "changes history_dropped": 1, "changes no_lease": 1,
--- a/lab/scale/store.go
+++ b/lab/scale/store.go
@@ -265,12 +265,12 @@
 // GrantLease implements kv.Store.
 func (s *store) GrantLease(ctx context.Context, _ time.Duration) (kv.LeaseID, error) {
 	if err := s.call(ctx); err != nil {
-		return 0, err
+		return kv.LeaseID{}, err
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.revision++
-	lease := kv.LeaseID(s.revision)
+	lease := kv.LeaseID{Number: s.revision}
 	s.leases[lease] = time.AfterFunc(leaseTime, func() {})
 	return lease, nil
 }
--- a/loader/holder_test.go
+++ b/loader/holder_test.go
@@ -22,7 +22,9 @@
 // grantingStore gives every lease and every term.
 type grantingStore struct{ kv.LeaseStore }
 
-func (grantingStore) GrantLease(context.Context, time.Duration) (kv.LeaseID, error) { return 1, nil }
+func (grantingStore) GrantLease(context.Context, time.Duration) (kv.LeaseID, error) {
+	return kv.LeaseID{Number: 1}, nil
+}
 
 func (grantingStore) Commit(context.Context, kv.Txn) (kv.TxnResult, error) {
 	return kv.TxnResult{Succeeded: true, Revision: 7}, nil
