The term survives a restore of the key-value service

Cause: the election takes what stands in the service for the newest, and a free record for a lease that ran out. After a restore neither holds: the copy may be of before the holder, and the lease was lost, not over.

Change: a record names the era in which it was written. One that names an earlier era than its revision came back out of a copy: it names no holder, and is no offer and nobody's own. The holder whose record a restore took away replaces what it left at once; others wait for the time of a lease, within which a holder that has not heard of the restore may still count on its own. A campaign whose answer is of another era than its lease is none.

Why it works: within a lease's time after a restore only the holder itself takes the term; later none of before can be sure. Fences rise, since the era does. A record of an earlier version names no era and is taken as it stands.

--- a/election/election.go
+++ b/election/election.go
@@ -8,6 +8,7 @@
 package election
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"sync"
@@ -32,10 +33,17 @@
 	// Handover tells that the holder has given the term up and gives no more orders: the
 	// next may take it at once. Nil while it holds the term.
 	Handover *Handover `json:"handover,omitempty"`
+	// Era is the service's when the record was written. A record that came back out of a copy names an
+	// earlier one than its revision does. Nil in a record of an earlier version, which is taken as it stands.
+	Era *int64 `json:"era,omitempty"`
 	// Fence is the revision of the record; it is not part of the value.
 	Fence int64 `json:"-"`
 }
 
+// cameBack tells whether a restore of the service brought the record back: since it was written, others
+// may have held the term.
+func (h Holder) cameBack() bool { return h.Era != nil && *h.Era < kv.EraOf(h.Fence) }
+
 // ParseHolder reads a holder's record.
 func ParseHolder(pair kv.Pair) (Holder, error) {
 	var holder Holder
@@ -88,13 +96,13 @@
 	log   logrus.FieldLogger
 	now   func() time.Time
 
-	mutex  sync.Mutex
-	vacant bool // the record is known to be absent
-	// orphan is the record of an earlier process of this daemon, which is gone: the
-	// term is taken up again without waiting for its lease. Its fence is zero if there
-	// is none.
-	orphan    Holder
-	reclaimed bool // the term before this one was an earlier process's of this daemon
+	mutex sync.Mutex
+	// vacancy is what a campaign may replace once the term is free; nil while another's record stands.
+	vacancy *vacancy
+	// own is what this daemon may take its term up again from, without waiting for a lease: the record of an
+	// earlier process, which is gone, or what a restore left in place of its own. Nil if there is none.
+	own       *vacancy
+	reclaimed bool // the term before this one was this daemon's
 	// offer is a record whose holder has given the term up, and offeredAt when it was heard
 	// of. Its fence is zero if there is none.
 	offer     Holder
@@ -153,17 +161,7 @@
 		e.mutex.Unlock()
 		return // from before the record that is known
 	}
-	e.vacant = event.Deleted
-	e.current, e.orphan, e.offer = holder, Holder{}, Holder{}
-	switch {
-	case holder.Handover != nil:
-		e.offer, e.offeredAt = holder, e.now()
-	case holder.Daemon == e.Daemon && e.term.Nonce == "":
-		e.orphan = holder
-	}
-	if e.term.Nonce != "" && e.term.Nonce != holder.Nonce {
-		e.loseTerm("another record stands")
-	}
+	holder = e.take(holder, event)
 	e.mutex.Unlock()
 	e.log.WithFields(logrus.Fields{logging.Holder: holder.Daemon, logging.Fence: holder.Fence, logging.HandedOver: holder.Handover != nil}).
 		Info(logging.MessageHolderChanged)
@@ -173,11 +171,47 @@
 	}
 }
 
-// Vacate takes in that no record was found when the service's records were read.
-func (e *Election) Vacate() {
+// take notes what the record is now, and returns who holds the term by it; an empty holder means that nobody
+// does. The mutex is held.
+func (e *Election) take(holder Holder, event kv.Event) Holder {
+	restored := kv.EraOf(event.Pair.ModRevision) > kv.EraOf(e.current.Fence)
+	left := &vacancy{base: holder.Fence}
+	e.current, e.vacancy, e.own, e.offer = holder, nil, nil, Holder{}
+	switch {
+	case e.term.Nonce != "" && kv.EraOf(event.Pair.ModRevision) > kv.EraOf(e.term.Fence) && (event.Deleted || holder.cameBack()):
+		e.loseTerm("the key-value service was restored from a copy")
+		e.own = left
+	case e.term.Nonce != "" && e.term.Nonce != holder.Nonce:
+		e.loseTerm("another record stands")
+	}
+	switch {
+	case event.Deleted && !restored:
+		e.vacancy = left
+	case event.Deleted, holder.cameBack():
+		// Whoever held the term before the restore may not have heard of it, and counts on its lease.
+		left.opens = e.now().Add(e.TTL)
+		e.vacancy = left
+	case holder.Handover != nil:
+		e.offer, e.offeredAt = holder, e.now()
+	case holder.Daemon == e.Daemon && e.term.Nonce == "":
+		e.own = left
+	}
+	if holder.cameBack() {
+		e.current = Holder{Fence: holder.Fence}
+	}
+	return e.current
+}
+
+// Vacate takes in that no record was found when the service's records of a revision were read.
+func (e *Election) Vacate(revision int64) {
 	e.mutex.Lock()
-	if e.current.Nonce == "" && e.term.Nonce == "" {
-		e.vacant = true
+	switch {
+	case e.term.Nonce != "" && kv.EraOf(revision) > kv.EraOf(e.term.Fence):
+		// The record was lost before the mirror had seen it.
+		e.loseTerm("the key-value service was restored from a copy")
+		e.own = &vacancy{}
+	case e.current.Nonce == "" && e.term.Nonce == "" && e.vacancy == nil:
+		e.vacancy = &vacancy{}
 	}
 	e.mutex.Unlock()
 	e.signal()
@@ -238,7 +272,7 @@
 		e.mutex.Lock()
 		holding, resigned := e.term.Nonce != "", e.resigned || e.yielding
 		e.mutex.Unlock()
-		_, open := e.opening()
+		_, opensIn, open := e.opening()
 		switch {
 		case holding && !resigned:
 			e.renew(ctx)
@@ -247,7 +281,7 @@
 			e.campaign(ctx)
 			e.rest(ctx, campaignPause)
 		default:
-			e.rest(ctx, e.TTL)
+			e.rest(ctx, cmp.Or(opensIn, e.TTL))
 		}
 	}
 	return ctx.Err()
@@ -293,10 +327,10 @@
 
 // campaign tries to take the term.
 func (e *Election) campaign(ctx context.Context) {
-	if e.orphaned().Fence == 0 && !sleep.For(ctx, e.delay()+e.stagger()+e.handicap()) {
+	if !e.takesUpOwn() && !sleep.For(ctx, e.delay()+e.stagger()+e.handicap()) {
 		return
 	}
-	opening, open := e.opening()
+	opening, _, open := e.opening()
 	if !open {
 		return
 	}
@@ -309,11 +343,15 @@
 		e.campaignFailed(err)
 		return
 	}
-	term := Holder{Daemon: e.Daemon, Address: e.Address, Nonce: uuid.NewString()}
+	term := Holder{Daemon: e.Daemon, Address: e.Address, Nonce: uuid.NewString(), Era: &lease.Era}
 	result, err := kv.CommitResolved(ctx, store, e.replacing(opening.base, term, lease))
+	if err == nil && result.Succeeded && kv.EraOf(result.Revision) != lease.Era {
+		// The condition may have held for another record that got the revision again.
+		err = kv.ErrRestored
+	}
 	if err == nil && !result.Succeeded {
 		e.mutex.Lock()
-		e.vacant, e.orphan, e.offer = false, Holder{}, Holder{} // until the mirror says otherwise
+		e.vacancy, e.own, e.offer = nil, nil, Holder{} // until the mirror says otherwise
 		e.mutex.Unlock()
 	}
 	if err != nil {
@@ -368,29 +406,38 @@
 // opening is what a campaign begins from.
 type opening struct {
 	base      int64        // revision of the record to be replaced; zero: there is none
-	reclaimed bool         // it is that of an earlier process of this daemon
+	reclaimed bool         // the term before was this daemon's
 	inherited *Inheritance // nil unless its holder handed the term over
 }
 
-// opening returns what a campaign may begin from, if the term is open to one.
-func (e *Election) opening() (opening, bool) {
+// vacancy is a term that may be taken.
+type vacancy struct {
+	base  int64     // revision of the record to be replaced; zero: there is none
+	opens time.Time // nobody takes it before
+}
+
+// opening returns what a campaign may begin from, if the term is open to one, and else when to look again.
+func (e *Election) opening() (from opening, lookIn time.Duration, open bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	switch {
-	case e.orphan.Fence > 0:
-		return opening{base: e.orphan.Fence, reclaimed: true}, true
+	case e.own != nil:
+		return opening{base: e.own.base, reclaimed: true}, 0, true
 	case e.offer.Fence > 0:
-		return opening{base: e.offer.Fence, inherited: e.offer.Handover.inheritance(e.offeredAt)}, true
+		return opening{base: e.offer.Fence, inherited: e.offer.Handover.inheritance(e.offeredAt)}, 0, true
+	case e.vacancy == nil:
+		return opening{}, e.TTL, false
 	}
-	return opening{}, e.vacant
+	lookIn = max(0, e.vacancy.opens.Sub(e.now()))
+	return opening{base: e.vacancy.base}, lookIn, lookIn == 0
 }
 
 // begin notes a term that was taken and tells the listeners.
 func (e *Election) begin(term Holder, lease kv.LeaseID, sent time.Time, from opening) {
 	e.mutex.Lock()
 	e.reclaimed, e.inherited = from.reclaimed, from.inherited
-	e.term, e.lease, e.renewed, e.attempted, e.vacant, e.current = term, lease, sent, time.Time{}, false, term
-	e.orphan, e.offer = Holder{}, Holder{}
+	e.term, e.lease, e.renewed, e.attempted, e.current = term, lease, sent, time.Time{}, term
+	e.vacancy, e.own, e.offer = nil, nil, Holder{}
 	e.mutex.Unlock()
 	e.log.WithFields(logrus.Fields{logging.Holder: e.Daemon, logging.Fence: term.Fence, logging.Reclaimed: from.reclaimed, logging.HandedOver: from.inherited != nil}).
 		Info(logging.MessageTermBegins)
@@ -399,15 +446,15 @@
 	}
 }
 
-// orphaned returns the record that an earlier process of this daemon left.
-func (e *Election) orphaned() Holder {
+// takesUpOwn tells whether this daemon may take up its own term again.
+func (e *Election) takesUpOwn() bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return e.orphan
+	return e.own != nil
 }
 
-// Reclaimed tells whether the term before this one was an earlier process's of this
-// daemon, so that no other holder's orders can be recent.
+// Reclaimed tells whether the term before this one was this daemon's, by an earlier process or before a
+// restore of the service, so that no other holder's orders can be recent.
 func (e *Election) Reclaimed() bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -428,9 +475,12 @@
 	case e.lease != lease:
 	case err == nil:
 		e.renewed = sent
-	case errors.Is(err, kv.ErrNoLease), errors.Is(err, kv.ErrRestored):
+	case errors.Is(err, kv.ErrNoLease):
 		e.loseTerm("the lease is over")
-		e.vacant = true
+		e.vacancy = &vacancy{}
+	case errors.Is(err, kv.ErrRestored):
+		// Observe, or Vacate, tells what the restore left of the record. Until then the lease is as sure as it
+		// was: nobody else takes the term within its time.
 	default:
 		e.attempted = e.now()
 	}
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -59,7 +59,7 @@
 		return kv.LeaseID{}, err
 	}
 	v.mutex.Lock()
-	v.leases.Number++
+	v.leases = kv.LeaseID{Number: v.leases.Number + 1, Era: kv.EraOf(v.revision)}
 	lease, lost := v.leases, v.loseGrants > 0
 	if lost {
 		v.loseGrants--
@@ -78,7 +78,10 @@
 	}
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	if !v.held || lease != v.lease {
+	switch {
+	case lease.Era != kv.EraOf(v.revision):
+		return kv.ErrRestored
+	case !v.held || lease != v.lease:
 		return kv.ErrNoLease
 	}
 	v.expiry.Reset(testTTL)
@@ -167,8 +170,13 @@
 
 func elections(t *testing.T, informed map[string]bool, daemons ...string) (*oneRecord, map[string]*Election) {
 	t.Helper()
-	log := quietLog()
 	store := &oneRecord{silent: map[string]bool{}}
+	return store, electionsAt(t, store, informed, daemons...)
+}
+
+func electionsAt(t *testing.T, store *oneRecord, informed map[string]bool, daemons ...string) map[string]*Election {
+	t.Helper()
+	log := quietLog()
 	made := map[string]*Election{}
 	for _, daemon := range daemons {
 		one := New(Config{Key: testKey, Daemon: daemon, Address: daemon + ":1", TTL: testTTL, Informed: func() bool { return informed[daemon] }}, view{store, daemon}, log)
@@ -176,10 +184,10 @@
 		store.told = append(store.told, one)
 	}
 	for _, one := range made {
-		one.Vacate()
+		one.Vacate(0)
 		go func() { _ = one.Serve(t.Context()) }()
 	}
-	return store, made
+	return made
 }
 
 func holders(made map[string]*Election) []string {
@@ -310,7 +318,7 @@
 			if store.held {
 				go one.Observe(kv.Event{Pair: store.pair})
 			} else {
-				one.Vacate()
+				one.Vacate(0)
 			}
 			store.mutex.Unlock()
 			ctx, kill := context.WithCancel(t.Context())
@@ -353,7 +361,7 @@
 		store.loseGrants = 1
 		one := New(Config{Key: testKey, Daemon: "a", Address: "a:1", TTL: testTTL}, view{store, "a"}, quietLog())
 		store.told = append(store.told, one)
-		one.Vacate()
+		one.Vacate(0)
 		go func() { _ = one.Serve(t.Context()) }()
 		time.Sleep(patienceFirst + 2*campaignPause + staggerSteps*2*staggerStep)
 		_, standing := one.Term()
--- a/loader/holder_test.go
+++ b/loader/holder_test.go
@@ -63,7 +63,7 @@
 			close(began)
 		}
 	})
-	made.Vacate()
+	made.Vacate(0)
 	go func() { _ = made.Serve(t.Context()) }()
 	<-began
 	return made
--- a/node/follow.go
+++ b/node/follow.go
@@ -30,7 +30,7 @@
 	n.mirror.Notable(func(before, after kv.Pair) bool { return notable(adapters, before, after) })
 	n.mirror.Loaded(func() {
 		if _, held := n.mirror.Get(n.config.TermKey); !held {
-			n.election.Vacate()
+			n.election.Vacate(n.mirror.Revision())
 		}
 		n.replicas.loaded()
 	})
