Test: the store's record is read under its lock

go test -race -count=6 ./election reported a race in TestAPlannedStopHandsTheTermOverWithTheTimesOfItsOrders on, in 1 of 6 runs: the test read the record while a campaign wrote it.

--- a/election/election_test.go
+++ b/election/election_test.go
@@ -138,6 +138,13 @@
 	return kv.TxnResult{Succeeded: true, Revision: pair.ModRevision}, nil
 }
 
+// stands tells whether there is a record.
+func (r *oneRecord) stands() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.held
+}
+
 func (r *oneRecord) remove() {
 	r.mutex.Lock()
 	if !r.held {
@@ -301,7 +308,7 @@
 		fence, _ := made["a"].Term()
 		made["a"].Observe(kv.Event{Pair: kv.Pair{Key: testKey, ModRevision: fence - 1}, Deleted: true})
 		require.Equal(t, []string{"a"}, holders(made))
-		require.True(t, store.held)
+		require.True(t, store.stands())
 	})
 }
 
@@ -385,7 +392,7 @@
 		})
 		synctest.Wait()
 		require.Empty(t, holders(made))
-		require.True(t, store.held, "the record stays, and offers the term")
+		require.True(t, store.stands(), "the record stays, and offers the term")
 		time.Sleep(500 * time.Millisecond)
 		next := holders(made)
 		require.Len(t, next, 1)
