That a replica leaves is final for its process, also where a restore brings its entry back

On the stand-in, three daemons: after a restore of the key-value service to a copy of before a replica left, daemons sent it requests again: one each where its answers say that it leaves, 201 within 3 s where only its entry had gone.

Cause: the registry's newest word on a replica was the only one, and forgotten with its entry. A copy is older than what was heard.

Change: the directory remembers that the registry said of a process that it leaves, or listed it no more (beside the replica's own word, which was remembered already, and for as long). Records that a new era's list brings are marked as restored. Of a process that is known they tell that it leaves and nothing else, since what it holds was heard later; one that was gone gets nothing new until its entry is written again or has lasted for 6 s, longer than that of an ended replica lasts (three heartbeats). Old memories are looked for once a minute, not with each new one.

Weighed: to leave out restored entries of gone replicas for good (a replica whose entry lapsed, and came back just then, would be lost to callers).

--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -192,7 +192,7 @@
 		id, _ := asking.choose(t, adapted)
 		return id == ""
 	}, settleTime, settlePoll)
-	known.Fleet.Remove("r2")
+	known.Fleet.Remove("r2", time.Now())
 	require.Eventually(t, func() bool { return !asking.knows("r2")() }, settleTime, settlePoll)
 }
 
@@ -204,7 +204,7 @@
 	asking := startDaemon(t, known)
 	asking.choose(t, model("m"))
 	pick, _ := asking.fleet.Choose(fleet.Ask{Service: testService, Target: model("m")}, time.Now())
-	known.Fleet.Remove("r1")
+	known.Fleet.Remove("r1", time.Now())
 	require.Eventually(t, func() bool { return !asking.knows("r1")() }, settleTime, settlePoll)
 	pick.Release(fleet.Unreachable, model("m"), time.Now())
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -90,6 +90,7 @@
 	absentTill  map[Target]time.Time // nil while there is none
 	forgotten   bool                 // nothing more is told of it; it goes with its last request
 	unconfirmed bool                 // not in the registry's list so far
+	doubted     bool                 // back in a restored registry, and said to leave until it is trusted
 	perSecond   float64              // messages that it takes from all daemons together; zero: without a limit
 	limitHeard  time.Time            // when it said so
 	turnAt      time.Time            // when it was last chosen
@@ -119,12 +120,14 @@
 
 // Directory holds all replicas that the daemon knows.
 type Directory struct {
-	zone     string
-	mutex    sync.Mutex
-	members  map[string]*Replica
-	notices  map[string]*noticed // what replicas said of themselves, by id
-	services map[string]*serviceIndex
-	signals  map[signalKey]chan struct{}
+	zone    string
+	mutex   sync.Mutex
+	members map[string]*Replica
+	notices map[string]*noticed // what replicas said of themselves, and the registry of their leaving, by id
+	// noticesSwept is when old notices were last dropped.
+	noticesSwept time.Time
+	services     map[string]*serviceIndex
+	signals      map[signalKey]chan struct{}
 	// interest says of which targets this daemon is told; nil: of all.
 	interest Interest
 	limited  bool // what directories tell is taken in
@@ -158,9 +161,12 @@
 func (d *Directory) Put(entry Entry, now time.Time) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	if entry.Draining {
+		d.drains(entry.Incarnation(), now)
+	}
 	d.change(entry.ID, func(known *Replica) {
 		d.takeEntry(known, entry, now)
-		known.unconfirmed = false
+		known.unconfirmed, known.doubted = false, false
 	})
 }
 
@@ -185,10 +191,13 @@
 	r.Entry, r.entryAt, r.forgotten = entry, now, false
 }
 
-// Remove forgets a replica that the registry no longer lists.
-func (d *Directory) Remove(id string) {
+// Remove forgets a replica that the registry no longer lists, but for its leaving.
+func (d *Directory) Remove(id string, now time.Time) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	if member := d.members[id]; member != nil {
+		d.unlisted(member.Incarnation(), now)
+	}
 	d.remove(id)
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -45,7 +45,7 @@
 	_, miss := directory.Choose(Ask{Service: "press"}, start)
 	require.Equal(t, NoReplica, miss)
 	directory.Put(press("r2", "b", nil), start)
-	directory.Remove("r1")
+	directory.Remove("r1", time.Now())
 	pick, _ := directory.Choose(Ask{Service: "press"}, start)
 	require.Equal(t, "r2", pick.ID)
 }
--- a/fleet/limit_test.go
+++ b/fleet/limit_test.go
@@ -84,7 +84,7 @@
 	entry.Born = 1000
 	d := directoryOf(entry)
 	d.HearLimit(naming(2, start), start)
-	d.Remove("r1")
+	d.Remove("r1", time.Now())
 	d.Put(entry, start)
 	require.Equal(t, 2.0, d.LimitOf("r1"))
 	require.Equal(t, 2.0, d.members["r1"].perSecond)
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -27,6 +27,7 @@
 	heardHere bool      // that it leaves: in an answer to this daemon
 	restUntil time.Time // it wants nothing of this daemon before
 	limit     limit
+	registry  registryMemory
 	heardAt   time.Time
 }
 
@@ -186,8 +187,15 @@
 	return true
 }
 
+// noticesSweep is the time between looks at what need not be remembered any longer.
+const noticesSweep = time.Minute
+
 // dropOldNotices forgets what was heard long ago of replicas that are gone; the mutex is held.
 func (d *Directory) dropOldNotices(now time.Time) {
+	if now.Sub(d.noticesSwept) < noticesSweep {
+		return
+	}
+	d.noticesSwept = now
 	for id, known := range d.notices {
 		if d.members[id] == nil && now.Sub(known.heardAt) > noticesKept && now.After(known.restUntil) {
 			delete(d.notices, id)
@@ -203,7 +211,7 @@
 	case known == nil:
 	case bornBefore(known.born, entry.Born):
 		delete(d.notices, entry.ID)
-	case known.leaving:
+	case known.leaving, known.registry.drained:
 		entry.Draining = true
 	}
 	return entry
--- /dev/null
+++ b/fleet/restored.go
@@ -0,0 +1,65 @@
+package fleet
+
+import "time"
+
+// ReturnedTime is for how long a replica that was gone from the registry, and is back in a registry that was
+// restored from a copy, gets nothing new. One that has ended does not write its entry again, which lapses
+// after three heartbeats.
+const ReturnedTime = 6 * time.Second
+
+// registryMemory is what is remembered of the registry's word on an incarnation.
+type registryMemory struct {
+	drained bool // it said that the incarnation leaves, which is final
+	gone    bool // it lists the incarnation no more
+}
+
+// PutRestored takes in the word of a registry that was restored from a copy: it may be older than what is
+// known. It tells whether the entry is doubted, until Trust is called for it.
+func (d *Directory) PutRestored(entry Entry, now time.Time) (doubted bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	member, noticed := d.members[entry.ID], d.notices[entry.ID]
+	switch {
+	case bornBefore(entry.Born, d.bornOf(entry.ID)), noticed != nil && bornBefore(entry.Born, noticed.born):
+		return false // its process has ended, and the next is known
+	case member != nil && member.Born == entry.Born && !entry.Draining:
+		return false // what is known of it was heard later
+	case member == nil && noticed != nil && noticed.registry.gone && noticed.born == entry.Born:
+		entry.Draining, doubted = true, true
+	case entry.Draining:
+		d.drains(entry.Incarnation(), now)
+	}
+	d.change(entry.ID, func(known *Replica) {
+		d.takeEntry(known, entry, now)
+		known.unconfirmed, known.doubted = false, doubted
+	})
+	return doubted
+}
+
+// Trust ends the doubt of PutRestored: the entry of a replica has outlived what one that ended leaves behind.
+func (d *Directory) Trust(incarnation Incarnation) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	member := d.members[incarnation.ID]
+	if member == nil || !member.doubted || member.Born != incarnation.Born {
+		return
+	}
+	d.change(incarnation.ID, func(known *Replica) {
+		known.Draining, known.doubted = false, false
+		known.Entry = d.withNotices(known.Entry)
+	})
+}
+
+// drains notes that the registry said of an incarnation that it leaves; the mutex is held.
+func (d *Directory) drains(incarnation Incarnation, now time.Time) {
+	if known := d.noticedOf(incarnation, now); known.born == incarnation.Born {
+		known.registry.drained = true
+	}
+}
+
+// unlisted notes that the registry lists an incarnation no more; the mutex is held.
+func (d *Directory) unlisted(incarnation Incarnation, now time.Time) {
+	if known := d.noticedOf(incarnation, now); known.born == incarnation.Born {
+		known.registry.gone = true
+	}
+}
--- a/fleet/share_test.go
+++ b/fleet/share_test.go
@@ -42,7 +42,7 @@
 	moved.Service = "desk"
 	directory.Put(moved, start)
 	require.Equal(t, NoReplica, ask("m"))
-	directory.Remove("r1")
+	directory.Remove("r1", time.Now())
 	require.Empty(t, directory.services)
 }
 
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -67,6 +67,9 @@
 type Event struct {
 	Pair    Pair
 	Deleted bool
+	// Restored tells that the service was restored from a copy, and listed the pair since: it may be older than
+	// what was heard of the key before.
+	Restored bool
 }
 
 // Store is what finchspoke needs from a key-value service.
--- a/node/follow.go
+++ b/node/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/finchspoke/finchspoke/fleet"
 	"github.com/finchspoke/finchspoke/kv"
 	"github.com/finchspoke/finchspoke/logging"
 	"github.com/finchspoke/finchspoke/routing"
@@ -61,7 +62,7 @@
 func (n *Node) takeReplica(adapters Adapters, event kv.Event) {
 	id := event.Pair.Key[len(adapters.ReplicaPrefix):]
 	if event.Deleted {
-		n.fleet.Remove(id)
+		n.fleet.Remove(id, time.Now())
 		n.registryLog.replicaGone(id, event.Pair.ModRevision)
 		n.holder.RegistryChanged(id)
 		return
@@ -69,16 +70,33 @@
 	entry, err := adapters.ReadReplica(event.Pair)
 	if err != nil {
 		// What was known under that id was written over: it names no replica any more.
-		n.fleet.Remove(id)
+		n.fleet.Remove(id, time.Now())
 		n.registryLog.entryRefused(id, err, event.Pair.ModRevision)
 		n.holder.RegistryChanged(id)
 		return
 	}
-	n.fleet.Put(entry, time.Now())
+	n.putReplica(entry, event.Restored)
 	n.registryLog.replicaListed(entry, event.Pair.ModRevision)
 	n.holder.RegistryChanged(entry.ID)
 }
 
+// putReplica takes in an entry of the registry, which may be out of a copy that the key-value service was
+// restored from.
+func (n *Node) putReplica(entry fleet.Entry, restored bool) {
+	if !restored {
+		n.fleet.Put(entry, time.Now())
+		return
+	}
+	if !n.fleet.PutRestored(entry, time.Now()) {
+		return
+	}
+	n.log.WithField(logging.Replica, entry.ID).Info(logging.MessageReplicaDoubted)
+	time.AfterFunc(fleet.ReturnedTime, func() {
+		n.fleet.Trust(entry.Incarnation())
+		n.holder.RegistryChanged(entry.ID)
+	})
+}
+
 // notable tells whether peers need a change of a record. What is loaded on a replica
 // the holder of load orders tells them by itself, and sooner.
 func notable(adapters Adapters, before, after kv.Pair) bool {
--- a/records/era.go
+++ b/records/era.go
@@ -44,6 +44,16 @@
 	return told < known || m.outdated && told == known
 }
 
+// markRestored marks the records of a list that replaced those of an earlier era.
+func markRestored(before, after int64, events []kv.Event) {
+	if before == 0 || kv.EraOf(after) == kv.EraOf(before) {
+		return
+	}
+	for index := range events {
+		events[index].Restored = true
+	}
+}
+
 // logRestore tells of records that replaced those of an earlier era.
 func (m *Mirror) logRestore(before, after int64, events []kv.Event) {
 	if before == 0 || kv.EraOf(after) == kv.EraOf(before) {
