Reports of replicas that ended outlive a restore of the key-value service

After a restore to a copy of before it, all daemons dropped what they knew, and a request under which three replicas had ended went to replicas again.

Change: a record that a restore took away, and not a daemon, goes on counting everywhere; the daemon that leads writes it again, one after the other in their old order, since a report that clears a request clears it of the ends before. Daemons that start later hear of it so.

TestReportsOutliveARestoreOfTheService fails where such a deletion counts as any other (the request is let through).

--- a/logging/messages.go
+++ b/logging/messages.go
@@ -11,6 +11,7 @@
 	MessageTermLost           = "term lost"
 	MessageReplicaListed      = "replica in the registry"
 	MessageReplicaGone        = "replica gone from the registry"
+	MessageReportsRewritten   = "reports that a restore took away are written again"
 	MessageReplicaDoubted     = "replica back in a restored registry gets nothing new for a while"
 	MessageEntryRefused       = "registry entry not used"
 	MessageRegistryFollowed   = "registry followed"
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -84,6 +84,9 @@
 	filling Report
 	filled  chan struct{} // holds an element while the report is not empty
 	probes  map[fleet.Incarnation]*probe
+	// lost are the reports whose records a restore of the service took away, with their order before.
+	lost      map[string]int64
+	foundLost chan struct{} // holds an element while they are to be looked at
 	// askedAtRest holds the end of the last rest in which each replica was asked.
 	askedAtRest map[string]time.Time
 	left        departures
@@ -100,6 +103,7 @@
 	g.ledger, g.filled, g.probes = newLedger(), make(chan struct{}, 1), map[fleet.Incarnation]*probe{}
 	g.askedAtRest = map[string]time.Time{}
 	g.left = departures{}
+	g.lost, g.foundLost = map[string]int64{}, make(chan struct{}, 1)
 	g.key = g.newKey()
 }
 
@@ -307,10 +311,15 @@
 func (g *Guard) Observe(event kv.Event) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if event.Deleted {
+	switch {
+	case event.Deleted && event.Restored:
+		g.lose(event.Pair.Key)
+		return
+	case event.Deleted:
 		g.ledger.remove(event.Pair.Key)
 		return
 	}
+	delete(g.lost, event.Pair.Key)
 	report, err := ParseReport(event.Pair.Value)
 	if err != nil {
 		g.Log.WithField(logging.Cause, err.Error()).WithFields(logging.AtRevision(event.Pair.ModRevision)).Warn("report of replicas that ended not used")
--- a/quarantine/publish.go
+++ b/quarantine/publish.go
@@ -35,6 +35,8 @@
 			return ctx.Err()
 		case <-sweep.C:
 			g.forget(ctx)
+		case <-g.foundLost:
+			g.rewriteLost(ctx)
 		case <-g.filled:
 			sleep.For(ctx, gatherTime)
 			key, report := g.take()
--- /dev/null
+++ b/quarantine/restore_test.go
@@ -0,0 +1,53 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/finchspoke/finchspoke/fleet"
+	"github.com/finchspoke/finchspoke/kv"
+)
+
+// restoreEmpty makes the service go on from a copy without records, as daemons hear of it.
+func (s *service) restoreEmpty() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision = kv.RevisionIn(kv.EraOf(s.revision)+1, 0)
+	for key := range s.records {
+		delete(s.records, key)
+		s.tell(kv.Event{Pair: kv.Pair{Key: key, ModRevision: s.revision}, Deleted: true, Restored: true})
+	}
+}
+
+func TestReportsOutliveARestoreOfTheService(t *testing.T) {
+	for name, leaderless := range map[string]time.Duration{"its holder goes on": 0, "nobody leads for a while": 3 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				shared, guards := fleetOf(t, 2, &answers{is: map[string]Liveness{"r0": Ended, "r1": Ended, "r2": Ended}})
+				for number := range EndsAllowed {
+					guards[1].Broke(t.Context(), fleet.Incarnation{ID: fmt.Sprintf("r%d", number)}, "address", named(1))
+					time.Sleep(2 * gatherTime)
+				}
+				written := shared.recordCount()
+				require.Equal(t, EndsAllowed, written)
+				shared.noLeader.Store(leaderless > 0)
+				shared.restoreEmpty()
+				for _, guard := range guards {
+					require.NotNil(t, guard.Withheld(named(1)), "what was known still counts")
+				}
+				time.Sleep(leaderless)
+				shared.noLeader.Store(false)
+				time.Sleep(2 * pauseLongest)
+				require.Equal(t, written, shared.recordCount(), "a daemon that starts now hears of it")
+				for _, guard := range guards {
+					require.NotNil(t, guard.Withheld(named(1)))
+					require.Empty(t, guard.lost)
+				}
+			})
+		})
+	}
+}
