A term taken up again keeps the distance of the one before

Cause, traced in one play: the holder was killed 1.0 s after an order; the next took the term and waited for its distance; a restore took its record away 0.28 s later, it took the term up again, and gave orders at once, since no other holder's can be recent where the term before was one's own. It had not kept that one's distance yet. Ruled out: that the process had just started for the first time (it had not).

Change: the wait of the term before goes on, and so does what was handed over with it.

TestATermTakenUpAgainKeepsTheDistanceOfTheOneBefore failed before.

--- a/loader/handover_test.go
+++ b/loader/handover_test.go
@@ -1,12 +1,17 @@
 package loader
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/finchspoke/finchspoke/election"
+	"github.com/finchspoke/finchspoke/kv"
+	"github.com/finchspoke/finchspoke/routing"
 )
 
 // A holder that stops names every replica that any holder gave an order to within the
@@ -38,6 +43,58 @@
 	require.Empty(t, handover.LastOrderMs)
 }
 
+// revisingStore gives every lease and every term, each record at the next revision of an era.
+type revisingStore struct {
+	grantingStore
+	revision *atomic.Int64
+}
+
+func (s revisingStore) GrantLease(context.Context, time.Duration) (kv.LeaseID, error) {
+	return kv.LeaseID{Number: 1, Era: kv.EraOf(s.revision.Load())}, nil
+}
+
+func (s revisingStore) Commit(context.Context, kv.Txn) (kv.TxnResult, error) {
+	return kv.TxnResult{Succeeded: true, Revision: s.revision.Add(1)}, nil
+}
+
+// A restore of the service may take a term away before its holder may give orders. The term that it takes up
+// again keeps the distance from the holder before, as the one that was lost.
+func TestATermTakenUpAgainKeepsTheDistanceOfTheOneBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const gap = 3 * time.Second
+		store := revisingStore{revision: &atomic.Int64{}}
+		made := election.New(election.Config{Key: "term", Daemon: "d1", TTL: gap}, store, discarding())
+		holder := &Holder{Fleet: emptyFleet(), Table: &routing.Store{}, Limits: Limits{TermGap: gap}, Election: made, Log: discarding()}
+		holder.Prepare()
+		other := time.Now()
+		holder.OrderSeen(other)
+		made.Vacate(0)
+		go func() { _ = made.Serve(t.Context()) }()
+		time.Sleep(gap / 3)
+		holder.turn(t.Context(), time.Now())
+		first := holder.fence
+		require.Equal(t, other.Add(gap), holder.begins)
+		holder.ordered.inherited = map[string]time.Time{"r1": other}
+
+		store.revision.Store(kv.RevisionIn(1, 1))
+		made.Observe(kv.Event{Pair: kv.Pair{Key: "term", ModRevision: kv.RevisionIn(1, 1)}, Deleted: true, Restored: true})
+		holder.turn(t.Context(), time.Now())
+		synctest.Wait()
+		holder.turn(t.Context(), time.Now())
+		require.Greater(t, holder.fence, first)
+		require.True(t, made.Reclaimed())
+		require.Equal(t, other.Add(gap), holder.begins)
+		require.NotEmpty(t, holder.ordered.inherited)
+
+		time.Sleep(gap)
+		store.revision.Store(kv.RevisionIn(2, 1))
+		made.Observe(kv.Event{Pair: kv.Pair{Key: "term", ModRevision: kv.RevisionIn(2, 1)}, Deleted: true, Restored: true})
+		synctest.Wait()
+		holder.turn(t.Context(), time.Now())
+		require.False(t, holder.begins.After(time.Now()), "no distance is left to keep")
+	})
+}
+
 // After a loss of all daemons nobody knows when the last order was given.
 func TestADaemonThatJustStartedWaitsOnlyWhereReplicasCheckNoFences(t *testing.T) {
 	const gap = 3 * time.Second
--- a/loader/holder.go
+++ b/loader/holder.go
@@ -280,10 +280,14 @@
 	}
 	begins := now
 	h.yields.termBegan(now)
-	h.ordered.inherited = nil
-	inherited := h.Election.Inherited()
+	reclaimed, inherited := h.Election.Reclaimed(), h.Election.Inherited()
+	if !reclaimed {
+		h.ordered.inherited = nil
+	}
 	switch {
-	case h.Election.Reclaimed():
+	case reclaimed && h.begins.After(now):
+		begins = h.begins // the distance that this daemon's term before was to keep
+	case reclaimed:
 	case inherited != nil:
 		begins = inherited.Begins
 		h.ordered.inherited = inherited.LastOrders
