A daemon that starts after a restore hears which replicas had said that they leave

Found by reading: a daemon that started after a restore to a copy of before a replica left knew it from the registry alone, as ready, until the replica had written its entry again, which may take seconds.

Change: where a restored registry says less than it said before, daemons that know better tell the holder of load orders, as of what replicas say in answers, and it tells all others. The unit test failed before (nothing to tell).

--- a/fleet/restored.go
+++ b/fleet/restored.go
@@ -19,6 +19,10 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	member, noticed := d.members[entry.ID], d.notices[entry.ID]
+	if !entry.Draining && noticed != nil && noticed.registry.drained && noticed.born == entry.Born {
+		// Daemons that start now know only what the registry says: the holder of load orders is to tell them.
+		noticed.leaving, noticed.heardHere = true, true
+	}
 	switch {
 	case bornBefore(entry.Born, d.bornOf(entry.ID)), noticed != nil && bornBefore(entry.Born, noticed.born):
 		return false // its process has ended, and the next is known
