Laboratory: a fleet whose key-value service comes back from a copy

finchlab fleet lets the service go away for 2 s and come back from a copy of before the newest configuration, which the operator writes again with a further one; it reports when that is in force everywhere, and the calls and bytes until then.

The test of 24 daemons holds the restore to the bound of other changes.

--- a/lab/scale/fleet.go
+++ b/lab/scale/fleet.go
@@ -85,7 +85,7 @@
 	f.configure()
 	defer f.end()
 	report := Report{Daemons: options.Daemons, Replicas: options.Replicas, Models: options.Models}
-	for _, step := range []func(context.Context, *Report) error{f.begin, f.steady, f.change, f.arrive, f.depart, f.loseHolder, f.loseAll} {
+	for _, step := range []func(context.Context, *Report) error{f.begin, f.steady, f.change, f.arrive, f.depart, f.restoreStore, f.loseHolder, f.loseAll} {
 		if err := step(ctx, &report); err != nil {
 			return report, err
 		}
--- a/lab/scale/fleet_test.go
+++ b/lab/scale/fleet_test.go
@@ -28,6 +28,7 @@
 	const bound = 5.0 // seconds, of the users' pages
 	require.Less(t, report.Change.All, bound)
 	require.Less(t, report.Departure.All, bound)
+	require.Less(t, report.Restore.All, bound)
 	require.Less(t, report.AllLost.All, 10.0)
 	var text bytes.Buffer
 	require.NoError(t, report.WriteText(&text))
--- a/lab/scale/report.go
+++ b/lab/scale/report.go
@@ -58,9 +58,13 @@
 	Change    Reach   `json:"configuration_in_force"`
 	Arrival   Reach   `json:"replica_known"`
 	Departure Reach   `json:"replica_gone"`
+	Restore   Reach   `json:"store_restored"` // to a configuration written right after
 	NextTerm  float64 `json:"next_term"`
 	Holder    Reach   `json:"holder_lost"`
 	AllLost   Reach   `json:"all_lost"`
+	// RestoreCalls and RestoreBytes are what the key-value service was asked for until then.
+	RestoreCalls int `json:"store_restored_store_calls"`
+	RestoreBytes int `json:"store_restored_store_bytes"`
 	// AllLostCalls and AllLostBytes are what the key-value service was asked for meanwhile.
 	AllLostCalls int `json:"all_lost_store_calls"`
 	AllLostBytes int `json:"all_lost_store_bytes"`
@@ -98,9 +102,10 @@
 	for _, reach := range []struct {
 		name string
 		Reach
-	}{{"configuration", r.Change}, {"new replica", r.Arrival}, {"lost replica", r.Departure}, {"all lost", r.AllLost}} {
+	}{{"configuration", r.Change}, {"new replica", r.Arrival}, {"lost replica", r.Departure}, {"restored store", r.Restore}, {"all lost", r.AllLost}} {
 		lines = append(lines, fmt.Sprintf("%-15s half %.2f s, 90 in 100 %.2f s, all %.2f s", reach.name, reach.Half, reach.Ninety, reach.All))
 	}
+	lines = append(lines, fmt.Sprintf("after a restore %d calls and %.1f MB at the key-value service", r.RestoreCalls, float64(r.RestoreBytes)/1e6))
 	lines = append(lines, fmt.Sprintf("after the loss  %d calls and %.1f MB at the key-value service", r.AllLostCalls, float64(r.AllLostBytes)/1e6))
 	_, err := fmt.Fprintln(writer, strings.Join(lines, "\n"))
 	return errors.Wrap(err, "write the report")
--- a/lab/scale/store.go
+++ b/lab/scale/store.go
@@ -32,6 +32,7 @@
 	changed   chan struct{}
 	calls     int
 	bytes     int // of answers
+	away      bool
 }
 
 type change struct {
@@ -99,7 +100,11 @@
 func (s *store) call(ctx context.Context) error {
 	s.mutex.Lock()
 	s.calls++
+	away := s.away
 	s.mutex.Unlock()
+	if away {
+		return kv.ErrUnavailable
+	}
 	select {
 	case <-ctx.Done():
 		return kv.ErrUnavailable
@@ -193,7 +198,12 @@
 func (s *store) since(prefix string, after int64) (events []kv.Event, at int64, changed <-chan struct{}, err error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if after < s.forgotten {
+	switch {
+	case s.away:
+		return nil, after, nil, kv.ErrUnavailable
+	case kv.EraOf(after) < kv.EraOf(s.revision):
+		return nil, after, nil, kv.ErrRestored
+	case after < s.forgotten:
 		return nil, after, nil, kv.ErrCompacted
 	}
 	first, _ := slices.BinarySearchFunc(s.history, after+1, func(one change, revision int64) int {
@@ -270,7 +280,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.revision++
-	lease := kv.LeaseID{Number: s.revision}
+	lease := kv.LeaseID{Number: kv.CountOf(s.revision), Era: kv.EraOf(s.revision)}
 	s.leases[lease] = time.AfterFunc(leaseTime, func() {})
 	return lease, nil
 }
@@ -282,6 +292,9 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if lease.Era < kv.EraOf(s.revision) {
+		return kv.ErrRestored
+	}
 	timer := s.leases[lease]
 	if timer == nil || !timer.Reset(leaseTime) {
 		return kv.ErrNoLease
