A restored list confirms the replicas that are known

What it had known was to be confirmed by that list; an entry of a known process is left out as older than what was heard, and so it was not confirmed, and forgotten with the end of the list. Ruled out: a daemon that stands still (no stack waits for a lock), and proofs that grow old (its mirror was vouched for).

Change: such an entry confirms the replica. The unit test failed before.

--- a/fleet/restored.go
+++ b/fleet/restored.go
@@ -23,6 +23,9 @@
 		// Daemons that start now know only what the registry says: the holder of load orders is to tell them.
 		noticed.leaving, noticed.heardHere = true, true
 	}
+	if member != nil {
+		member.unconfirmed = false
+	}
 	switch {
 	case bornBefore(entry.Born, d.bornOf(entry.ID)), noticed != nil && bornBefore(entry.Born, noticed.born):
 		return false // its process has ended, and the next is known
--- a/fleet/restored_test.go
+++ b/fleet/restored_test.go
@@ -67,6 +67,17 @@
 	require.False(t, isUsed(directory))
 }
 
+// A daemon that begins to know all replicas as the registry is restored keeps those that it knew.
+func TestARestoredListConfirmsTheReplicasThatAreKnown(t *testing.T) {
+	now := time.Unix(1000, 0)
+	directory := NewDirectory("a", func() float64 { return 0 })
+	directory.Put(drainingEntry(5, false), now)
+	directory.Fill()
+	require.False(t, directory.PutRestored(drainingEntry(5, false), now))
+	directory.Whole()
+	require.True(t, isUsed(directory))
+}
+
 // What the registry held before the restore is older than what is known, and tells nothing of holdings.
 func TestARestoredEntryDoesNotReplaceWhatIsKnownOfAReplica(t *testing.T) {
 	now := time.Unix(1000, 0)
