--- a/election/election.go
+++ b/election/election.go
@@ -171,30 +171,25 @@
 	}
 }
 
+// reasonRestored is why a term ends whose record a restore took away.
+const reasonRestored = "the key-value service was restored from a copy"
+
 // take notes what the record is now, and returns who holds the term by it; an empty holder means that nobody
 // does. The mutex is held.
 func (e *Election) take(holder Holder, event kv.Event) Holder {
-	restored := kv.EraOf(event.Pair.ModRevision) > kv.EraOf(e.current.Fence)
-	left := &vacancy{base: holder.Fence}
+	before := e.current.Fence
 	e.current, e.vacancy, e.own, e.offer = holder, nil, nil, Holder{}
+	e.checkTerm(holder, event)
 	switch {
-	case e.term.Nonce != "" && kv.EraOf(event.Pair.ModRevision) > kv.EraOf(e.term.Fence) && (event.Deleted || holder.cameBack()):
-		e.loseTerm("the key-value service was restored from a copy")
-		e.own = left
-	case e.term.Nonce != "" && e.term.Nonce != holder.Nonce:
-		e.loseTerm("another record stands")
-	}
-	switch {
-	case event.Deleted && !restored:
-		e.vacancy = left
+	case event.Deleted && !isRestored(before, event):
+		e.vacancy = &vacancy{}
 	case event.Deleted, holder.cameBack():
 		// Whoever held the term before the restore may not have heard of it, and counts on its lease.
-		left.opens = e.now().Add(e.TTL)
-		e.vacancy = left
+		e.vacancy = &vacancy{base: holder.Fence, opens: e.now().Add(e.TTL)}
 	case holder.Handover != nil:
 		e.offer, e.offeredAt = holder, e.now()
 	case holder.Daemon == e.Daemon && e.term.Nonce == "":
-		e.own = left
+		e.own = &vacancy{base: holder.Fence}
 	}
 	if holder.cameBack() {
 		e.current = Holder{Fence: holder.Fence}
@@ -202,13 +197,30 @@
 	return e.current
 }
 
+// isRestored tells whether the service was restored between a revision and an event.
+func isRestored(revision int64, event kv.Event) bool {
+	return kv.EraOf(event.Pair.ModRevision) > kv.EraOf(revision)
+}
+
+// checkTerm ends this daemon's term where its record does not stand any more; the mutex is held.
+func (e *Election) checkTerm(holder Holder, event kv.Event) {
+	switch {
+	case e.term.Nonce == "":
+	case isRestored(e.term.Fence, event) && (event.Deleted || holder.cameBack()):
+		e.loseTerm(reasonRestored)
+		e.own = &vacancy{base: holder.Fence}
+	case e.term.Nonce != holder.Nonce:
+		e.loseTerm("another record stands")
+	}
+}
+
 // Vacate takes in that no record was found when the service's records of a revision were read.
 func (e *Election) Vacate(revision int64) {
 	e.mutex.Lock()
 	switch {
 	case e.term.Nonce != "" && kv.EraOf(revision) > kv.EraOf(e.term.Fence):
 		// The record was lost before the mirror had seen it.
-		e.loseTerm("the key-value service was restored from a copy")
+		e.loseTerm(reasonRestored)
 		e.own = &vacancy{}
 	case e.current.Nonce == "" && e.term.Nonce == "" && e.vacancy == nil:
 		e.vacancy = &vacancy{}
