--- a/records/era_test.go
+++ b/records/era_test.go
@@ -116,6 +116,27 @@
 	})
 }
 
+// Between the word of a restore and the next list, the records that are known here are those of before.
+func TestPeersAreNotBelievedBetweenARestoreAndTheNextList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mirror := mirrorOf(t, newFakeStore())
+		mirror.replace([]kv.Pair{put("config", "1", 5).Pair}, 5, true)
+		mirror.Take(Update{Revision: 5, Contact: time.Now()})
+		require.True(t, mirror.InContact())
+		mirror.outdate()
+		require.False(t, mirror.InContact(), "what was heard is of before")
+		mirror.Take(Update{Revision: 9, Events: []kv.Event{put("config", "2", 9)}, Contact: time.Now(), Proven: time.Now()})
+		require.False(t, mirror.InContact())
+		require.True(t, mirror.ProvenAt().IsZero())
+		require.Equal(t, "1", value(mirror, "config"))
+		restored := kv.RevisionIn(1, 4)
+		mirror.Take(Update{Revision: restored, Whole: true, Events: []kv.Event{put("config", "3", restored)}, Contact: time.Now(), Proven: time.Now()})
+		require.True(t, mirror.InContact())
+		require.False(t, mirror.ProvenAt().IsZero())
+		require.Equal(t, "3", value(mirror, "config"))
+	})
+}
+
 func TestAPeerOfAnEarlierEraGetsAllRecords(t *testing.T) {
 	source := mirrorOf(t, newFakeStore())
 	source.replace([]kv.Pair{put("config", "1", 5).Pair}, 90, true)
