--- a/election/restore_test.go
+++ b/election/restore_test.go
@@ -66,6 +66,48 @@
 	})
 }
 
+// The service may be restored after it has given a campaign its lease, and the revision that the campaign
+// replaces may be another record's by then.
+func TestACampaignThatARestoreCutInTwoTakesNoTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &oneRecord{silent: map[string]bool{}}
+		one := New(Config{Key: testKey, Daemon: "a", Address: "a:1", TTL: testTTL}, restoringStore{view{store, "a"}}, quietLog())
+		one.Vacate(0)
+		go func() { _ = one.Serve(t.Context()) }()
+		time.Sleep(testTTL)
+		_, standing := one.Term()
+		require.Equal(t, None, standing)
+	})
+}
+
+// restoringStore is restored before each write.
+type restoringStore struct{ view }
+
+func (s restoringStore) Commit(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
+	s.restore(recordCopy{})
+	return s.view.Commit(ctx, txn)
+}
+
+// The mirror had not seen the record that the restore took away, so nothing tells that it is gone.
+func TestATermWhoseRecordWasNeverSeenIsTakenUpAgainAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &oneRecord{silent: map[string]bool{}}
+		nothing := store.copied()
+		one := New(Config{Key: testKey, Daemon: "a", Address: "a:1", TTL: testTTL}, view{store, "a"}, quietLog())
+		one.Vacate(0)
+		go func() { _ = one.Serve(t.Context()) }()
+		time.Sleep(testTTL)
+		before, standing := one.Term()
+		require.Equal(t, Sure, standing)
+		store.restore(nothing) // tells nobody
+		one.Vacate(kv.RevisionIn(1, 0))
+		time.Sleep(10 * time.Millisecond)
+		after, standing := one.Term()
+		require.Equal(t, Sure, standing)
+		require.Greater(t, after, before)
+	})
+}
+
 // A holder that has not heard of the restore counts on its lease, though the service has lost it.
 func TestATermThatARestoreTookAwayIsNotTakenWhileItsHolderIsSure(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/fleet/restored_test.go
+++ b/fleet/restored_test.go
@@ -36,6 +36,15 @@
 	require.EqualValues(t, 6, entry.Born, "the copy is of before it started")
 }
 
+func TestAReplicaThatSaidItLeavesDoesNotComeBackByItsEntry(t *testing.T) {
+	now := time.Unix(1000, 0)
+	directory := NewDirectory("a", func() float64 { return 0 })
+	directory.Put(drainingEntry(5, true), now)
+	directory.Remove("i-1", now)
+	directory.Put(drainingEntry(5, false), now)
+	require.False(t, isUsed(directory))
+}
+
 func TestAReplicaThatWasGoneIsDoubtedAfterARestoreUntilItsEntryLasts(t *testing.T) {
 	now := time.Unix(1000, 0)
 	gone := func() *Directory {
--- a/quarantine/restore_test.go
+++ b/quarantine/restore_test.go
@@ -23,6 +23,28 @@
 	}
 }
 
+// A report that a restore took away is newer than all that the copy holds, also than one that clears its request.
+func TestALostReportIsNewerThanWhatTheCopyHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, guards := fleetOf(t, 1, &answers{})
+		request := named(1)
+		clearing, err := Report{Served: [][]byte{request[:]}}.Encode()
+		require.NoError(t, err)
+		var ended Report
+		for number := range EndsAllowed {
+			ended.addEnd(fmt.Sprintf("r%d", number), request)
+		}
+		ends, err := ended.Encode()
+		require.NoError(t, err)
+		guards[0].Observe(kv.Event{Pair: kv.Pair{Key: "ends/1", Value: clearing, ModRevision: 5}})
+		guards[0].Observe(kv.Event{Pair: kv.Pair{Key: "ends/2", Value: ends, ModRevision: 6}})
+		require.NotNil(t, guards[0].Withheld(request))
+		guards[0].Observe(kv.Event{Pair: kv.Pair{Key: "ends/1", Value: clearing, ModRevision: kv.RevisionIn(1, 5)}, Restored: true})
+		guards[0].Observe(kv.Event{Pair: kv.Pair{Key: "ends/2", ModRevision: kv.RevisionIn(1, 5)}, Deleted: true, Restored: true})
+		require.NotNil(t, guards[0].Withheld(request))
+	})
+}
+
 func TestReportsOutliveARestoreOfTheService(t *testing.T) {
 	for name, leaderless := range map[string]time.Duration{"its holder goes on": 0, "nobody leads for a while": 3 * time.Second} {
 		t.Run(name, func(t *testing.T) {
