--- a/kv/era.go
+++ b/kv/era.go
@@ -5,7 +5,7 @@
 // A service that is restored from a copy loses the writes since, and gives their revisions out again. Each
 // time its era rises by one. Revisions in this package carry their era above the service's own count of
 // changes, so that they are ordered over restores: every revision of an era lies above all of the eras
-// before. A service that names no era has one for ever, in which a revision is the count itself.
+// before. A service that names no era has a single one, in which a revision is the count itself.
 
 // countBits is how many bits of a revision are the service's own count of changes. Both fit a JSON number.
 const countBits = 40
--- a/quarantine/publish.go
+++ b/quarantine/publish.go
@@ -11,6 +11,9 @@
 	"github.com/finchspoke/finchspoke/sleep"
 )
 
+// dependencyService names the key-value service in log lines.
+const dependencyService = "key-value service"
+
 const (
 	// gatherTime lets one report hold all requests that a daemon had at a replica: their
 	// connections break within some ms.
@@ -77,7 +80,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		g.Log.WithFields(logrus.Fields{logging.Dependency: "key-value service", logging.Cause: err.Error()}).Info("report of replicas that ended waits to be written")
+		g.Log.WithFields(logrus.Fields{logging.Dependency: dependencyService, logging.Cause: err.Error()}).Info("report of replicas that ended waits to be written")
 		if !sleep.For(ctx, pause) {
 			return
 		}
--- a/quarantine/restore.go
+++ b/quarantine/restore.go
@@ -50,7 +50,7 @@
 	inOrder := slices.SortedFunc(maps.Keys(lost), func(a, b string) int { return cmp.Compare(lost[a], lost[b]) })
 	for written, key := range inOrder {
 		if err := g.rewrite(ctx, key); err != nil {
-			g.Log.WithFields(logrus.Fields{logging.Dependency: "key-value service", logging.Cause: err.Error(), logging.Listed: written}).
+			g.Log.WithFields(logrus.Fields{logging.Dependency: dependencyService, logging.Cause: err.Error(), logging.Listed: written}).
 				Info("reports of replicas that ended wait to be written again")
 			return
 		}
--- a/records/era.go
+++ b/records/era.go
@@ -44,24 +44,16 @@
 	return told < known || m.outdated && told == known
 }
 
-// markRestored marks the records of a list that replaced those of an earlier era.
-func markRestored(before, after int64, events []kv.Event) {
+// noteRestore marks and logs the events of a list whose records replaced those of an earlier era; others it
+// leaves as they are.
+func (m *Mirror) noteRestore(before, after int64, events []kv.Event) {
 	if before == 0 || kv.EraOf(after) == kv.EraOf(before) {
 		return
 	}
+	gone := 0
 	for index := range events {
 		events[index].Restored = true
-	}
-}
-
-// logRestore tells of records that replaced those of an earlier era.
-func (m *Mirror) logRestore(before, after int64, events []kv.Event) {
-	if before == 0 || kv.EraOf(after) == kv.EraOf(before) {
-		return
-	}
-	gone := 0
-	for _, event := range events {
-		if event.Deleted {
+		if events[index].Deleted {
 			gone++
 		}
 	}
--- a/records/records.go
+++ b/records/records.go
@@ -311,8 +311,7 @@
 	m.weighBulk()
 	m.notify(true)
 	m.mutex.Unlock()
-	markRestored(before, revision, events)
-	m.logRestore(before, revision, events)
+	m.noteRestore(before, revision, events)
 	if widened {
 		m.tellBulk(false)
 	}
