--- a/election/election.go
+++ b/election/election.go
@@ -181,7 +181,7 @@
 	e.current, e.vacancy, e.own, e.offer = holder, nil, nil, Holder{}
 	e.checkTerm(holder, event)
 	switch {
-	case event.Deleted && !isRestored(before, event):
+	case event.Deleted && !isRestored(before, event.Pair.ModRevision):
 		e.vacancy = &vacancy{}
 	case event.Deleted, holder.cameBack():
 		// Whoever held the term before the restore may not have heard of it, and counts on its lease.
@@ -197,16 +197,14 @@
 	return e.current
 }
 
-// isRestored tells whether the service was restored between a revision and an event.
-func isRestored(revision int64, event kv.Event) bool {
-	return kv.EraOf(event.Pair.ModRevision) > kv.EraOf(revision)
-}
+// isRestored tells whether the service was restored between two revisions.
+func isRestored(before, after int64) bool { return kv.EraOf(after) > kv.EraOf(before) }
 
 // checkTerm ends this daemon's term where its record does not stand any more; the mutex is held.
 func (e *Election) checkTerm(holder Holder, event kv.Event) {
 	switch {
 	case e.term.Nonce == "":
-	case isRestored(e.term.Fence, event) && (event.Deleted || holder.cameBack()):
+	case isRestored(e.term.Fence, event.Pair.ModRevision) && (event.Deleted || holder.cameBack()):
 		e.loseTerm(reasonRestored)
 		e.own = &vacancy{base: holder.Fence}
 	case e.term.Nonce != holder.Nonce:
@@ -218,7 +216,7 @@
 func (e *Election) Vacate(revision int64) {
 	e.mutex.Lock()
 	switch {
-	case e.term.Nonce != "" && kv.EraOf(revision) > kv.EraOf(e.term.Fence):
+	case e.term.Nonce != "" && isRestored(e.term.Fence, revision):
 		// The record was lost before the mirror had seen it.
 		e.loseTerm(reasonRestored)
 		e.own = &vacancy{}
@@ -339,7 +337,7 @@
 
 // campaign tries to take the term.
 func (e *Election) campaign(ctx context.Context) {
-	if !e.takesUpOwn() && !sleep.For(ctx, e.delay()+e.stagger()+e.handicap()) {
+	if from, _, _ := e.opening(); !from.reclaimed && !sleep.For(ctx, e.delay()+e.stagger()+e.handicap()) {
 		return
 	}
 	opening, _, open := e.opening()
@@ -458,13 +456,6 @@
 	}
 }
 
-// takesUpOwn tells whether this daemon may take up its own term again.
-func (e *Election) takesUpOwn() bool {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	return e.own != nil
-}
-
 // Reclaimed tells whether the term before this one was this daemon's, by an earlier process or before a
 // restore of the service, so that no other holder's orders can be recent.
 func (e *Election) Reclaimed() bool {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -162,7 +162,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if entry.Draining {
-		d.drains(entry.Incarnation(), now)
+		d.remember(entry.Incarnation(), registryMemory{drained: true}, now)
 	}
 	d.change(entry.ID, func(known *Replica) {
 		d.takeEntry(known, entry, now)
@@ -196,7 +196,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if member := d.members[id]; member != nil {
-		d.unlisted(member.Incarnation(), now)
+		d.remember(member.Incarnation(), registryMemory{gone: true}, now)
 	}
 	d.remove(id)
 }
--- a/fleet/restored.go
+++ b/fleet/restored.go
@@ -34,7 +34,7 @@
 	case member == nil && noticed != nil && noticed.registry.gone && noticed.born == entry.Born:
 		entry.Draining, doubted = true, true
 	case entry.Draining:
-		d.drains(entry.Incarnation(), now)
+		d.remember(entry.Incarnation(), registryMemory{drained: true}, now)
 	}
 	d.change(entry.ID, func(known *Replica) {
 		d.takeEntry(known, entry, now)
@@ -57,16 +57,11 @@
 	})
 }
 
-// drains notes that the registry said of an incarnation that it leaves; the mutex is held.
-func (d *Directory) drains(incarnation Incarnation, now time.Time) {
-	if known := d.noticedOf(incarnation, now); known.born == incarnation.Born {
-		known.registry.drained = true
-	}
-}
-
-// unlisted notes that the registry lists an incarnation no more; the mutex is held.
-func (d *Directory) unlisted(incarnation Incarnation, now time.Time) {
-	if known := d.noticedOf(incarnation, now); known.born == incarnation.Born {
-		known.registry.gone = true
+// remember adds to what is remembered of the registry's word on an incarnation, unless a later one is known;
+// the mutex is held.
+func (d *Directory) remember(incarnation Incarnation, news registryMemory, now time.Time) {
+	known := d.noticedOf(incarnation, now)
+	if known.born == incarnation.Born {
+		known.registry = registryMemory{drained: known.registry.drained || news.drained, gone: known.registry.gone || news.gone}
 	}
 }
--- a/quarantine/publish.go
+++ b/quarantine/publish.go
@@ -64,14 +64,12 @@
 // publish writes a report until the key-value service has it. Its key is this daemon's alone,
 // so that it does no harm to write it twice.
 func (g *Guard) publish(ctx context.Context, key string, report Report) {
-	value, err := report.Encode()
+	write, err := writeOf(key, report)
 	if err != nil {
 		g.Log.WithField(logging.Cause, err.Error()).Error("report of replicas that ended not written")
 		return
 	}
-	write := kv.Txn{Conditions: []kv.Condition{{Key: key}}, Puts: []kv.Put{{Key: key, Value: value}}}
 	for pause := pauseFirst; ; pause = min(2*pause, pauseLongest) {
-		// A transaction that fails says that the record is there: by an attempt without answer.
 		_, err := g.Store.Commit(ctx, write)
 		if err == nil {
 			g.Metrics.published.Inc()
@@ -87,6 +85,13 @@
 	}
 }
 
+// writeOf returns the transaction that writes a report. One that fails says that the record is there, by an
+// attempt without answer.
+func writeOf(key string, report Report) (kv.Txn, error) {
+	value, err := report.Encode()
+	return kv.Txn{Conditions: []kv.Condition{{Key: key}}, Puts: []kv.Put{{Key: key, Value: value}}}, err
+}
+
 // forget drops what need not be kept any longer: here, and for all daemons where this one
 // leads.
 func (g *Guard) forget(ctx context.Context) {
--- a/quarantine/restore.go
+++ b/quarantine/restore.go
@@ -9,7 +9,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/finchspoke/finchspoke/kv"
 	"github.com/finchspoke/finchspoke/logging"
 )
 
@@ -68,12 +67,10 @@
 	}
 	g.mutex.Unlock()
 	if report != nil {
-		value, err := content.Encode()
+		write, err := writeOf(key, content)
 		if err != nil {
 			return err
 		}
-		// A transaction that fails says that the record is there.
-		write := kv.Txn{Conditions: []kv.Condition{{Key: key}}, Puts: []kv.Put{{Key: key, Value: value}}}
 		if _, err := g.Store.Commit(ctx, write); err != nil {
 			return err
 		}
