Test: a stream is silenced only once the proxy has it

Cause: a follower counts as attached once it has sent its first message, which the kernel takes before the proxy has accepted the connection. The proxy silences the connections that it knows, then none, so the stream goes on. The other three tests that silence a proxy wait for an answer through it first.

The test asks for more than before, and no bound or assertion changed.

--- a/loader/silence_test.go
+++ b/loader/silence_test.go
@@ -40,6 +40,9 @@
 	follower.HolderChanged(election.Holder{Daemon: "b", Address: proxy.Address(), Nonce: "n", Fence: 1})
 	go func() { _ = follower.Serve(ctx) }()
 	require.Eventually(t, follower.Attached, time.Second, time.Millisecond)
+	// The follower is attached once it has sent its first message. The proxy silences the connections that it
+	// has taken, so the message must have come through it.
+	require.Eventually(t, func() bool { return attachedTo(holder) == 1 }, time.Second, time.Millisecond)
 	proxy.SilenceOpen()
 	silenced := time.Now()
 	require.Eventually(t, func() bool { return !follower.Attached() }, silentTime+2*time.Second, 5*time.Millisecond)
@@ -50,3 +53,10 @@
 	time.Sleep(silentTime + time.Second)
 	require.True(t, follower.Attached(), "a quiet stream is kept by its beats")
 }
+
+// attachedTo returns how many daemons a holder has a stream of.
+func attachedTo(holder *Holder) int {
+	holder.mutex.Lock()
+	defer holder.mutex.Unlock()
+	return holder.attached
+}
