A seed of the quota models determines the run

Cause: the models drew random numbers while they ranged over the map of limits, so that the same seed gave another run each time: TestLeaderLostThreeSecondsAfterFirstRequest refused between 82 and 175 requests of seed 0. No failure of these tests could be reproduced from its seed, TestNoWindowExceedsLimit and TestNoWindowExceedsLimitWithStandby included. The ledger itself summed expired usage in the order of a map, which moves the last digit of a sum.

Change: the models range over tenants in order; the ledger removes expired slots and expired credit, and an account repeats unconfirmed reports, in order. The inventory that the simulated engines of package placement report is in order as well. No check and no bound changed; the set-up of three tests moved into functions that the new test uses.

The models of core, permit, pace, fleet and loading range over no map where they draw. TestRestoresAmongOtherFaults of package platform promises less: its seed determines the faults and their times, and the daemons run by real clocks.

--- a/balance/load_test.go
+++ b/balance/load_test.go
@@ -153,3 +153,25 @@
 	}
 	require.GreaterOrEqual(t, least[byLedger], 0.95)
 }
+
+// Guards against seeds that name no run.
+func TestSeedDeterminesRun(t *testing.T) {
+	type outcome struct {
+		served                  []float64
+		sent                    []int
+		firstBytes, longestGaps []time.Duration
+	}
+	play := func(seed uint64) (result outcome) {
+		p := newPool(byLedger, seed, 4_096, 0.55, 0.55, 1.2, 1.2)
+		result.served = run(p, playLength, rate{chat, 15, 4}, rate{report, 4, 1})
+		result.sent = p.sent
+		for _, request := range p.done {
+			result.firstBytes = append(result.firstBytes, request.firstByte)
+			result.longestGaps = append(result.longestGaps, request.longestPause)
+		}
+		return result
+	}
+	for seed := range uint64(3) {
+		require.Equal(t, play(seed), play(seed), "seed %d", seed)
+	}
+}
--- a/placement/decide_test.go
+++ b/placement/decide_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -82,8 +84,8 @@
 	}
 	inventory := &engine.Inventory{EngineID: id, Fence: simulated.fence,
 		Accelerators: []engine.Accelerator{{MemoryBytes: 10 * settings.GiB}, {MemoryBytes: 10 * settings.GiB}}}
-	for _, held := range simulated.held {
-		inventory.Replicas = append(inventory.Replicas, held)
+	for _, id := range slices.Sorted(maps.Keys(simulated.held)) {
+		inventory.Replicas = append(inventory.Replicas, simulated.held[id])
 	}
 	simulated.observed.Inventory = inventory
 }
--- a/quota/account.go
+++ b/quota/account.go
@@ -179,10 +179,10 @@
 func (a *Account) HandleDisconnect() {
 	clear(a.pending)
 	a.standby.pendingID, a.standby.applied = 0, 0
-	for number, unreported := range a.reports {
-		for tenant, amount := range unreported {
+	for _, number := range slices.Sorted(maps.Keys(a.reports)) {
+		for tenant, amount := range a.reports[number] {
 			a.credits[tenant].unreported += amount
 		}
-		delete(a.reports, number)
 	}
+	clear(a.reports)
 }
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // bucket is a token bucket that stores how many tokens it lacks.
 type bucket struct {
@@ -41,12 +44,18 @@
 // expire drops the slots before the window.
 func (h *history) expire(window time.Duration, now time.Time) {
 	first := slotOf(now.Add(-window)) - extraSlots
-	for slot, used := range h.slots {
+	var expired []int64
+	for slot := range h.slots {
 		if slot < first {
-			h.sum -= used
-			delete(h.slots, slot)
+			expired = append(expired, slot)
 		}
 	}
+	// The rounding of the sum depends on the order.
+	slices.Sort(expired)
+	for _, slot := range expired {
+		h.sum -= h.slots[slot]
+		delete(h.slots, slot)
+	}
 	if len(h.slots) == 0 {
 		h.sum = 0
 	}
--- a/quota/competing_standby_model_test.go
+++ b/quota/competing_standby_model_test.go
@@ -1,8 +1,6 @@
 package quota
 
 import (
-	"maps"
-	"slices"
 	"testing"
 	"time"
 
@@ -18,37 +16,41 @@
 	return m, returns
 }
 
+// newFaultyCompetitionWithStandby returns a model of callers that compete, whose standby and leader are lost at
+// random times beside other faults.
+func newFaultyCompetitionWithStandby(seed uint64) (*model, *returns) {
+	const daemons = 60
+	m, returns := newCompetitionWithStandby(seed, daemons, map[string]Limit{
+		"small": {PerSecond: 20_000, Burst: 20_000}, "large": {PerSecond: 40_000 + 50_000*float64(seed%3), Burst: 40_000 * float64(1+seed%4)},
+	})
+	m.faultyStandby = true
+	if seed%2 == 0 { // the slack of one request
+		m.bounds.Slack = 11_000
+		m.startTerm(true, 0)
+	}
+	for _, tenant := range m.tenants() {
+		limit := m.limits[tenant]
+		loadFactor := 0.5 + 5*m.random.Float64()
+		idle := m.random.Float64() < 0.5
+		returns.latest = time.Duration(m.random.Float64() * 2 * float64(time.Second))
+		returns.generate(tenant, func() float64 {
+			if idle && int(m.now.Unix())%8 < 5 {
+				return limit.PerSecond / 10
+			}
+			return loadFactor * limit.PerSecond
+		}, func() int { return m.random.IntN(3) }, 0.1*m.random.Float64())
+	}
+	m.injectFaults(faultyStandbyRunLength)
+	m.loseStandbyOrLeader(faultyStandbyRunLength)
+	return m, returns
+}
+
 func TestNoWindowExceedsLimitWithReservationsAndStandby(t *testing.T) {
-	const (
-		seeds   = 300
-		daemons = 60
-		length  = 30 * time.Second
-	)
+	const seeds = 300
 	kept, due := 0, 0
 	for seed := range uint64(seeds) {
-		m, returns := newCompetitionWithStandby(seed, daemons, map[string]Limit{
-			"small": {PerSecond: 20_000, Burst: 20_000}, "large": {PerSecond: 40_000 + 50_000*float64(seed%3), Burst: 40_000 * float64(1+seed%4)},
-		})
-		m.faultyStandby = true
-		if seed%2 == 0 { // the slack of one request
-			m.bounds.Slack = 11_000
-			m.startTerm(true, 0)
-		}
-		for _, tenant := range slices.Sorted(maps.Keys(m.limits)) {
-			limit := m.limits[tenant]
-			loadFactor := 0.5 + 5*m.random.Float64()
-			idle := m.random.Float64() < 0.5
-			returns.latest = time.Duration(m.random.Float64() * 2 * float64(time.Second))
-			returns.generate(tenant, func() float64 {
-				if idle && int(m.now.Unix())%8 < 5 {
-					return limit.PerSecond / 10
-				}
-				return loadFactor * limit.PerSecond
-			}, func() int { return m.random.IntN(3) }, 0.1*m.random.Float64())
-		}
-		m.injectFaults(length)
-		m.loseStandbyOrLeader(length)
-		m.run(length)
+		m, returns := newFaultyCompetitionWithStandby(seed)
+		m.run(faultyStandbyRunLength)
 		for tenant := range m.limits {
 			require.LessOrEqual(t, m.maxUtilization(tenant), 1.0, "seed %d, %s", seed, tenant)
 		}
--- a/quota/credit.go
+++ b/quota/credit.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // recalledPool is credit that daemons returned, for requests of any daemon. All of it expires when its
 // first part does.
@@ -74,10 +77,8 @@
 	usage.nextSettleAt = now.Add(slotLength)
 	usage.granted.expire(l.bounds.Window, now)
 	usage.creditUsed.expire(l.bounds.Window, now)
-	for daemon, credit := range usage.outstandingCredit {
-		if now.Before(credit.expiresAt.Add(settleDelay)) {
-			continue
-		}
+	for _, daemon := range usage.daemonsWithExpiredCredit(now) {
+		credit := usage.outstandingCredit[daemon]
 		if !l.lastContact[daemon].After(credit.expiresAt.Add(settleDelay / 2)) {
 			usage.bucket.deficit += credit.amount
 			usage.creditUsed.add(credit.amount, credit.expiresAt)
@@ -88,6 +89,17 @@
 	}
 }
 
+// daemonsWithExpiredCredit returns the daemons whose credit expired at least settleDelay ago, in order.
+func (u *tenantUsage) daemonsWithExpiredCredit(now time.Time) (daemons []string) {
+	for daemon, credit := range u.outstandingCredit {
+		if !now.Before(credit.expiresAt.Add(settleDelay)) {
+			daemons = append(daemons, daemon)
+		}
+	}
+	slices.Sort(daemons)
+	return daemons
+}
+
 const (
 	// creditHorizon is how long a daemon's prepaid credit lasts at its usual rate: the time to replace a
 	// leader whose machine has failed.
--- a/quota/limit_model_test.go
+++ b/quota/limit_model_test.go
@@ -7,28 +7,35 @@
 	"github.com/stretchr/testify/require"
 )
 
+// faultyRunLength is the length of a run of newFaultyModel.
+const faultyRunLength = 24 * time.Second
+
+// newFaultyModel returns a model of a small and a large tenant beside random faults.
+func newFaultyModel(seed uint64) *model {
+	const daemons = 300
+	small := Limit{PerSecond: 2700, Burst: 2700}
+	large := Limit{PerSecond: 20_000 + 60_000*float64(seed%3), Burst: 20_000}
+	m := newModel(seed, daemons, map[string]Limit{"small": small, "large": large})
+	for _, tenant := range m.tenants() {
+		limit := m.limits[tenant]
+		loadFactor := 0.5 + 5*m.random.Float64()
+		from := m.now.Add(time.Duration(m.random.Float64() * float64(faultyRunLength)))
+		m.generateLoad(tenant, func() float64 {
+			if m.now.After(from) {
+				return loadFactor * limit.PerSecond
+			}
+			return limit.PerSecond / 2
+		}, m.randomDaemons(40), 0.1*m.random.Float64())
+	}
+	m.injectFaults(faultyRunLength)
+	return m
+}
+
 func TestNoWindowExceedsLimit(t *testing.T) {
-	const (
-		seeds   = 1000
-		daemons = 300
-		length  = 24 * time.Second
-	)
+	const seeds = 1000
 	for seed := range uint64(seeds) {
-		small := Limit{PerSecond: 2700, Burst: 2700}
-		large := Limit{PerSecond: 20_000 + 60_000*float64(seed%3), Burst: 20_000}
-		m := newModel(seed, daemons, map[string]Limit{"small": small, "large": large})
-		for tenant, limit := range m.limits {
-			loadFactor := 0.5 + 5*m.random.Float64()
-			from := m.now.Add(time.Duration(m.random.Float64() * float64(length)))
-			m.generateLoad(tenant, func() float64 {
-				if m.now.After(from) {
-					return loadFactor * limit.PerSecond
-				}
-				return limit.PerSecond / 2
-			}, m.randomDaemons(40), 0.1*m.random.Float64())
-		}
-		m.injectFaults(length)
-		m.run(length)
+		m := newFaultyModel(seed)
+		m.run(faultyRunLength)
 		for tenant := range m.limits {
 			require.LessOrEqual(t, m.maxUtilization(tenant), 1.0, "seed %d, %s", seed, tenant)
 		}
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -75,6 +77,8 @@
 	granted       map[string]float64
 	refused       map[string]int
 	requests      map[string]int
+
+	trace *[]traceStep // of the run; nil if it is not recorded
 }
 
 type admission struct {
@@ -98,6 +102,9 @@
 	return m
 }
 
+// tenants returns the names of the tenants in order, since the order of random draws is part of a seed's run.
+func (m *model) tenants() []string { return slices.Sorted(maps.Keys(m.limits)) }
+
 func (m *model) after(delay time.Duration, action func()) {
 	m.sequence++
 	heap.Push(&m.queue, event{m.now.Add(delay), m.sequence, action})
@@ -108,6 +115,7 @@
 	for len(m.queue) > 0 && !m.queue[0].at.After(end) {
 		next := heap.Pop(&m.queue).(event)
 		m.now = next.at
+		m.record(traceStep{at: m.now, sequence: next.sequence})
 		next.action()
 	}
 	m.now = end
@@ -286,6 +294,7 @@
 
 func (m *model) refuse(daemon *modelDaemon, tenant string, attempt *attempt, answer Answer) {
 	m.refused[tenant]++
+	m.record(traceStep{at: m.now, tenant: tenant, retryIn: answer.RetryIn, window: m.usedInWindow(tenant)})
 	m.returns.refused(daemon, attempt, answer)
 }
 
@@ -306,6 +315,7 @@
 
 func (m *model) admit(tenant string, cost float64) {
 	m.granted[tenant] += cost
+	m.record(traceStep{at: m.now, tenant: tenant, admitted: cost, window: m.usedInWindow(tenant)})
 	m.admitted[tenant] = append(m.admitted[tenant], admission{m.now, cost})
 }
 
--- a/quota/returns_model_test.go
+++ b/quota/returns_model_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/binary"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -256,7 +254,7 @@
 		m, returns := newCompetition(seed, daemons, map[string]Limit{
 			"small": {PerSecond: 20_000, Burst: 20_000}, "large": {PerSecond: 40_000 + 50_000*float64(seed%3), Burst: 40_000},
 		})
-		for _, tenant := range slices.Sorted(maps.Keys(m.limits)) {
+		for _, tenant := range m.tenants() {
 			limit := m.limits[tenant]
 			loadFactor := 0.5 + 5*m.random.Float64()
 			from := m.now.Add(time.Duration(m.random.Float64() * float64(length)))
--- a/quota/standby_model_test.go
+++ b/quota/standby_model_test.go
@@ -172,7 +172,8 @@
 	if m.leader != nil && m.leader.standby.daemon != nil && m.random.Float64() < 0.5 {
 		m.leader.standby.daemon.pausedUntil = m.now.Add(modelBurstLead + time.Duration(m.random.Float64()*float64(time.Second)))
 	}
-	for tenant, limit := range m.limits {
+	for _, tenant := range m.tenants() {
+		limit := m.limits[tenant]
 		for _, start := range []time.Duration{0, 4 * time.Second} {
 			for sent := 0.0; sent < 3*limit.Burst; sent += 2000 {
 				m.after(start+time.Duration(m.random.Float64()*float64(modelBurstLead)), func() {
@@ -183,31 +184,39 @@
 	}
 }
 
+// faultyStandbyRunLength is the length of a run of newFaultyStandbyModel.
+const faultyStandbyRunLength = 30 * time.Second
+
+// newFaultyStandbyModel returns a model of a small and a large tenant, whose standby and leader are lost at
+// random times beside other faults.
+func newFaultyStandbyModel(seed uint64) *model {
+	const daemons = 60
+	small := Limit{PerSecond: 2700, Burst: 2700}
+	large := Limit{PerSecond: 20_000 + 60_000*float64(seed%3), Burst: 20_000 * float64(1+seed%4)}
+	m := newModel(seed, daemons, map[string]Limit{"small": small, "large": large})
+	m.withStandby, m.faultyStandby = true, true
+	for _, tenant := range m.tenants() {
+		limit := m.limits[tenant]
+		loadFactor := 0.5 + 5*m.random.Float64()
+		idle := m.random.Float64() < 0.5
+		m.generateLoad(tenant, func() float64 {
+			// Bursts after idle times meet full buckets and full credit.
+			if idle && int(m.now.Unix())%8 < 5 {
+				return limit.PerSecond / 10
+			}
+			return loadFactor * limit.PerSecond
+		}, m.randomDaemons(40), 0.1*m.random.Float64())
+	}
+	m.injectFaults(faultyStandbyRunLength)
+	m.loseStandbyOrLeader(faultyStandbyRunLength)
+	return m
+}
+
 func TestNoWindowExceedsLimitWithStandby(t *testing.T) {
-	const (
-		seeds   = 300
-		daemons = 60
-		length  = 30 * time.Second
-	)
+	const seeds = 300
 	for seed := range uint64(seeds) {
-		small := Limit{PerSecond: 2700, Burst: 2700}
-		large := Limit{PerSecond: 20_000 + 60_000*float64(seed%3), Burst: 20_000 * float64(1+seed%4)}
-		m := newModel(seed, daemons, map[string]Limit{"small": small, "large": large})
-		m.withStandby, m.faultyStandby = true, true
-		for tenant, limit := range m.limits {
-			loadFactor := 0.5 + 5*m.random.Float64()
-			idle := m.random.Float64() < 0.5
-			m.generateLoad(tenant, func() float64 {
-				// Bursts after idle times meet full buckets and full credit.
-				if idle && int(m.now.Unix())%8 < 5 {
-					return limit.PerSecond / 10
-				}
-				return loadFactor * limit.PerSecond
-			}, m.randomDaemons(40), 0.1*m.random.Float64())
-		}
-		m.injectFaults(length)
-		m.loseStandbyOrLeader(length)
-		m.run(length)
+		m := newFaultyStandbyModel(seed)
+		m.run(faultyStandbyRunLength)
 		for tenant := range m.limits {
 			require.LessOrEqual(t, m.maxUtilization(tenant), 1.0, "seed %d, %s", seed, tenant)
 		}
@@ -231,7 +240,8 @@
 	m.withStandby = true
 	m.startTerm(true, 0)
 	m.run(3 * time.Second)
-	for tenant, limit := range m.limits {
+	for _, tenant := range m.tenants() {
+		limit := m.limits[tenant]
 		m.generateLoad(tenant, func() float64 { return share * limit.PerSecond }, m.daemons, 0)
 	}
 	return m
@@ -283,7 +293,8 @@
 		m.run(4 * time.Second)
 		// A window contains one burst, and less than the rate beside it.
 		for range 3 {
-			for tenant, limit := range m.limits {
+			for _, tenant := range m.tenants() {
+				limit := m.limits[tenant]
 				for sent := 0.0; sent < limit.Burst; sent += 5000 {
 					m.after(time.Duration(m.random.Float64()*float64(500*time.Millisecond)), func() {
 						m.sendRequest(m.daemons[m.random.IntN(len(m.daemons))], tenant, 5000, false)
