The standby's credit lasts until a lost leader is replaced

Callers within their limits got 503 limit_unknown in the last half second before the next leader answered, after a leader that was lost soon after its start.

Cause: the standby holds half of the reserve R = 1.9 r + 36,000 of a limit of rate r, and 2.1 s at 0.55 r need 1.16 r. It could not hold more, since a later term without marks holds back all credit that may be left, for 8 s.

Change: the standby holds up to 0.65 R, and what exceeds half is bound to the term: spent first, and over before the leader's lease is uncertain, counted from when the sync was sent. A later leader begins after that and need not consider it. A term that is handed over or taken up again by its daemon may begin earlier; it holds that part back until it has ended. The revocation of a lease whose handover could not be written waits until nobody relies on the lease: the next leader could not know that it had begun early. Standbys of earlier versions get no such credit.

Why it works: 0.65 R is 1.25 r for the largest tenant, spent in the order in which it ends; what outlives the term is not more than before.

--- a/election/campaign.go
+++ b/election/campaign.go
@@ -148,6 +148,8 @@
 	reclaimed bool         // the previous term was this daemon's
 	inherited *Inheritance // nil unless the previous leader handed the term over
 	opensAt   time.Time    // when the term may be taken at the earliest; zero: at once
+	// previousActive is when the leader of the term before was last active, at the latest; zero if its lease has expired.
+	previousActive time.Time
 }
 
 // openTerm is a term that a daemon may take.
@@ -156,6 +158,9 @@
 	replaces int64     // revision of the record to be replaced; zero: none
 	opensAt  time.Time // when the term may be taken at the earliest; zero: at once
 	closesAt time.Time // when the term can no longer be reclaimed; zero: no limit
+	// lastActive is when this daemon was last active in its earlier term, at the latest; zero unless the term is
+	// reclaimable.
+	lastActive time.Time
 }
 
 // campaignTarget returns the term that a campaign may take if open is set, and otherwise when to
@@ -165,9 +170,9 @@
 	defer e.mutex.Unlock()
 	switch {
 	case e.reclaimable != nil && (e.reclaimable.closesAt.IsZero() || e.now().Before(e.reclaimable.closesAt)):
-		return campaignTarget{era: e.reclaimable.era, replaces: e.reclaimable.replaces, reclaimed: true}, 0, true
+		return campaignTarget{era: e.reclaimable.era, replaces: e.reclaimable.replaces, reclaimed: true, previousActive: e.reclaimable.lastActive}, 0, true
 	case e.offer.Fence > 0:
-		return campaignTarget{era: kv.EraOf(e.offer.Fence), replaces: e.offer.Fence, inherited: e.offer.Handover.inheritance(e.offeredAt)}, 0, true
+		return campaignTarget{era: kv.EraOf(e.offer.Fence), replaces: e.offer.Fence, inherited: e.offer.Handover.inheritance(e.offeredAt), previousActive: e.offeredAt}, 0, true
 	case e.openTerm == nil:
 		return campaignTarget{}, e.TTL, false
 	}
@@ -184,7 +189,7 @@
 		e.recordCampaignFailure(kv.ErrRestored) // the record is gone, and its absence was observed already
 		return
 	}
-	e.reclaimed, e.inherited, e.othersUntil = target.reclaimed, target.inherited, target.opensAt
+	e.reclaimed, e.inherited, e.othersUntil, e.previousActive = target.reclaimed, target.inherited, target.opensAt, target.previousActive
 	e.term, e.lease, e.renewedAt, e.renewalFailedAt, e.current = term, lease, sent, time.Time{}, term
 	e.openTerm, e.reclaimable, e.offer = nil, nil, Leader{}
 	e.mutex.Unlock()
--- a/election/election.go
+++ b/election/election.go
@@ -116,10 +116,12 @@
 	// era is the latest era of the store that was observed, and opensAt when the term may be taken at
 	// the earliest if the record is missing in it; zero: at once. See enterEra.
 	era             int64
+	startedAt       time.Time // of this process's election
 	opensAt         time.Time
 	observed        bool         // a record or its absence was observed
 	inherited       *Inheritance // of this daemon's term; nil if the term was not handed over
 	othersUntil     time.Time    // see UnknownLeaderUntil
+	previousActive  time.Time    // see PreviousLeaderActive
 	current         Leader       // that the last observed record names
 	term            Leader       // of this daemon; its nonce is empty without a term
 	lease           kv.LeaseID
@@ -148,7 +150,7 @@
 	if now == nil {
 		now = time.Now
 	}
-	return &Election{Config: config, store: store, log: log, now: now, wake: make(chan struct{}, 1)}
+	return &Election{Config: config, store: store, log: log, now: now, startedAt: now(), wake: make(chan struct{}, 1)}
 }
 
 // Subscribe registers a function that is called whenever the leader record changes, one call at a
@@ -201,7 +203,7 @@
 	case leader.Handover != nil:
 		e.offer, e.offeredAt = leader, e.now()
 	case leader.Daemon == e.Daemon && e.term.Nonce == "":
-		e.reclaimable = &openTerm{era: e.era, replaces: leader.Fence}
+		e.reclaimable = &openTerm{era: e.era, replaces: leader.Fence, lastActive: e.startedAt}
 	}
 	if leader.fromBackup() {
 		e.current = Leader{Fence: leader.Fence}
@@ -231,7 +233,7 @@
 	}
 	now := e.now()
 	switch {
-	case now.Sub(e.renewedAt) < time.Duration(validShare*float64(e.TTL)):
+	case e.validFor() > 0:
 		return e.term.Fence, TermValid
 	case now.Sub(e.renewalFailedAt) < time.Duration(unreachableShare*float64(e.TTL)):
 		return e.term.Fence, TermStoreUnreachable
@@ -239,6 +241,31 @@
 	return e.term.Fence, TermUncertain
 }
 
+// ValidFor returns for how long no other daemon can begin a term, unless this daemon hands its term over or starts
+// again; zero without a valid term.
+func (e *Election) ValidFor() time.Duration {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.term.Nonce == "" || e.resigned || e.handingOver {
+		return 0
+	}
+	return max(0, e.validFor())
+}
+
+// validFor returns for how long the lease is certainly in effect. Callers hold the mutex.
+func (e *Election) validFor() time.Duration {
+	return time.Duration(validShare*float64(e.TTL)) - e.now().Sub(e.renewedAt)
+}
+
+// PreviousLeaderActive returns when the leader of the term before this daemon's was last active, at the latest, by this
+// election's clock. It is set if that term was handed over or was this daemon's, so that its lease may not have expired;
+// otherwise zero.
+func (e *Election) PreviousLeaderActive() time.Time {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.previousActive
+}
+
 // LeaderAddress returns the address of the known leader; empty: none.
 func (e *Election) LeaderAddress() string {
 	e.mutex.Lock()
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -459,3 +459,47 @@
 		require.False(t, weak.BeginHandover(), "there is nothing to hand over")
 	})
 }
+
+// Guards against a limit that is passed: the standby relies on the lease, and the next leader must know if it does not.
+func TestTermsThatBeginBeforeExpiryAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, elections := startElections(t, map[string]bool{"a": true}, "a", "b")
+		time.Sleep(time.Second)
+		require.Positive(t, elections["a"].ValidFor())
+		require.LessOrEqual(t, elections["a"].ValidFor(), time.Duration(validShare*float64(testTTL)))
+		require.Zero(t, elections["b"].ValidFor())
+		require.Zero(t, elections["a"].PreviousLeaderActive())
+		resignedAt := time.Now()
+		elections["a"].Resign(t.Context(), func() Handover { return Handover{} })
+		require.Zero(t, elections["a"].ValidFor())
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"b"}, leaders(elections))
+		require.Equal(t, resignedAt, elections["b"].PreviousLeaderActive(), "handed over")
+
+		store.mutex.Lock()
+		store.unreachable["b"] = true
+		store.mutex.Unlock()
+		time.Sleep(time.Duration(validShare*float64(testTTL)) + time.Millisecond)
+		require.Zero(t, elections["b"].ValidFor())
+	})
+}
+
+// The next leader does not know that a revoked lease had not expired.
+func TestLeaseIsRevokedOnlyOnceNobodyReliesOnIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, elections := startElections(t, map[string]bool{"a": true}, "a", "b")
+		time.Sleep(time.Second)
+		store.mutex.Lock()
+		store.pair.ModRevision++ // as if another write had intervened
+		store.mutex.Unlock()
+		validFor := elections["a"].ValidFor()
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		go elections["a"].Resign(ctx, func() Handover { return Handover{} })
+		time.Sleep(validFor - time.Millisecond)
+		require.True(t, store.hasRecord())
+		time.Sleep(2 * time.Millisecond)
+		synctest.Wait()
+		require.False(t, store.hasRecord())
+	})
+}
--- a/election/handover.go
+++ b/election/handover.go
@@ -9,6 +9,7 @@
 
 	"github.com/finchspoke/finchspoke/kv"
 	"github.com/finchspoke/finchspoke/logging"
+	"github.com/finchspoke/finchspoke/sleep"
 )
 
 // Handover contains the times of earlier load orders, after which the next leader keeps a gap. They
@@ -92,6 +93,11 @@
 		e.notifyWritten()
 		return
 	}
+	// Others rely on the lease as long as it was certain to be in effect; see ValidFor.
+	e.mutex.Lock()
+	validFor := e.validFor()
+	e.mutex.Unlock()
+	sleep.For(context.WithoutCancel(ctx), validFor)
 	// If the write is only delayed, it fails: without the lease there is no record to replace.
 	e.log.WithFields(logrus.Fields{logging.Fence: term.Fence, logging.Cause: err.Error()}).Warn("cannot hand over the term; revoking its lease")
 	e.revokeLease(ctx, lease)
--- a/election/restored.go
+++ b/election/restored.go
@@ -39,7 +39,7 @@
 		closesAt = e.now().Add(e.TTL)
 	}
 	e.endTerm(reasonRestored)
-	e.reclaimable = &openTerm{era: e.era, replaces: replaces, closesAt: closesAt}
+	e.reclaimable = &openTerm{era: e.era, replaces: replaces, closesAt: closesAt, lastActive: e.now()}
 	e.openTerm = &openTerm{era: e.era, replaces: replaces, opensAt: e.opensAt}
 }
 
--- a/limiter/client.go
+++ b/limiter/client.go
@@ -252,7 +252,7 @@
 	c.outbox = outbox{}
 	c.sentReports = nil
 	message := &rpc.QuotaQuestions{Process: c.processID, Address: c.Address, Zone: c.Zone, Used: c.usage()}
-	message.Credits = creditMessages(c.account.Credits(c.Now()))
+	message.Credits = creditMessages(c.account.ReportCredits(c.Now()))
 	message.Reservations = reservationMessages(c.told.Reservations(c.Now()))
 	c.unansweredSince = c.Now()
 	return message
--- a/limiter/server.go
+++ b/limiter/server.go
@@ -24,6 +24,11 @@
 	Table  *routing.Store
 	// Term returns the fence of this daemon's term, zero if it has none, and how certain the term is.
 	Term func() (fence int64, status election.TermStatus)
+	// ValidFor returns for how long no other daemon can begin a term unless this one is handed over; nil: unknown.
+	ValidFor func() time.Duration
+	// PreviousLeaderActive returns when the leader of the term before was last active, at the latest, if this term may
+	// have begun before its lease expired; otherwise zero. Nil: always zero.
+	PreviousLeaderActive func() time.Time
 	// IsFirstTerm reports whether there can have been no leader before.
 	IsFirstTerm func() bool
 	// Now is the clock for credit and limits; nil means time.Now.
@@ -218,7 +223,13 @@
 		s.ledger, s.fence, s.version = quota.NewLedger(s.Bounds, first, now), term, 0
 		s.pacer, s.standby = permit.NewPacer(first, now), appointedStandby{}
 		s.termStart, s.firstTerm = now, first
-		s.Log.WithFields(logrus.Fields{logging.Fence: term, logging.FirstTerm: first}).Info(logging.MessageLedgerStarted)
+		beganEarly := false
+		if !first && s.PreviousLeaderActive != nil {
+			lastActive := s.PreviousLeaderActive()
+			beganEarly = !lastActive.IsZero()
+			s.ledger.BeginEarly(lastActive)
+		}
+		s.Log.WithFields(logrus.Fields{logging.Fence: term, logging.FirstTerm: first, logging.BeforeExpiry: beganEarly}).Info(logging.MessageLedgerStarted)
 	}
 	table := s.Table.Current()
 	if table == nil || table.Version == s.version {
--- a/limiter/standby.go
+++ b/limiter/standby.go
@@ -57,7 +57,10 @@
 	if !renew {
 		return &rpc.QuotaSync{Id: request.GetId()}
 	}
-	return syncMessage(s.ledger.Sync(process, quota.SyncRequest{ID: request.GetId(), Acked: request.GetAcked()}, now))
+	if s.ValidFor != nil {
+		s.ledger.RenewTerm(now.Add(s.ValidFor()))
+	}
+	return syncMessage(s.ledger.Sync(process, quota.SyncRequest{ID: request.GetId(), Acked: request.GetAcked(), TermBound: request.GetTermBound()}, now))
 }
 
 // acceptReturned applies credit that a daemon returned. A leader with an uncertain lease grants from it, but
@@ -111,10 +114,10 @@
 
 // syncMessage converts the ledger's reply to a standby to its wire format.
 func syncMessage(reply quota.SyncReply) *rpc.QuotaSync {
-	message := &rpc.QuotaSync{Id: reply.ID, Marked: reply.Marked}
+	message := &rpc.QuotaSync{Id: reply.ID, Marked: reply.Marked, TermBoundMs: reply.TermBoundFor.Milliseconds()}
 	for _, share := range reply.Shares {
 		converted := &rpc.QuotaShare{
-			Tenant: share.Tenant, Ahead: share.Ahead, Keep: share.Keep,
+			Tenant: share.Tenant, Ahead: share.Ahead, Keep: share.Keep, TermBound: share.TermBound,
 			Room: share.Room.Left, MaxRoom: share.Room.Max, PerSecond: share.Room.PerSecond,
 		}
 		if reply.Marked {
@@ -127,7 +130,11 @@
 
 // syncOf converts a sync message from its wire format, and counts the shares that cannot be used.
 func syncOf(message *rpc.QuotaSync) (reply quota.SyncReply, malformed int) {
-	reply = quota.SyncReply{ID: message.GetId(), Marked: message.GetMarked()}
+	termBoundFor, ok := wireTime(message.GetTermBoundMs())
+	if !ok || termBoundFor < 0 {
+		termBoundFor, malformed = 0, 1
+	}
+	reply = quota.SyncReply{ID: message.GetId(), Marked: message.GetMarked(), TermBoundFor: termBoundFor}
 	for _, received := range message.GetShares() {
 		share, ok := shareOf(received, reply.Marked)
 		if !ok {
@@ -141,10 +148,10 @@
 
 func shareOf(message *rpc.QuotaShare, marked bool) (share quota.StandbyShare, ok bool) {
 	share = quota.StandbyShare{
-		Tenant: message.GetTenant(), Ahead: message.GetAhead(), Keep: message.GetKeep(),
+		Tenant: message.GetTenant(), Ahead: message.GetAhead(), Keep: message.GetKeep(), TermBound: message.GetTermBound(),
 		Room: quota.Room{Left: message.GetRoom(), Max: message.GetMaxRoom(), PerSecond: message.GetPerSecond()},
 	}
-	ok = share.Tenant != "" && validAmount(share.Ahead) && validAmount(share.Keep) && validAmount(math.Abs(share.Room.Left)) &&
+	ok = share.Tenant != "" && validAmount(share.Ahead) && validAmount(share.Keep) && validAmount(share.TermBound) && validAmount(math.Abs(share.Room.Left)) &&
 		validAmount(share.Room.Max) && validAmount(share.Room.PerSecond)
 	if marked {
 		var markOK bool
--- a/limiter/standby_test.go
+++ b/limiter/standby_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"testing"
 	"time"
@@ -124,3 +125,42 @@
 	leaderTerm.set(1, election.TermValid)
 	require.Eventually(t, func() bool { return standby.Credit() >= before }, 5*time.Second, 5*time.Millisecond, "it syncs again")
 }
+
+// Credit that is bound to the term is valid for as long as no other leader can begin one.
+func TestStandbyIsToldWhenItsTermBoundCreditEnds(t *testing.T) {
+	const lease = 500 * time.Millisecond
+	now := time.Now()
+	standby := peer{process: "standby", address: "standby:1", zone: "other"}
+	sync := &rpc.QuotaQuestions{Process: standby.process, Sync: &rpc.QuotaSyncRequest{Id: 1, TermBound: true}}
+	for name, validFor := range map[string]func() time.Duration{
+		"valid": func() time.Duration { return lease }, "ended": func() time.Duration { return 0 }, "unknown": nil,
+	} {
+		server, _ := countingServer(t, &term{fence: 1, status: election.TermValid})
+		server.ValidFor = validFor
+		answers, err := server.handle(standby, 0, sync, now)
+		require.NoError(t, err)
+		reply, malformed := syncOf(answers.GetSync())
+		require.Zero(t, malformed)
+		require.True(t, reply.Marked, name)
+		expected := time.Duration(0)
+		if name == "valid" {
+			expected = lease
+		}
+		require.Equal(t, expected, reply.TermBoundFor, name)
+	}
+	for _, termBoundMs := range []int64{-1, math.MinInt64, math.MaxInt64} {
+		reply, malformed := syncOf(&rpc.QuotaSync{Id: 1, TermBoundMs: termBoundMs})
+		require.Equal(t, 1, malformed)
+		require.Zero(t, reply.TermBoundFor)
+	}
+}
+
+func TestTermThatBeganEarlyIsLogged(t *testing.T) {
+	server, _ := countingServer(t, &term{fence: 1, status: election.TermValid})
+	log, lines := test.NewNullLogger()
+	now := time.Now()
+	server.Log, server.IsFirstTerm, server.PreviousLeaderActive = log, func() bool { return false }, func() time.Time { return now }
+	_, err := server.handle(peer{process: "a"}, 0, &rpc.QuotaQuestions{Process: "a"}, now)
+	require.NoError(t, err)
+	require.Equal(t, true, lines.LastEntry().Data[logging.BeforeExpiry])
+}
--- a/limiter/standbyclient.go
+++ b/limiter/standbyclient.go
@@ -31,7 +31,7 @@
 func (c *Client) addSync(message *rpc.QuotaQuestions) {
 	if c.outbox.sync {
 		request := c.account.Sync(c.Now())
-		message.Sync = &rpc.QuotaSyncRequest{Id: request.ID, Acked: request.Acked}
+		message.Sync = &rpc.QuotaSyncRequest{Id: request.ID, Acked: request.Acked, TermBound: request.TermBound}
 	}
 	for _, mark := range c.outbox.marks {
 		message.Marks = append(message.Marks, markMessage(mark))
--- a/limiter/wire_test.go
+++ b/limiter/wire_test.go
@@ -102,6 +102,7 @@
 		"credit not a number":       func(share *rpc.QuotaShare) { share.Ahead = math.NaN() },
 		"credit negative":           func(share *rpc.QuotaShare) { share.Ahead = -1 },
 		"credit to keep infinite":   func(share *rpc.QuotaShare) { share.Keep = math.Inf(1) },
+		"term-bound not a number":   func(share *rpc.QuotaShare) { share.TermBound = math.NaN() },
 		"room not a number":         func(share *rpc.QuotaShare) { share.Room = math.NaN() },
 		"room infinite":             func(share *rpc.QuotaShare) { share.MaxRoom = math.Inf(1) },
 		"rate negative":             func(share *rpc.QuotaShare) { share.PerSecond = -1 },
--- a/logging/fields.go
+++ b/logging/fields.go
@@ -11,6 +11,7 @@
 	Adapter             = "adapter"
 	Tenant              = "tenant"
 	FirstTerm           = "first_term"
+	BeforeExpiry        = "before_expiry"
 	Replica             = "replica"
 	Address             = "address"
 	Zone                = "zone"
--- a/node/node.go
+++ b/node/node.go
@@ -263,6 +263,7 @@
 	n.assembleBalancer(requestCore)
 	n.quarantine.RequestLimiter = &probeLimiter{fleet: n.fleet, limitClient: n.limitClient}
 	n.limitServer = &limiter.Server{Bounds: n.config.QuotaBounds, Table: n.routes, Term: n.election.Term, IsFirstTerm: n.leader.FirstTerm, Now: boottime.Now,
+		ValidFor: n.election.ValidFor, PreviousLeaderActive: n.election.PreviousLeaderActive,
 		AttachedShare: n.leader.AttachedShare, LimitOf: n.fleet.LimitOf, CountReservation: countReservation,
 		Address: n.config.PeerAddress, Zone: n.config.Zone, Spend: n.limitClient.SpendCredit, Log: n.log}
 	n.leader.RequestLimiter = n.limitServer
--- a/quota/account.go
+++ b/quota/account.go
@@ -36,6 +36,9 @@
 	room       Room    // of the limit, when the credit was last renewed by a sync
 	spent      float64 // since then
 	retryAt    time.Time
+	// termBound is the part of left that ends with the leader's term, termBoundSpent what was spent of it since the
+	// last sync, and dropped what has ended and the leader still counts.
+	termBound, termBoundSpent, dropped float64
 }
 
 // NewAccount returns an account without credit.
@@ -77,8 +80,9 @@
 		balance = &credit{}
 		a.credits[tenant] = balance
 	}
+	balance.expireTermBound(a.standby.termUntil, now)
 	if !now.Before(balance.expiresAt) {
-		balance.left = 0
+		balance.left, balance.termBound, balance.termBoundSpent, balance.dropped = 0, 0, 0, 0
 	}
 	balance.left += amount
 	balance.renewedAt = now
@@ -98,10 +102,10 @@
 // UseCredit spends prepaid credit and reports whether there was enough.
 func (a *Account) UseCredit(tenant string, cost float64, now time.Time) bool {
 	balance := a.credits[tenant]
-	if balance == nil || !now.Before(balance.expiresAt) || balance.left < cost {
+	if balance == nil || a.Ahead(tenant, now) < cost {
 		return false
 	}
-	balance.left -= cost
+	balance.spend(cost)
 	balance.unreported += cost
 	balance.spent += cost
 	return true
@@ -110,7 +114,7 @@
 // RefundCredit restores credit that was spent on a request that did not run.
 func (a *Account) RefundCredit(tenant string, cost float64) {
 	if balance := a.credits[tenant]; balance != nil && balance.unreported >= cost {
-		balance.left += cost
+		balance.refund(cost)
 		balance.unreported -= cost
 	}
 }
@@ -118,6 +122,7 @@
 // Ahead returns the usable credit for a tenant.
 func (a *Account) Ahead(tenant string, now time.Time) float64 {
 	if balance := a.credits[tenant]; balance != nil && now.Before(balance.expiresAt) {
+		balance.expireTermBound(a.standby.termUntil, now)
 		return balance.left
 	}
 	return 0
@@ -131,17 +136,28 @@
 	return 0
 }
 
-// Credits lists the usable credit, to report it to a new leader.
+// Credits lists the usable credit.
 func (a *Account) Credits(now time.Time) []Credit {
 	var usable []Credit
 	for _, tenant := range slices.Sorted(maps.Keys(a.credits)) {
-		if balance := a.credits[tenant]; now.Before(balance.expiresAt) && balance.left > 0 {
-			usable = append(usable, Credit{Tenant: tenant, Left: balance.left, TTL: balance.expiresAt.Sub(now)})
+		if left := a.Ahead(tenant, now); left > 0 {
+			usable = append(usable, Credit{Tenant: tenant, Left: left, TTL: a.credits[tenant].expiresAt.Sub(now)})
 		}
 	}
 	return usable
 }
 
+// ReportCredits drops the credit that is bound to a term and lists the rest, to report it to a leader that may be
+// another one.
+func (a *Account) ReportCredits(now time.Time) []Credit {
+	a.standby.termUntil = time.Time{}
+	reported := a.Credits(now)
+	for _, balance := range a.credits {
+		balance.dropped = 0 // the report replaces what the leader counts
+	}
+	return reported
+}
+
 // ReturnCredits removes and returns the usable credit after the leader has recalled it.
 func (a *Account) ReturnCredits(now time.Time) []Credit {
 	returned := a.Credits(now)
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -61,6 +61,8 @@
 	hasStandby     bool                          // credit goes to the standby only
 	marksAdopted   bool                          // from the standby of an earlier term
 	joinedUsage    map[string]map[string]float64 // usage by tenant that each process reported when it joined
+	termUntil      time.Time                     // see RenewTerm
+	earlierUntil   time.Time                     // until when credit that is bound to the term before may be spent; see BeginEarly
 }
 
 // tenantUsage is the usage of one tenant.
@@ -75,6 +77,7 @@
 	unknownCredit     float64                       // the most credit of earlier leaders, including inherited, that may be unspent
 	assumedHeld       float64                       // the most that earlier leaders can have granted, as assumed at the start of the term; zero once a mark has told it
 	assumedDeficit    float64                       // the part of assumedHeld that is in the bucket
+	unknownTermBound  float64                       // the part of unknownCredit that is bound to the term before
 	recalledPool      recalledPool
 	nextSettleAt      time.Time
 	creditUsed        history   // prepaid credit that was spent, or may have been
@@ -104,6 +107,10 @@
 			if !l.isFirstTerm() {
 				budget := l.bounds.budgetFor(limit)
 				usage.assumedHeld, usage.assumedDeficit, usage.unknownCredit = budget.reserve, budget.reserve-budget.inheritable(), budget.inheritable()
+				if l.earlierUntil.After(l.startedAt) {
+					usage.unknownTermBound = budget.termBound
+					usage.assumedDeficit, usage.unknownCredit = usage.assumedDeficit-budget.termBound, usage.unknownCredit+budget.termBound
+				}
 				usage.bucket.deficit, usage.bucket.lowest = usage.assumedDeficit, usage.assumedDeficit
 			}
 		}
@@ -157,6 +164,7 @@
 		l.settleExpired(usage, now)
 	}
 	usage.recalledPool = recalledPool{} // the lease is certain again, so this credit is no longer outstanding
+	l.settleTermBound(usage, now)
 	l.settleInherited(usage, now)
 	usage.bucket.refill(usage.limit.PerSecond, now)
 }
--- a/quota/limit.go
+++ b/quota/limit.go
@@ -40,6 +40,9 @@
 	// standbyCreditShare is the share of the reserve that the standby may hold as credit, enough for the
 	// usual rate until a lost leader is replaced.
 	standbyCreditShare = 0.5
+	// termBoundShare is the share of the reserve that the standby may hold in addition, as credit that ends before
+	// a later leader can begin its term.
+	termBoundShare = standbyShare - standbyCreditShare
 	// laterCreditShare is the share of the reserve that leaders may grant as credit in the first creditTTL of
 	// their terms, while that of earlier leaders may be outstanding. It grows with the age of the term, so
 	// that several such terms in a row stay within it together.
@@ -59,6 +62,7 @@
 	// in addition.
 	standbyCredit float64
 	laterCredit   float64
+	termBound     float64 // maximum credit of the standby that ends with the term
 }
 
 // overdraft is the most by which a request may exceed what a bucket holds.
@@ -69,11 +73,13 @@
 	budget := windowBudget{maxUse: (sustained+limit.Burst)*(1+b.Overshoot) + b.Slack}
 	budget.reserve = max(0, budget.maxUse-sustained-2*b.overdraft())
 	budget.credit = max(0, creditShare*(budget.reserve-burstReserveShare*limit.Burst))
+	budget.termBound = termBoundShare * budget.reserve
 	budget.standbyCredit, budget.laterCredit = max(budget.credit, standbyCreditShare*budget.reserve), laterCreditShare*budget.reserve
 	return budget
 }
 
-// inheritable is the most credit of earlier leaders that may be unspent at the start of a term.
+// inheritable is the most credit of earlier leaders that may be unspent at the start of a term that begins after the
+// lease of the one before has expired.
 func (b windowBudget) inheritable() float64 { return b.standbyCredit + b.laterCredit }
 
 // creditAt returns the maximum credit of a tenant with the given usage per second.
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -49,7 +49,8 @@
 // modelLeader is the leader during one term.
 type modelLeader struct {
 	ledger    *Ledger
-	uncertain bool // its lease may have expired, so that another leader may exist
+	startedAt time.Time // its lease is renewed at intervals since then
+	uncertain bool      // its lease may have expired, so that another leader may exist
 	ended     bool
 	fence     int64
 	standby   modelStandby
@@ -65,6 +66,8 @@
 	daemons  []*modelDaemon
 	leader   *modelLeader // nil if there is none
 	fence    int64        // of the last leader
+	// termUntil is until when a lease was certain, as told to a standby, and lastActive when it was last told.
+	termUntil, lastActive time.Time
 	// withStandby makes leaders appoint standbys, and faultyStandby delays and loses messages to and from
 	// them.
 	withStandby, faultyStandby bool
@@ -124,7 +127,10 @@
 // startTerm starts a leader's term. Daemons connect to it within the given time.
 func (m *model) startTerm(first bool, within time.Duration) {
 	m.fence++
-	m.leader = &modelLeader{ledger: NewLedger(m.bounds, first, m.now), fence: m.fence}
+	m.leader = &modelLeader{ledger: NewLedger(m.bounds, first, m.now), startedAt: m.now, fence: m.fence}
+	if !first && m.now.Before(m.termUntil) { // the term before was handed over, or is taken up again
+		m.leader.ledger.BeginEarly(m.lastActive)
+	}
 	m.leader.ledger.SetLimits(m.limits, m.now)
 	for _, daemon := range m.daemons {
 		m.after(m.delay(daemon)+time.Duration(m.random.Float64()*float64(within)), func() { m.connect(daemon) })
@@ -139,7 +145,7 @@
 	daemon.account.HandleDisconnect()
 	daemon.leader = m.leader
 	number, used := daemon.account.ReportUsage()
-	credits, leader, account, name := daemon.account.Credits(m.now), m.leader, daemon.account, daemon.name
+	credits, leader, account, name := daemon.account.ReportCredits(m.now), m.leader, daemon.account, daemon.name
 	told := daemon.told.Reservations(m.now)
 	m.after(m.delay(daemon), func() {
 		if leader.ended || daemon.leader != leader {
--- a/quota/standby.go
+++ b/quota/standby.go
@@ -10,6 +10,8 @@
 type SyncRequest struct {
 	ID    uint64 // unique within the daemon's process
 	Acked uint64 // ID of the last reply that the standby applied; zero if none
+	// TermBound means that the standby ends credit that is bound to the term; earlier versions do not.
+	TermBound bool
 }
 
 // SyncReply answers a SyncRequest.
@@ -17,7 +19,9 @@
 	ID uint64
 	// Marked means that the shares contain marks; otherwise only credit.
 	Marked bool
-	Shares []StandbyShare
+	// TermBoundFor is how long credit that is bound to the term is valid, counted from the request.
+	TermBoundFor time.Duration
+	Shares       []StandbyShare
 }
 
 // StandbyShare is what the standby holds of one tenant.
@@ -25,8 +29,10 @@
 	Tenant string
 	Ahead  float64 // credit in addition
 	Keep   float64 // credit in excess of Keep is to be returned
-	Mark   Mark
-	Room   Room
+	// TermBound is the part of Keep that is bound to the term. It is spent first.
+	TermBound float64
+	Mark      Mark
+	Room      Room
 }
 
 // Room is what a tenant's limit bears at once, including the standby's credit. It gathers at the limit's
@@ -116,6 +122,9 @@
 func (l *Ledger) Sync(process string, request SyncRequest, now time.Time) SyncReply {
 	l.lastContact[process], l.hasStandby = now, true
 	reply := SyncReply{ID: request.ID, Marked: l.mayMark(process, now)}
+	if reply.Marked && request.TermBound {
+		reply.TermBoundFor = max(0, l.termBoundTTL(now))
+	}
 	if holder := l.standbys[process]; holder != nil {
 		holder.acknowledge(request.Acked)
 	}
@@ -125,7 +134,7 @@
 			continue
 		}
 		l.refresh(usage, now)
-		share := l.renewStandby(process, tenant, usage, now)
+		share := l.renewStandby(process, tenant, usage, reply.TermBoundFor > 0, now)
 		if reply.Marked {
 			share.Mark = l.mark(process, tenant, usage)
 			sent[tenant] = share.Mark.MaxHeld
@@ -158,8 +167,8 @@
 }
 
 // renewStandby extends the expiry of the standby's credit and adjusts its amount to what the tenant's
-// bursts leave. The credit of all daemons never exceeds the most that a next leader expects.
-func (l *Ledger) renewStandby(process, tenant string, usage *tenantUsage, now time.Time) StandbyShare {
+// bursts leave. The credit of all daemons that outlives the term never exceeds the most that a next leader expects.
+func (l *Ledger) renewStandby(process, tenant string, usage *tenantUsage, withTermBound bool, now time.Time) StandbyShare {
 	credit := usage.outstandingCredit[process]
 	switch {
 	case credit == nil:
@@ -171,8 +180,13 @@
 	credit.expiresAt = now.Add(l.bounds.creditTTL())
 	room := usage.budget.reserve - l.held(usage) + credit.amount
 	others := l.held(usage) - usage.bucket.deficit - credit.amount
-	largest := max(usage.budget.standbyCredit-others, l.laterCredit(usage, now))
+	lasting := max(0, usage.budget.standbyCredit-others, l.laterCredit(usage, now))
+	largest := lasting
+	if withTermBound {
+		largest += usage.budget.termBound
+	}
 	share := StandbyShare{Tenant: tenant, Room: Room{Left: room, Max: usage.budget.reserve, PerSecond: usage.limit.PerSecond}, Keep: max(0, min(largest, max(standbyShare*room, usage.minStandbyCredit())))}
+	share.TermBound = max(0, share.Keep-lasting)
 	extra := min(share.Keep-credit.amount, l.available(usage), usage.budget.maxUse-usage.granted.sum-l.outstanding(usage, now))
 	if extra = min(extra, l.unreserved(tenant, usage, now)); extra > 0 && extra <= l.headroom(tenant, usage, now) {
 		share.Ahead = extra
@@ -235,5 +249,5 @@
 	// A bucket that was full meanwhile has lost what it would have gathered.
 	usage.bucket.deficit -= min(surplus, usage.bucket.lowest)
 	usage.bucket.lowest = max(0, usage.bucket.lowest-surplus)
-	usage.unknownCredit, usage.assumedHeld = outstanding, 0
+	usage.unknownCredit, usage.unknownTermBound, usage.assumedHeld = outstanding, 0, 0
 }
--- a/quota/standby_model_test.go
+++ b/quota/standby_model_test.go
@@ -87,6 +87,7 @@
 		reply := SyncReply{ID: request.ID}
 		if !leader.uncertain {
 			leader.standby.contact = m.now
+			m.renewTerm(leader)
 			reply = leader.ledger.Sync(name, request, m.now)
 		}
 		if m.faultyStandby && m.random.Float64() < modelLossShare {
@@ -98,6 +99,19 @@
 	})
 }
 
+const (
+	modelLease           = 1500 * time.Millisecond
+	modelRenewalInterval = modelLease / 3
+	modelCertainLease    = modelLease * 8 / 10 // after a renewal
+)
+
+// renewTerm tells a ledger until when no other leader begins its term, unless the term is handed over.
+func (m *model) renewTerm(leader *modelLeader) {
+	until := m.now.Add(modelCertainLease - m.now.Sub(leader.startedAt)%modelRenewalInterval)
+	leader.ledger.RenewTerm(until)
+	m.termUntil, m.lastActive = later(m.termUntil, until), m.now
+}
+
 func (m *model) applySync(daemon *modelDaemon, account *Account, leader *modelLeader, reply SyncReply) {
 	if daemon.leader != leader || daemon.account != account {
 		return
--- a/quota/standbyaccount.go
+++ b/quota/standbyaccount.go
@@ -10,6 +10,7 @@
 	marks     []Mark
 	fence     int64     // term of the leader that sent the marks
 	expiresAt time.Time // of the marks
+	termUntil time.Time // end of the credit that is bound to the leader's term
 }
 
 // Syncing reports whether a sync has no reply yet.
@@ -19,7 +20,7 @@
 func (a *Account) Sync(now time.Time) SyncRequest {
 	a.lastID++
 	a.standby.pendingID, a.standby.sent = a.lastID, now
-	return SyncRequest{ID: a.lastID, Acked: a.standby.applied}
+	return SyncRequest{ID: a.lastID, Acked: a.standby.applied, TermBound: true}
 }
 
 // ApplySync applies a reply of the leader with a fence, and returns the credit that it asks back. Expiries are computed from
@@ -32,6 +33,7 @@
 	if reply.Marked {
 		a.standby.marks, a.standby.fence, a.standby.expiresAt = nil, fence, a.standby.sent.Add(a.bounds.markTTL())
 	}
+	a.standby.termUntil = a.standby.sent.Add(reply.TermBoundFor)
 	expiresAt := a.standby.sent.Add(a.bounds.creditTTL())
 	for _, share := range reply.Shares {
 		a.renew(share.Tenant, share.Ahead, expiresAt, now)
@@ -39,10 +41,16 @@
 		if reply.Marked {
 			a.standby.marks = append(a.standby.marks, share.Mark)
 		}
-		if balance := a.credits[share.Tenant]; balance.left > share.Keep && now.Before(balance.expiresAt) {
-			returned = append(returned, Credit{Tenant: share.Tenant, Left: balance.left - share.Keep, TTL: balance.expiresAt.Sub(now)})
+		balance := a.credits[share.Tenant]
+		surplus := balance.takeDropped()
+		if balance.left > share.Keep && now.Before(balance.expiresAt) {
+			surplus += balance.left - share.Keep
 			balance.left = share.Keep
 		}
+		balance.setLasting(share.Keep - share.TermBound)
+		if surplus > 0 {
+			returned = append(returned, Credit{Tenant: share.Tenant, Left: surplus, TTL: balance.expiresAt.Sub(now)})
+		}
 	}
 	return returned
 }
