A leader that takes its term up again counts the orders under way

On the users' platform such a replica falls, and callers lose the streams that it runs.

Cause: after a restore of the store the leader took its term up again and began with no orders under way, 16 ms after it had ordered two adapters. From another leader's orders it keeps the term gap, from its own nothing, and a report may be older than they are, or name no adapter that loads. A report with another count of orders than expected dropped all orders under way, too.

A report with another count of orders keeps the adapters that load.

--- a/loader/handover_test.go
+++ b/loader/handover_test.go
@@ -7,10 +7,13 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 
 	"github.com/finchspoke/finchspoke/election"
+	"github.com/finchspoke/finchspoke/fleet"
 	"github.com/finchspoke/finchspoke/kv"
+	"github.com/finchspoke/finchspoke/loading"
 	"github.com/finchspoke/finchspoke/routing"
 )
 
@@ -136,3 +139,53 @@
 		require.Equal(t, example.waits, leader.ordersFrom.After(now), name)
 	}
 }
+
+// Guards against adapters beyond a replica's slots: after a restore of the store, the leader that takes its term up
+// again must count what it ordered before and no report shows yet.
+func TestReclaimedTermCountsOrdersUnderWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const lease = 2 * time.Second
+		store := revisingStore{revision: &atomic.Int64{}}
+		campaign := election.New(election.Config{Key: "term", Daemon: "d1", TTL: lease}, store, discardLog())
+		table, err := routing.NewTable(routing.Revision{Version: 1, Services: []*routing.Service{{Name: "press", Engine: &routing.Engine{MemoryMB: 200}}}})
+		require.NoError(t, err)
+		routes, directory := &routing.Store{}, emptyFleet()
+		routes.Put(table)
+		for _, replica := range []string{"r1", "r2", "r3"} {
+			directory.Put(fleet.Entry{ID: replica, Born: 1, Service: "press", Address: "b:1"}, time.Now())
+		}
+		leader := &Leader{Fleet: directory, Table: routes, ReplicaClient: silentReplicas{}, Election: campaign, Metrics: NewMetrics(prometheus.NewRegistry()), Log: discardLog(), FirstStart: true}
+		leader.Prepare()
+		campaign.ObserveAbsent(0)
+		go func() { _ = campaign.Serve(t.Context()) }()
+		time.Sleep(lease / 2)
+		leader.runRound(t.Context(), time.Now())
+		first := leader.fence
+		require.NotZero(t, first)
+		adapter := func(replica string) loading.Order {
+			return loading.Order{ReplicaID: replica, Verb: loading.Load, Target: fleet.Target{Model: "m1", Adapter: "a1"}}
+		}
+		inFlight := adapter("r2")
+		leader.states["r1"].MarkAccepted(adapter("r1"), time.Now())
+		leader.inFlight["r2"] = &inFlight
+		leader.states["r3"].MarkAccepted(adapter("r3"), time.Now())
+
+		store.revision.Store(kv.MakeRevision(1, 1))
+		campaign.Observe(kv.Event{Pair: kv.Pair{Key: "term", ModRevision: kv.MakeRevision(1, 1)}, Deleted: true, AfterRestore: true})
+		leader.runRound(t.Context(), time.Now())
+		directory.Put(fleet.Entry{ID: "r3", Born: 2, Service: "press", Address: "b:1"}, time.Now()) // has restarted
+		synctest.Wait()
+		leader.runRound(t.Context(), time.Now())
+		require.Greater(t, leader.fence, first)
+		require.True(t, campaign.Reclaimed())
+		require.Len(t, leader.states["r1"].Pending, 1)
+		require.Len(t, leader.states["r2"].Pending, 1)
+		require.Empty(t, leader.states["r3"].Pending)
+		require.NotContains(t, leader.earlierStates, "r1", "an entry that is removed and comes back has no orders")
+
+		leader.beginTerm(0, time.Now())
+		leader.Election = election.New(election.Config{Key: "term", Daemon: "d1"}, store, discardLog()) // another daemon led
+		leader.beginTerm(first+100, time.Now())
+		require.Empty(t, leader.earlierStates)
+	})
+}
--- a/loader/leader.go
+++ b/loader/leader.go
@@ -125,6 +125,8 @@
 	ordersFrom time.Time
 	states     map[string]*loading.Replica
 	ids        []string // sorted keys of states; nil: to be sorted again
+	// earlierStates are the replicas that carried out orders when this daemon's last term ended.
+	earlierStates map[string]*loading.Replica
 	// changedReplicas are the registry changes since the last round.
 	changedReplicas registryChanges
 	// inFlight holds the replicas with a call in flight: the order, or nil for a report or a probe.
@@ -166,6 +168,9 @@
 
 // reset discards the state of an earlier term. The caller holds the mutex, except during initialization.
 func (l *Leader) reset(fence int64, ordersFrom time.Time) {
+	if l.fence != 0 {
+		l.earlierStates = l.statesWithOrders(time.Now())
+	}
 	l.fence, l.ordersFrom = fence, ordersFrom
 	l.states, l.ids = map[string]*loading.Replica{}, nil
 	l.changedReplicas.markAll()
@@ -182,6 +187,21 @@
 	l.resetLimits()
 }
 
+// statesWithOrders returns the states of the replicas with pending orders, including those in flight. The caller holds
+// the mutex.
+func (l *Leader) statesWithOrders(now time.Time) map[string]*loading.Replica {
+	states := map[string]*loading.Replica{}
+	for id, state := range l.states {
+		if order := l.inFlight[id]; order != nil {
+			state = state.WithPendingCall(order, now, time.Time{})
+		}
+		if len(state.Pending) > 0 {
+			states[id] = state
+		}
+	}
+	return states
+}
+
 // publishChange wakes the streams that send views to daemons. The caller holds the mutex.
 func (l *Leader) publishChange() {
 	l.version++
@@ -293,6 +313,9 @@
 		ordersFrom = earliest
 	}
 	l.reset(fence, ordersFrom)
+	if !reclaimed {
+		l.earlierStates = nil
+	}
 	if l.ExpectedDaemons != nil {
 		l.attachment.expectAtLeast(l.ExpectedDaemons(), now)
 	}
@@ -385,6 +408,10 @@
 		// The leader relies on the registry record until the replica's first report.
 		state = &loading.Replica{ID: entry.ID, Born: entry.Born, Service: entry.Service, Zone: entry.Zone, Slots: entry.Slots, Holdings: entry.Holdings, InMemory: entry.InMemory, OnDisk: entry.OnDisk,
 			TermGapUntil: l.orderTimes.termGapUntil(entry.ID, l.Limits.TermGap)}
+		if earlier := l.earlierStates[id]; earlier != nil && earlier.Born == entry.Born {
+			state.ResumeOrders(earlier)
+			delete(l.earlierStates, id)
+		}
 		l.states[id] = state
 		l.ids = nil
 		l.newReplicaAt = now
--- a/loading/state.go
+++ b/loading/state.go
@@ -46,6 +46,11 @@
 	return &clone
 }
 
+// ResumeOrders takes over the pending orders of the replica's state in an earlier term of the same leader.
+func (r *Replica) ResumeOrders(earlier *Replica) {
+	r.Pending, r.Sequence = earlier.Pending, earlier.Sequence
+}
+
 // reserveRoom records a reservation of memory by an unload, or its use by a load.
 func (r *Replica) reserveRoom(order Order, now time.Time) {
 	if order.RoomFor != "" {
@@ -118,8 +123,9 @@
 	changed = changed || !slices.Equal(r.InMemory, report.InMemory) || !slices.Equal(r.OnDisk, report.OnDisk)
 	r.InMemory, r.OnDisk = report.InMemory, report.OnDisk
 	if report.Sequence != r.Sequence {
-		// The replica took orders from others, or an order of this leader late.
-		r.Pending = nil
+		// The replica took orders from others, or an order of this leader late. Adapters that load count until a
+		// report shows them, since it may not name them before.
+		r.Pending = slices.DeleteFunc(r.Pending, func(pending Pending) bool { return pending.ForModel() || pending.Verb != Load })
 	}
 	changed = r.replaceHoldings(report.Holdings, now) || changed
 	r.Sequence = report.Sequence
