--- a/core/wait.go
+++ b/core/wait.go
@@ -82,7 +82,7 @@
 		grace := min(maxDiscoveryWait, time.Duration(discoveryWaitShare*float64(waitUntil.Sub(call.Arrived))))
 		return waitDecision{wait: now.Before(call.Arrived.Add(grace)), readyIn: defaultRetryAfter, source: miss.String()}
 	case fleet.AllTried:
-		// After a pause the same replicas are tried again.
+		// After a pause the same replicas are tried again, which is better than to refuse the call.
 		return waitDecision{wait: now.Add(recheckInterval + responseStartMargin).Before(waitUntil), readyIn: defaultRetryAfter, source: miss.String()}
 	case fleet.Saturated:
 		// A call that waits after its caller has given up only delays other requests. It waits only if a
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -266,7 +266,7 @@
 
 // overdueGrace is the minimum time for which a load is still expected after its estimated end, since
 // reports may be delayed; slow loads get as long again as estimated. After that, the report is assumed
-// to be lost.
+// to be lost. Requests would otherwise wait for the load until their deadlines, only to be refused then.
 const overdueGrace = 2 * time.Second
 
 // ExpectedLoad returns the earliest time at which a load in progress makes a target available on a
--- a/limiter/client.go
+++ b/limiter/client.go
@@ -34,7 +34,8 @@
 	// lastMessageTimeout bounds the last message of a stopping daemon.
 	lastMessageTimeout = 200 * time.Millisecond
 	// unusedStreamTimeout is how long a stream stays open without any limit, since replicas may set
-	// limits again soon.
+	// limits again soon. Streams that stay open for good would cost the leader a heartbeat of each daemon every two
+	// seconds.
 	unusedStreamTimeout = 10 * time.Second
 )
 
--- a/loader/leader.go
+++ b/loader/leader.go
@@ -72,7 +72,7 @@
 	// processor time for responses and reports.
 	roundCooldownFactor = 4
 	// registrySettleTime is how long no new replica must have appeared before the leader assumes that the
-	// registry is complete.
+	// registry is complete: replicas register one after the other.
 	registrySettleTime = 2 * time.Second
 	// orderTimeout bounds the call for an order; replicas respond before they carry it out.
 	orderTimeout = 300 * time.Millisecond
--- a/loader/requestlimiter.go
+++ b/loader/requestlimiter.go
@@ -15,8 +15,9 @@
 	TryReserve(request permit.Request) (granted bool, retryIn time.Duration)
 }
 
-// reserveMessage reports whether an order or probe may be sent to a replica now. It counts towards the
-// replica's request limit, with the lowest priority; if no reservation is available, a round is scheduled for
+// reserveMessage reports whether an order or probe may be sent to a replica now. The replica counts it as a message
+// like any request, and the regular probes alone could use up a low limit. So it counts towards the replica's request
+// limit, with the lowest priority; if no reservation is available, a round is scheduled for
 // when one may be. The caller holds the mutex.
 func (l *Leader) reserveMessage(state *loading.Replica, now time.Time) bool {
 	if state == nil || state.PerSecond == 0 || l.RequestLimiter == nil {
--- a/loading/fetch.go
+++ b/loading/fetch.go
@@ -14,7 +14,8 @@
 	storeShareForFirstCopies = 0.5
 	// underReplicatedShare is the share of its desired copies below which a model is under-replicated.
 	// Several copies of it are then placed in one decision, from the weight store even if a replica has
-	// cached the weights.
+	// cached the weights, since the few copies are overloaded. For other models that would evict those that are
+	// requested rarely.
 	underReplicatedShare = 0.5
 	// maxPrefetchEvictionWorth bounds the worth of the models that a prefetch may evict.
 	maxPrefetchEvictionWorth = 1.0
--- a/node/node.go
+++ b/node/node.go
@@ -290,7 +290,8 @@
 }
 
 // storeVerificationShare is the age of the last verification at which a daemon queries the key-value service
-// itself, as a share of the maximum age. It exceeds the lag of verifications that the leader relays, so that
+// itself, as a share of the maximum age. It exceeds the lag of verifications that the leader relays, which is up to
+// three of its polls of the service, so that
 // daemons normally need no query of their own.
 const storeVerificationShare = 0.7
 
--- a/node/registrylog.go
+++ b/node/registrylog.go
@@ -10,6 +10,8 @@
 	"github.com/finchspoke/finchspoke/logging"
 )
 
+// registrySummaryInterval is the minimum time between two summaries of registry changes. In a fleet of hundreds of
+// daemons, a line for each replica on each daemon would be most of all lines.
 const registrySummaryInterval = 5 * time.Second
 
 // registryLog logs the changes of the registry. All daemons receive the same changes, so only the leader logs
