A leader that takes its term up again counts its loads from the weight store

Found by reading while the orders under way were looked at: the same reset dropped the loads that had begun within the ceiling's window. Callers would see a slow store, as too many loads share it.

Change: the loads count in the next term of the process, and are forgotten when another daemon has led. TestReclaimedTermCountsOrdersUnderWay checks both; it fails without the change.

--- a/loader/handover_test.go
+++ b/loader/handover_test.go
@@ -154,7 +154,7 @@
 		for _, replica := range []string{"r1", "r2", "r3"} {
 			directory.Put(fleet.Entry{ID: replica, Born: 1, Service: "press", Address: "b:1"}, time.Now())
 		}
-		leader := &Leader{Fleet: directory, Table: routes, ReplicaClient: silentReplicas{}, Election: campaign, Metrics: NewMetrics(prometheus.NewRegistry()), Log: discardLog(), FirstStart: true}
+		leader := &Leader{Fleet: directory, Table: routes, ReplicaClient: silentReplicas{}, Election: campaign, Limits: Limits{Window: 5 * time.Second}, Metrics: NewMetrics(prometheus.NewRegistry()), Log: discardLog(), FirstStart: true}
 		leader.Prepare()
 		campaign.ObserveAbsent(0)
 		go func() { _ = campaign.Serve(t.Context()) }()
@@ -168,6 +168,7 @@
 		inFlight := adapter("r2")
 		leader.states["r1"].MarkAccepted(adapter("r1"), time.Now())
 		leader.inFlight["r2"] = &inFlight
+		leader.storeWindow.RecordStart(time.Now())
 		leader.states["r3"].MarkAccepted(adapter("r3"), time.Now())
 
 		store.revision.Store(kv.MakeRevision(1, 1))
@@ -181,11 +182,15 @@
 		require.Len(t, leader.states["r1"].Pending, 1)
 		require.Len(t, leader.states["r2"].Pending, 1)
 		require.Empty(t, leader.states["r3"].Pending)
+		leader.storeWindow.Max = 1
+		require.Zero(t, leader.storeWindow.Allowed(time.Now()), "loads from the weight store count in the next term")
 		require.NotContains(t, leader.earlierStates, "r1", "an entry that is removed and comes back has no orders")
 
 		leader.beginTerm(0, time.Now())
 		leader.Election = election.New(election.Config{Key: "term", Daemon: "d1"}, store, discardLog()) // another daemon led
 		leader.beginTerm(first+100, time.Now())
 		require.Empty(t, leader.earlierStates)
+		leader.storeWindow.Max = 1
+		require.Equal(t, 1, leader.storeWindow.Allowed(time.Now()))
 	})
 }
--- a/loader/leader.go
+++ b/loader/leader.go
@@ -163,10 +163,12 @@
 	l.daemons = map[string]*daemonState{}
 	l.rates = map[demand.Key]*arrivalRate{}
 	l.directories = newDirectories(0)
+	l.storeWindow = loading.StoreWindow{Length: l.Limits.Window}
 	l.reset(0, time.Time{})
 }
 
-// reset discards the state of an earlier term. The caller holds the mutex, except during initialization.
+// reset discards the state of an earlier term, except what counts if this daemon takes the term up again. The caller
+// holds the mutex, except during initialization.
 func (l *Leader) reset(fence int64, ordersFrom time.Time) {
 	if l.fence != 0 {
 		l.earlierStates = l.statesWithOrders(time.Now())
@@ -177,7 +179,6 @@
 	l.inFlight = map[string]*loading.Order{}
 	l.polledAt = map[string]time.Time{}
 	l.loadChanges, l.requestTotals = newChangeLog(), newRequestCounts()
-	l.storeWindow = loading.StoreWindow{Length: l.Limits.Window}
 	l.fetches = loading.Fetches{}
 	l.maxAttachedStreams = l.attachedStreams
 	l.directories.wake()
@@ -315,6 +316,7 @@
 	l.reset(fence, ordersFrom)
 	if !reclaimed {
 		l.earlierStates = nil
+		l.storeWindow = loading.StoreWindow{Length: l.Limits.Window}
 	}
 	if l.ExpectedDaemons != nil {
 		l.attachment.expectAtLeast(l.ExpectedDaemons(), now)
