--- a/election/election_test.go
+++ b/election/election_test.go
@@ -145,6 +145,13 @@
 	return r.present
 }
 
+// failNextHandover changes the record's revision, as if another write had intervened.
+func (r *recordStore) failNextHandover() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.pair.ModRevision++
+}
+
 func (r *recordStore) remove() {
 	r.mutex.Lock()
 	if !r.present {
@@ -410,9 +417,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store, elections := startElections(t, map[string]bool{"a": true}, "a", "b")
 		time.Sleep(time.Second)
-		store.mutex.Lock()
-		store.pair.ModRevision++ // as if another write had intervened
-		store.mutex.Unlock()
+		store.failNextHandover()
 		elections["a"].Resign(t.Context(), func() Handover { return Handover{} })
 		time.Sleep(time.Second)
 		require.Equal(t, []string{"b"}, leaders(elections))
@@ -489,9 +494,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store, elections := startElections(t, map[string]bool{"a": true}, "a", "b")
 		time.Sleep(time.Second)
-		store.mutex.Lock()
-		store.pair.ModRevision++ // as if another write had intervened
-		store.mutex.Unlock()
+		store.failNextHandover()
 		validFor := elections["a"].ValidFor()
 		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 		defer cancel()
