Log how a retry was paid for, and count retries that are free

The lines of a dispatch could not tell whether its retry was paid for, what the budget held, by which number of daemons its share was worked out and for how long the process had run: what the three hypotheses of docs/incidents/retries-beyond-the-budget.md differ in. No change of logic.

--- a/core/budget.go
+++ b/core/budget.go
@@ -43,6 +43,13 @@
 	return true
 }
 
+// Credit returns how many retries the budget has left.
+func (b *RetryBudget) Credit() float64 {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.tokens
+}
+
 // initialize fills the budget on first use; the caller holds the mutex.
 func (b *RetryBudget) initialize() {
 	if !b.initialized {
--- a/core/core.go
+++ b/core/core.go
@@ -55,6 +55,8 @@
 
 	times runTimes // of calls with a complete response
 
+	startedAt time.Time // of this process's core
+
 	stopOnce  sync.Once
 	stopping  chan struct{}                 // closed when a planned stop begins
 	stopTimes atomic.Pointer[StopDeadlines] // nil before a planned stop
@@ -67,6 +69,7 @@
 
 // Prepare initializes the core; it must be called before any other method.
 func (c *Core) Prepare() {
+	c.startedAt = time.Now()
 	c.stopping = make(chan struct{})
 	c.lifetime, c.endCalls = context.WithCancelCause(context.Background())
 }
@@ -155,6 +158,8 @@
 	balanced BalancedDispatch
 	choice   Choice    // of the latest dispatch with such an account
 	sentAt   time.Time // of the current dispatch
+	// payment tells how the retry after the latest dispatch was paid for.
+	payment retryPayment
 }
 
 // waitReason returns why the call first waited; empty if it did not.
@@ -254,7 +259,8 @@
 		outcome := c.dispatch(ctx, state, pick)
 		state.returnPermit()
 		state.endBalanced()
-		verdict := state.lifecycle.RecordResult(time.Now(), outcome.result, c.retryPayment(state, outcome))
+		state.payment = retryPayment{}
+		verdict := state.lifecycle.RecordResult(time.Now(), outcome.result, func() bool { return c.payRetry(state, outcome) })
 		c.logDispatch(state, pick, outcome, verdict)
 		if verdict.Done {
 			return nil
@@ -269,19 +275,6 @@
 	}
 }
 
-// retryPayment returns the function that pays for a retry. A retry is free if no replica received the
-// request.
-func (c *Core) retryPayment(state *callState, outcome dispatchOutcome) func() bool {
-	if outcome.result == NotWritten {
-		return func() bool { return true }
-	}
-	return func() bool {
-		allowed := c.budget(state.Service.Name).Withdraw()
-		c.Metrics.retries.WithLabelValues(state.Service.Name, map[bool]string{true: "allowed", false: "refused"}[allowed]).Inc()
-		return allowed
-	}
-}
-
 // relayErrorReply sends a replica's buffered error response to the caller.
 func (c *Core) relayErrorReply(state *callState, reply *bufferedReply) *failure.Error {
 	state.responseStarted, state.failedStatus = true, reply.status
--- a/core/log.go
+++ b/core/log.go
@@ -50,7 +50,7 @@
 	if outcome.result == Answered {
 		return
 	}
-	c.entry(state).WithFields(logrus.Fields{
+	c.entry(state).WithFields(c.paymentFields(state.payment)).WithFields(logrus.Fields{
 		logging.Replica: pick.ID, logging.Address: pick.Address, logging.Inflight: pick.Inflight, logging.Status: outcome.status,
 		logging.Outcome: outcome.result.String(), logging.Retry: verdict.Retry, logging.LastEvent: state.lastEventID,
 		logging.AgeMs: time.Since(state.Arrived).Milliseconds(), logging.Cause: errorText(outcome.cause),
