--- a/node/node.go
+++ b/node/node.go
@@ -75,6 +75,8 @@
 	// FullMirrorLimit is the size of the fleet up to which every daemon knows all replicas; zero: the
 	// constant FullMirrorLimit.
 	FullMirrorLimit int
+	// DialReplica opens connections to replicas; nil: upstream.Dial.
+	DialReplica upstream.DialFunc
 	// CrashPrefix is the key prefix of the records of replicas that ended while they served requests.
 	CrashPrefix string
 }
@@ -203,7 +205,7 @@
 		Name: "finchspoke_replica_connections_opened_total", Help: "Connections opened to replicas.",
 	})
 	n.metrics.MustRegister(connectionsOpened)
-	n.pool = upstream.NewPool(connectionsOpened.Inc)
+	n.pool = upstream.NewPool(n.config.DialReplica, connectionsOpened.Inc)
 	n.fleet.SetConnected(n.pool.HasIdle)
 	n.hints = newHintCounters(n.metrics)
 	replicas := adapters.ReplicaClient(n.pool, ReplicaCallbacks{OnHint: n.handleHint, Admit: func(replica string, permit fleet.Permit) error { return n.fleet.Admit(replica, permit, time.Now()) }})
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -57,25 +57,35 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.cause }
 
+// DialFunc opens a connection to an address.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
 // Pool holds idle connections by address. It is safe for concurrent use.
 type Pool struct {
-	dialer net.Dialer
+	dial   DialFunc
 	mutex  sync.Mutex
 	idle   map[string][]*connection
 	onDial func()
 	now    func() time.Time // replaced by tests
 }
 
-// NewPool returns an empty pool, which calls onDial for each new connection.
-func NewPool(onDial func()) *Pool {
-	return &Pool{
-		dialer: net.Dialer{
-			Timeout:         dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
-			Control:         setUserTimeout,
-		},
-		idle: map[string][]*connection{}, onDial: onDial, now: time.Now,
+// NewPool returns an empty pool, which opens connections with dial, nil meaning Dial, and calls onDial for each.
+func NewPool(dial DialFunc, onDial func()) *Pool {
+	if dial == nil {
+		dial = Dial
+	}
+	return &Pool{dial: dial, idle: map[string][]*connection{}, onDial: onDial, now: time.Now}
+}
+
+// Dial opens a TCP connection that ends soon after its peer cannot be reached any more. It implements
+// DialFunc.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
+		Control:         setUserTimeout,
 	}
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 // connection serves one request at a time.
@@ -147,7 +157,7 @@
 		}
 		_ = conn.Close()
 	}
-	dialed, err := p.dialer.DialContext(ctx, "tcp", address)
+	dialed, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -74,7 +74,7 @@
 
 func TestRequestsArriveUnchangedAndReuseConnection(t *testing.T) {
 	opened := 0
-	pool := NewPool(func() { opened++ })
+	pool := NewPool(nil, func() { opened++ })
 	address := startServer(t, func(connection, count int, read *http.Request) string {
 		return reply(read.Header.Get("Id"), read.Method+" "+read.Host+read.RequestURI)
 	})
@@ -89,7 +89,7 @@
 // net/http would retry a request without a body on a reused connection that breaks.
 func TestBrokenReusedConnectionIsNotRetried(t *testing.T) {
 	arrivals := 0
-	pool := NewPool(nil)
+	pool := NewPool(nil, nil)
 	address := startServer(t, func(connection, count int, read *http.Request) string {
 		arrivals++
 		if count == 1 {
@@ -109,7 +109,7 @@
 // A replica may close an idle connection; the next request must not be lost on it.
 func TestClosedIdleConnectionIsNotReused(t *testing.T) {
 	address := startServer(t, func(connection, count int, read *http.Request) string { return reply(read.Header.Get("Id"), "x") })
-	pool := NewPool(nil)
+	pool := NewPool(nil, nil)
 	_, err := fetch(t, pool, request(t, address, http.MethodGet, "1", ""))
 	require.NoError(t, err)
 	// The connection is at EOF, as after a close by the replica.
@@ -126,14 +126,14 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	require.NoError(t, listener.Close())
-	_, err = fetch(t, NewPool(nil), request(t, listener.Addr().String(), http.MethodGet, "1", ""))
+	_, err = fetch(t, NewPool(nil, nil), request(t, listener.Addr().String(), http.MethodGet, "1", ""))
 	var failed *Error
 	require.True(t, errors.As(err, &failed))
 	require.False(t, failed.RequestWritten)
 }
 
 func TestStaleResponseIsSkipped(t *testing.T) {
-	pool := NewPool(nil)
+	pool := NewPool(nil, nil)
 	address := startServer(t, func(connection, count int, read *http.Request) string {
 		if count == 1 {
 			return reply("1", "late") + reply(read.Header.Get("Id"), "own")
@@ -149,7 +149,7 @@
 
 func TestTrailingBytesCloseConnection(t *testing.T) {
 	opened := 0
-	pool := NewPool(func() { opened++ })
+	pool := NewPool(nil, func() { opened++ })
 	address := startServer(t, func(connection, count int, read *http.Request) string {
 		return reply(read.Header.Get("Id"), "own") + reply("9", "surplus")
 	})
@@ -175,7 +175,7 @@
 		time.Sleep(time.Second)
 		_ = conn.Close()
 	}()
-	pool := NewPool(nil)
+	pool := NewPool(nil, nil)
 	text, err := fetch(t, pool, request(t, listener.Addr().String(), http.MethodPost, "1", strings.Repeat("x", 16<<20)))
 	require.NoError(t, err)
 	require.Equal(t, "early", text)
@@ -186,7 +186,7 @@
 	address := startServer(t, func(connection, count int, read *http.Request) string {
 		return "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\nConnection: close\r\n\r\nshort"
 	})
-	pool := NewPool(nil)
+	pool := NewPool(nil, nil)
 	response, err := pool.Do(t.Context(), request(t, address, http.MethodGet, "1", ""))
 	require.NoError(t, err)
 	go func() { time.Sleep(20 * time.Millisecond); _ = response.Close() }()
@@ -203,7 +203,7 @@
 	defer close(release)
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { time.Sleep(20 * time.Millisecond); cancel() }()
-	_, err := NewPool(nil).Do(ctx, request(t, address, http.MethodGet, "1", ""))
+	_, err := NewPool(nil, nil).Do(ctx, request(t, address, http.MethodGet, "1", ""))
 	require.ErrorIs(t, err, context.Canceled)
 	var failed *Error
 	require.True(t, errors.As(err, &failed))
@@ -212,7 +212,7 @@
 
 func TestIdleConnectionHonorsKeepAliveTimeout(t *testing.T) {
 	opened := 0
-	pool := NewPool(func() { opened++ })
+	pool := NewPool(nil, func() { opened++ })
 	now := time.Unix(1000, 0)
 	pool.now = func() time.Time { return now }
 	address := startServer(t, func(connection, count int, read *http.Request) string {
@@ -232,7 +232,7 @@
 		read <- request.Header.Get("Id")
 		return "HTTP/1.1 200 OK\r\nId: " + request.Header.Get("Id") + "\r\nContent-Length: 0\r\n\r\n"
 	})
-	pool := NewPool(func() { opened++ })
+	pool := NewPool(nil, func() { opened++ })
 	refusal := errors.New("the replica is backing off")
 	rejected := request(t, address, http.MethodPost, "rejected", "x")
 	rejected.Admit = func() error {
