--- a/hedge/hedge_test.go
+++ b/hedge/hedge_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -80,18 +81,19 @@
 		require.NoError(t, err)
 		require.Equal(t, 2, index)
 		time.Sleep(3 * time.Second)
+		synctest.Wait()
 		require.Same(t, kept, late)
-		require.Equal(t, 1, closed.closed)
-		require.Zero(t, kept.closed)
+		require.EqualValues(t, 1, closed.closed.Load())
+		require.Zero(t, kept.closed.Load())
 	})
 }
 
 type countingConn struct {
 	net.Conn
-	closed int
+	closed atomic.Int64
 }
 
 func (c *countingConn) Close() error {
-	c.closed++
+	c.closed.Add(1)
 	return nil
 }
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -76,8 +76,8 @@
 // Close implements net.Conn. The relay then closes its connection to the replica.
 func (c *conn) Close() (err error) {
 	c.closeOnce.Do(func() {
-		c.cancel()
 		err = c.Conn.Close()
+		c.cancel()
 	})
 	return err
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -107,7 +107,6 @@
 		return err
 	}
 	defer func() { _ = replica.Close() }()
-	defer context.AfterFunc(stream.Context(), func() { _ = replica.Close() })()
 	if err := stream.Send(&rpc.RelayData{}); err != nil {
 		return err
 	}
