Requests to brittle replicas need permits where the replica may have no room

What callers' replicas saw: rejections count from all daemons together, and each daemon tried a full replica again on its own.

Cause: nothing limited how many requests a replica rejects. A daemon knows the slots and, late, what others have under way.

Change: Server-Brittle is read from any answer of a service. While it holds, a request that may find no room needs a permit of the leader, at a fifth of the rejections that the replica bears: where all slots are taken, or beyond what the replica took from this daemon lately if its share of the slots is used or it was rejected lately. The permits are those of replicas that name a limit; malformed numbers are ignored and logged.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -39,7 +39,7 @@
 	Saturated             // the queue is too long on every replica that has the target loaded
 	Undiscovered          // this daemon has not yet received the records of replicas that serve the target
 	BackingOff            // replicas with the target asked this daemon to back off
-	RateLimited           // rate-limited replicas with the target have no reservation for the request
+	RateLimited           // rate-limited or brittle replicas with the target have no reservation for the request
 )
 
 // String returns the reason as used in log fields.
@@ -52,8 +52,8 @@
 	Incarnation
 	Address  string
 	Inflight int // requests of this daemon on the replica, without this one
-	// PerSecond is the replica's rate limit over all daemons, in messages per second; a dispatch then
-	// needs a reservation. Zero means no limit.
+	// PerSecond is the rate of reservations at the replica over all daemons, in messages per second, of which the
+	// dispatch needs one: the replica is rate-limited, or brittle and may have no room. Zero means that none is needed.
 	PerSecond       float64
 	LimitObservedAt time.Time // when the replica last stated the limit
 	startedAt       time.Time
@@ -103,7 +103,7 @@
 		return nil, miss
 	}
 	owner := prefixOwner(requirements.Prefix, candidates)
-	candidates = preferUnlimited(candidates, now)
+	candidates = d.preferUnlimited(candidates, now)
 	costs := make([]float64, len(candidates))
 	for index, candidate := range candidates {
 		costs[index] = d.cost(candidate, requirements, owner, now)
@@ -114,7 +114,7 @@
 
 // pick counts a request as sent to a replica; the caller holds the mutex.
 func (d *Directory) pick(replica *Replica, requirements Query, now time.Time) *Pick {
-	pick := &Pick{Incarnation: replica.Incarnation(), Address: replica.Address, Inflight: replica.inflight, PerSecond: replica.perSecond, LimitObservedAt: replica.limitObservedAt, startedAt: now, unreadTokens: requirements.PromptTokens, replica: replica, directory: d}
+	pick := &Pick{Incarnation: replica.Incarnation(), Address: replica.Address, Inflight: replica.inflight, PerSecond: d.permitRate(replica, now), LimitObservedAt: replica.limitObservedAt, startedAt: now, unreadTokens: requirements.PromptTokens, replica: replica, directory: d}
 	replica.lastChosenAt = now
 	replica.inflight++
 	replica.unreadTokens += requirements.PromptTokens
@@ -150,7 +150,7 @@
 		return AdapterNotLoaded
 	case d.requestedBackoffEnd(replica.ID).After(now):
 		return BackingOff
-	case replica.perSecond > 0 && now.Before(requirements.NotBefore[replica.ID]):
+	case now.Before(requirements.NotBefore[replica.ID]) && d.permitRate(replica, now) > 0:
 		return RateLimited
 	case slices.Contains(requirements.Tried, replica.ID):
 		return AllTried
@@ -187,10 +187,16 @@
 const limitedRetryInterval = 2 * time.Second
 
 // preferUnlimited drops candidates that this daemon recently failed to reach, then rate-limited ones
-// chosen within limitedRetryInterval, as long as any candidate remains.
-func preferUnlimited(candidates []*Replica, now time.Time) []*Replica {
+// chosen within limitedRetryInterval and brittle ones that may have no room, as long as any candidate remains.
+// The caller holds the mutex.
+func (d *Directory) preferUnlimited(candidates []*Replica, now time.Time) []*Replica {
 	reachable := reachableCandidates(candidates, now)
-	isAvoided := func(r *Replica) bool { return r.perSecond > 0 && now.Sub(r.lastChosenAt) < limitedRetryInterval }
+	isAvoided := func(r *Replica) bool {
+		if r.perSecond > 0 {
+			return now.Sub(r.lastChosenAt) < limitedRetryInterval
+		}
+		return d.permitRate(r, now) > 0
+	}
 	if !slices.ContainsFunc(reachable, isAvoided) {
 		return reachable // common case: no rate-limited candidates
 	}
@@ -292,12 +298,14 @@
 	p.end()
 	switch result {
 	case Answered:
+		p.replica.fullness.recordAccepted(max(p.Inflight, p.replica.inflight)+1, now)
 		p.replica.health.recordAnswer(false)
 		p.directory.recordRunTime(p.replica.Service, now.Sub(p.startedAt))
 	case Failed:
 		p.replica.health.recordAnswer(true)
 	case Refused:
 		p.replica.health.recordAnswer(true)
+		p.replica.fullness.recordRejection(p.replica.inflight, now)
 		if target.Model != "" {
 			// A load order for the target may be in progress.
 			p.replica.markMissing(target, now.Add(rejectionHold))
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -92,7 +92,8 @@
 	untrusted       bool                 // listed again by a restored registry; draining until trusted
 	perSecond       float64              // rate limit over all daemons in messages per second; zero means none
 	limitObservedAt time.Time            // when the replica last stated the limit
-	lastChosenAt    time.Time            // when a request was last sent to it, or its limit last changed
+	fullness        fullness
+	lastChosenAt    time.Time // when a request was last sent to it, or its limit last changed
 }
 
 // missingHold is how long a replica's own report of a missing target overrides other records.
@@ -123,6 +124,8 @@
 	mutex    sync.Mutex
 	replicas map[string]*Replica
 	hints    map[string]*hintRecord // by replica id
+	brittle  map[string]brittleness // by service whose replicas are brittle
+	daemons  int                    // that send requests to the replicas; zero if unknown
 	// hintsSweptAt is when expired hints were last evicted.
 	hintsSweptAt time.Time
 	services     map[string]*serviceIndex
@@ -147,7 +150,7 @@
 // breaks ties and draws among candidates.
 func NewDirectory(zone string, random func() float64) *Directory {
 	return &Directory{
-		zone: zone, replicas: map[string]*Replica{}, hints: map[string]*hintRecord{}, services: map[string]*serviceIndex{}, signals: map[signalKey]chan struct{}{},
+		zone: zone, replicas: map[string]*Replica{}, hints: map[string]*hintRecord{}, brittle: map[string]brittleness{}, services: map[string]*serviceIndex{}, signals: map[signalKey]chan struct{}{},
 		random: random, meanRunTime: map[string]time.Duration{},
 	}
 }
@@ -182,7 +185,7 @@
 // leader's record of the earlier one.
 func (r *Replica) replaceEntry(entry Entry, now time.Time) {
 	if bornBefore(r.Born, entry.Born) {
-		r.health, r.missingUntil = health{}, nil
+		r.health, r.missingUntil, r.fullness = health{}, nil, fullness{}
 		if r.leaderRecord != nil && bornBefore(r.leaderRecord.Born, entry.Born) {
 			r.leaderRecord = nil
 		}
--- a/fleet/hint.go
+++ b/fleet/hint.go
@@ -17,6 +17,9 @@
 	SentAt    time.Time // when the answered request was sent
 	// InvalidLimit is the text of a limit that is not a valid rate; empty otherwise.
 	InvalidLimit string
+	Brittle      BrittleHint
+	// InvalidBrittle is the text of a number of rejections that is not valid; empty otherwise.
+	InvalidBrittle string
 }
 
 // hintRecord holds the hints of one incarnation. It outlives the replica's entry, which may expire and
@@ -102,19 +105,24 @@
 
 // Admit reports whether a request may still be sent to its chosen replica. It must be called right
 // before sending, since the replica may have sent hints while the connection was opened. It consumes
-// the permit if the replica is rate-limited. The error is an AdmissionError.
+// the permit if the replica is rate-limited or brittle. The error is an AdmissionError.
 func (d *Directory) Admit(id string, permit Permit, now time.Time) error {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	record := d.hints[id]
 	switch {
 	case record == nil:
-		return nil
 	case record.draining:
 		return ErrDraining
 	case now.Before(record.backoffUntil):
 		return ErrBackingOff
-	case record.limit.perSecond > 0 && (permit == nil || !permit.Use()):
+	}
+	replica := d.replicas[id]
+	limited := record != nil && record.limit.perSecond > 0
+	if !limited && (replica == nil || !d.isBrittle(replica.Service)) {
+		return nil
+	}
+	if permitted := permit != nil && permit.Use(); limited && !permitted {
 		return ErrRateLimited
 	}
 	return nil
--- a/fleet/offer.go
+++ b/fleet/offer.go
@@ -37,7 +37,9 @@
 		return nil, miss
 	}
 	owner := prefixOwner(requirements.Prefix, usable)
-	usable = slices.DeleteFunc(reachableCandidates(usable, now), func(replica *Replica) bool { return replica.perSecond > 0 || replica.health.isUnreachable(now) })
+	usable = slices.DeleteFunc(reachableCandidates(usable, now), func(replica *Replica) bool {
+		return d.permitRate(replica, now) > 0 || replica.health.isUnreachable(now)
+	})
 	return d.offer(usable, requirements, owner, now), Found
 }
 
@@ -83,7 +85,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	replica := d.replicas[chosen.ID]
-	if replica == nil || replica.Incarnation() != chosen || replica.Service != requirements.Service || replica.perSecond > 0 ||
+	if replica == nil || replica.Incarnation() != chosen || replica.Service != requirements.Service || d.permitRate(replica, now) > 0 ||
 		replica.health.isUnreachable(now) || d.missOf(replica, requirements, now) != Found {
 		return nil
 	}
--- a/logging/messages.go
+++ b/logging/messages.go
@@ -23,6 +23,7 @@
 	MessageReplicaLimitChanged       = "replica's limit changed"
 	MessageRelayedLimit              = "replica's limit, by another daemon's word"
 	MessageInvalidLimit              = "replica's limit not readable"
+	MessageReplicasBrittle           = "replicas brittle or sound again"
 	MessageLedgerStarted             = "ledger of tenants' limits begun"
 	MessageAccountStarted            = "account of joint assignment begun"
 	MessageInvalidAssignment         = "message of joint assignment not usable"
--- a/node/hints.go
+++ b/node/hints.go
@@ -31,6 +31,12 @@
 		n.follower.LimitReported()
 		n.leader.RegistryChanged(hint.Replica)
 	}
+	if hint.InvalidBrittle != "" {
+		n.hintLogEntry(hint).WithField(logging.Limit, hint.InvalidBrittle).Warn(logging.MessageInvalidLimit)
+	}
+	if n.fleet.ApplyBrittleHint(hint, now) {
+		n.hintLogEntry(hint).WithFields(logrus.Fields{logging.Limit: hint.Brittle.Rejections, logging.Outcome: brittleOutcome(hint.Brittle)}).Info(logging.MessageReplicasBrittle)
+	}
 	if !hint.Leaving && hint.Backoff == 0 {
 		return
 	}
@@ -46,6 +52,13 @@
 	}
 }
 
+func brittleOutcome(hint fleet.BrittleHint) string {
+	if hint.Brittle {
+		return "brittle"
+	}
+	return "sound"
+}
+
 // hintLogEntry returns the log entry for a hint. It is called only where a line is written, since most responses
 // carry no hint.
 func (n *Node) hintLogEntry(hint fleet.Hint) *logrus.Entry {
--- a/node/node.go
+++ b/node/node.go
@@ -240,7 +240,7 @@
 	}
 	n.leader.Prepare()
 	n.replicas = newReplicaDiscovery(n)
-	n.follower = &loader.Follower{Daemon: n.config.ID, Demand: tracker, Fleet: n.fleet, Leader: n.leader, Log: n.log, DaemonCount: requestCore.SetDaemonCount,
+	n.follower = &loader.Follower{Daemon: n.config.ID, Demand: tracker, Fleet: n.fleet, Leader: n.leader, Log: n.log, DaemonCount: n.setDaemonCount,
 		BaseCampaignDelay: n.config.BaseCampaignDelay, KnowsAllReplicas: n.replicas.knowsAll, SetDirectories: n.replicas.setDirectories, Address: n.config.PeerAddress, Zone: n.config.Zone}
 	n.follower.Prepare()
 	requestCore.LeaderAttached = n.follower.Attached
@@ -332,8 +332,16 @@
 	return 0
 }
 
-// hasLimits reports whether any tenant or replica has a limit, so that the leader must admit some requests.
-func (n *Node) hasLimits() bool { return n.hasTenantLimits() || n.fleet.RateLimitedCount() > 0 }
+// setDaemonCount receives the number of daemons that are attached to the leader.
+func (n *Node) setDaemonCount(daemons int) {
+	n.core.SetDaemonCount(daemons)
+	n.fleet.SetDaemonCount(daemons)
+}
+
+// hasLimits reports whether any tenant or replica has a limit or is brittle, so that the leader must admit some requests.
+func (n *Node) hasLimits() bool {
+	return n.hasTenantLimits() || n.fleet.RateLimitedCount() > 0 || n.fleet.BrittleServices() > 0
+}
 
 func (n *Node) hasTenantLimits() bool {
 	table := n.routes.Current()
