Connections to replicas survive a silence of two seconds

Cause: TCP_USER_TIMEOUT, 1.5 s, also decides when keep-alive probes give up, so that a sound replica that is silent for a second or so comes near to losing its requests. Two seconds leave it twice that.

Not tested: nothing here can hold back acknowledgements on loopback.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -20,10 +20,11 @@
 
 const (
 	dialTimeout = 400 * time.Millisecond
-	// unackedTimeout closes a connection whose peer acknowledges no data.
-	unackedTimeout = 1500 * time.Millisecond
-	// keepAliveInterval and keepAliveProbes bound the time to detect a connection that is cut without a
-	// FIN or RST.
+	// unackedTimeout closes a connection whose peer acknowledges no data, and by TCP_USER_TIMEOUT also one whose peer
+	// answers no keep-alive probe for so long. A sound replica may be silent for a second or so.
+	unackedTimeout = 2 * time.Second
+	// keepAliveInterval is the time between the probes that detect a connection that is cut without a FIN or RST.
+	// Where unackedTimeout applies, keepAliveProbes has no effect.
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 2
 	readBufferBytes   = 4 << 10
