A leader that the key-value service does not answer needs most daemons, not half

Cause: without the service a leader went on with half of the daemons attached, itself counted; the other half elect another.

Evidence: TestALeaderWithoutTheServiceNeedsMostDaemons failed before.

--- a/loader/leader.go
+++ b/loader/leader.go
@@ -362,7 +362,7 @@
 	case election.TermValid:
 		return true
 	case election.TermStoreUnreachable:
-		return 2*l.attachedStreams >= l.maxAttachedStreams
+		return 2*l.attachedStreams > l.maxAttachedStreams
 	}
 	return false
 }
