Relay: a leader that does not answer is asked once a second, and old askers are forgotten

Read in the code: while the leader did not answer, each relayed request waited up to 0.3 s for it, although the peers that it named last were known; and a leader remembered each daemon that ever asked. TestPeersStayInUseWhileTheLeaderDoesNotAnswer: asked five times before, now once.

--- a/relay/client.go
+++ b/relay/client.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	// peersTTL is how long an answer of the leader is used without asking again.
+	// peersTTL is the time between two calls that ask the leader for peers.
 	peersTTL = time.Second
 	// peersTimeout bounds the call that asks for peers.
 	peersTimeout = 300 * time.Millisecond
@@ -82,6 +82,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(peers) == 0 {
+		return nil, errNoPeers
+	}
 	var attempts []hedge.Attempt
 	for _, peer := range peers[:min(len(peers), maxPeersTried)] {
 		attempts = append(attempts, hedge.Attempt{Open: func(ctx context.Context) (net.Conn, error) {
@@ -89,7 +92,7 @@
 		}})
 	}
 	opened, _, err := hedge.Open(ctx, peerDelay, attempts...)
-	if err != nil && len(attempts) > 0 && ctx.Err() == nil {
+	if err != nil && ctx.Err() == nil {
 		c.recordFailure(address)
 	}
 	return opened, errors.Wrap(err, "relay")
@@ -134,10 +137,10 @@
 	named, err := c.ask(ctx)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.askedAt = time.Now()
 	if err == nil {
-		c.peers, c.askedAt = named, time.Now()
-	}
-	if err != nil && len(c.peers) == 0 {
+		c.peers = named
+	} else if len(c.peers) == 0 {
 		return nil, err
 	}
 	return slices.Clone(c.peers), nil
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -257,3 +257,25 @@
 	}
 	require.Equal(t, 1, dials)
 }
+
+// Guards against requests that each wait for a leader that does not answer, and against peers that are forgotten with it.
+func TestPeersStayInUseWhileTheLeaderDoesNotAnswer(t *testing.T) {
+	target := startReplica(t)
+	relaying := startDaemon(t, target)
+	client := clientOf(relaying)
+	opened, err := client.Open(t.Context(), replicaID, target.address())
+	require.NoError(t, err)
+	require.NoError(t, opened.Close())
+	asked := 0
+	client.Leader = func() string {
+		asked++
+		return ""
+	}
+	client.askedAt = time.Time{}
+	for range 5 {
+		opened, err := client.Open(t.Context(), replicaID, target.address())
+		require.NoError(t, err)
+		require.NoError(t, opened.Close())
+	}
+	require.Equal(t, 1, asked)
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -68,6 +69,7 @@
 	if s.askers == nil {
 		s.askers = map[string]time.Time{}
 	}
+	maps.DeleteFunc(s.askers, func(_ string, asked time.Time) bool { return now.Sub(asked) >= askerMemory })
 	s.askers[request.GetDaemonId()] = now
 	var sound, others []*rpc.RelayPeer
 	for _, peer := range attached {
@@ -75,12 +77,11 @@
 			continue
 		}
 		named := &rpc.RelayPeer{DaemonId: peer.Daemon, Address: peer.Address, Zone: peer.Zone}
-		if asked, found := s.askers[peer.Daemon]; found && now.Sub(asked) < askerMemory {
+		if _, asked := s.askers[peer.Daemon]; asked {
 			others = append(others, named)
-			continue
+		} else {
+			sound = append(sound, named)
 		}
-		delete(s.askers, peer.Daemon)
-		sound = append(sound, named)
 	}
 	if len(sound) == 0 {
 		sound = others
