Paths: a direct connection that opened meanwhile is not forgotten

Found by TestARequestGoesThroughAnotherDaemonWhileTheDirectPathIsDown, 3 of 8 runs with the race detector: where the direct path was back while a relayed connection won, the address was marked as not reached after it had been reached. Each address now has the times of both.

--- a/upstream/open.go
+++ b/upstream/open.go
@@ -27,43 +27,51 @@
 // downTTL is how long a failed attempt tells that an address cannot be reached.
 const downTTL = 2 * time.Second
 
-// paths tracks the addresses that the last direct connection attempt did not reach. It is safe for
-// concurrent use.
+// paths tracks which addresses direct connection attempts reach. It is safe for concurrent use.
 type paths struct {
-	mutex    sync.Mutex
-	failedAt map[string]time.Time
+	mutex sync.Mutex
+	known map[string]pathState // by address
 }
 
-// failed returns when the last attempt to reach an address failed; false if it succeeded.
+// pathState is the outcome of the last direct connection attempts to an address.
+type pathState struct{ failedAt, reachedAt time.Time }
+
+// failed returns when an address was not reached; false if a later attempt has reached it.
 func (p *paths) failed(address string) (time.Time, bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	at, failed := p.failedAt[address]
-	return at, failed
+	state := p.known[address]
+	return state.failedAt, state.failedAt.After(state.reachedAt)
 }
 
-func (p *paths) recordFailure(address string, now time.Time) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if p.failedAt == nil {
-		p.failedAt = map[string]time.Time{}
-	}
-	p.failedAt[address] = now
+// recordFailure records that an attempt did not reach an address by a time.
+func (p *paths) recordFailure(address string, at time.Time) {
+	p.update(address, func(state *pathState) { state.failedAt = at })
 }
 
-func (p *paths) recordSuccess(address string) {
+// recordSuccess records that an attempt has reached an address.
+func (p *paths) recordSuccess(address string, at time.Time) {
+	p.update(address, func(state *pathState) { state.reachedAt = at })
+}
+
+func (p *paths) update(address string, change func(*pathState)) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	delete(p.failedAt, address)
+	if p.known == nil {
+		p.known = map[string]pathState{}
+	}
+	state := p.known[address]
+	change(&state)
+	p.known[address] = state
 }
 
 // retain forgets the addresses that are not in use.
 func (p *paths) retain(inUse func(address string) bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for address := range p.failedAt {
+	for address := range p.known {
 		if !inUse(address) {
-			delete(p.failedAt, address)
+			delete(p.known, address)
 		}
 	}
 }
@@ -83,9 +91,11 @@
 	relay := hedge.Attempt{Open: func(ctx context.Context) (net.Conn, error) {
 		return p.relay(ctx, request.Replica, request.Address)
 	}}
+	startedAt := p.now()
 	conn, index, err := hedge.Open(ctx, p.delayOfRelay(request.Address), direct, relay)
 	if err == nil && index > 0 {
-		p.paths.recordFailure(request.Address, p.now())
+		// The direct attempt may have succeeded meanwhile, which then counts.
+		p.paths.recordFailure(request.Address, startedAt)
 	}
 	return conn, err
 }
@@ -95,7 +105,7 @@
 	conn, err := p.dial(ctx, address)
 	switch {
 	case err == nil:
-		p.paths.recordSuccess(address)
+		p.paths.recordSuccess(address, p.now())
 	case ctx.Err() == nil:
 		p.paths.recordFailure(address, p.now())
 	}
