A replica that is silent for all holds a request up for one connection attempt only

Cause: with a relay the attempts through peers began after 100 ms and each peer's own attempt lasts up to 0.4 s, so a request learned after up to 0.7 s that its replica is silent, 0.4 s before relays. The attempts through peers together now last as long as the direct one. TestASilentReplicaHoldsARequestUpForOneAttemptOnly.

--- a/upstream/open.go
+++ b/upstream/open.go
@@ -89,6 +89,9 @@
 		Late:       func(conn net.Conn) { p.putIdle(request.Address, p.newConnection(conn), defaultIdleTimeout) },
 	}
 	relay := hedge.Attempt{Open: func(ctx context.Context) (net.Conn, error) {
+		// A replica that is silent for all must not hold a request up much longer than the direct attempt does.
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
 		return p.relay(ctx, request.Replica, request.Address)
 	}}
 	startedAt := p.now()
--- a/upstream/open_test.go
+++ b/upstream/open_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -118,3 +119,26 @@
 	require.ErrorAs(t, err, &failed)
 	require.False(t, failed.RequestWritten)
 }
+
+// Guards against a replica that is silent for all daemons and holds requests up for the sum of all attempts.
+func TestASilentReplicaHoldsARequestUpForOneAttemptOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := func(ctx context.Context) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+			defer cancel()
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		pool := NewPool(func(ctx context.Context, _ string) (net.Conn, error) { return silent(ctx) }, nil)
+		pool.SetRelay(func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		for _, want := range []time.Duration{relayDelay + dialTimeout, dialTimeout} {
+			startedAt := time.Now()
+			_, err := pool.Do(t.Context(), requestTo(t, "127.0.0.1:1", "1"))
+			require.Error(t, err)
+			require.Equal(t, want, time.Since(startedAt))
+		}
+	})
+}
