Retries without a leader: what requests earn does not go into a reserve that has lapsed

Read in the code: with the leader silent for more than a window, requests refilled the reserve, which each withdrawal dropped, so a daemon made no retry at all. TestRetryReserveIsSharedByDaemons asks for it now: 0 of 3 before.

--- a/core/budget.go
+++ b/core/budget.go
@@ -54,9 +54,9 @@
 	b.reserve = min(b.maximum, b.reserve+perWindow*elapsed.Seconds()/b.Policy.Window.Seconds())
 }
 
-// DropReserve empties the reserve.
+// DropReserve empties the reserve. Until it accrues again, what requests earn expires.
 func (b *RetryBudget) DropReserve() {
-	b.reserve = 0
+	b.reserve, b.maximum = 0, 0
 }
 
 // Withdraw takes one retry and reports whether it may be made. A daemon whose part of the reserve is too small
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -344,6 +344,10 @@
 	hear(50, time.Minute)
 	now = now.Add(11 * time.Second)
 	require.Zero(t, spend(), "the leader was silent for more than a window")
+	for range 30 {
+		core.depositRetry("press")
+	}
+	require.Equal(t, 3, spend(), "requests earn retries without a leader")
 	core.SetDaemonCount(0)
 	require.Equal(t, 50, core.DaemonCount(), "zero daemons is no report")
 }
