--- a/fleet/brittle.go
+++ b/fleet/brittle.go
@@ -48,7 +48,10 @@
 }
 
 func (f *fullness) rotate(now time.Time) {
-	if now.Sub(f.periodAt) >= peakPeriod {
+	switch elapsed := now.Sub(f.periodAt); {
+	case elapsed >= 2*peakPeriod:
+		f.lastPeak, f.peak, f.periodAt = 0, 0, now
+	case elapsed >= peakPeriod:
 		f.lastPeak, f.peak, f.periodAt = f.peak, 0, now
 	}
 }
--- a/fleet/brittle_test.go
+++ b/fleet/brittle_test.go
@@ -36,6 +36,15 @@
 	require.Positive(t, take(t, d, testTime).PerSecond, "all slots are taken")
 }
 
+// Guards against room that a replica had long ago.
+func TestRoomOfABrittleReplicaIsForgotten(t *testing.T) {
+	known := &fullness{}
+	known.recordAccepted(3, testTime)
+	require.True(t, known.hasRoom(2, testTime.Add(peakPeriod)))
+	known.recordAccepted(3, testTime.Add(peakPeriod))
+	require.False(t, known.hasRoom(2, testTime.Add(time.Hour)), "what the replica took an hour ago tells nothing")
+}
+
 func TestARejectionShowsThatABrittleReplicaHasNoRoom(t *testing.T) {
 	d := brittleDirectory(1)
 	running := take(t, d, testTime)
