--- a/relay/client.go
+++ b/relay/client.go
@@ -177,6 +177,7 @@
 	defer cancelOpen()
 	dialed, err := c.Dial(ctx, peer.Address)
 	if err != nil {
+		c.recordAttemptFailure(ctx, peer)
 		return nil, errors.Wrapf(err, "connect to daemon %s", peer.Daemon)
 	}
 	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -191,10 +192,7 @@
 	}
 	if err != nil || !stop() {
 		_ = opened.Close()
-		if !errors.Is(context.Cause(ctx), context.Canceled) {
-			c.recordPeer(peer, false)
-			c.count(outcomeFailed)
-		}
+		c.recordAttemptFailure(ctx, peer)
 		return nil, errors.Wrapf(cmp.Or(err, ctx.Err()), "relay through daemon %s", peer.Daemon)
 	}
 	c.recordPeer(peer, true)
@@ -202,6 +200,14 @@
 	return opened, nil
 }
 
+// recordAttemptFailure records that a peer could not open a connection, unless the attempt was canceled.
+func (c *Client) recordAttemptFailure(ctx context.Context, peer Peer) {
+	if !errors.Is(context.Cause(ctx), context.Canceled) {
+		c.recordPeer(peer, false)
+		c.count(outcomeFailed)
+	}
+}
+
 func (c *Client) failedLately(address string) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
