Log: parts of prompts, and whether an answer had begun, in the lines of requests and dispatches

The lines of the incident name the requests that were at crashed replicas, but not what they had in common, so that the first hypothesis cannot be counted. No logic changes.

--- a/core/call.go
+++ b/core/call.go
@@ -56,6 +56,10 @@
 	Tokens int
 }
 
+// SharedParts returns the parts of the prompt that other prompts may have too: all but the last, which belongs to the
+// request itself.
+func (c *Call) SharedParts() []PromptPart { return c.PromptParts[:max(0, len(c.PromptParts)-1)] }
+
 // Priority returns the call's priority; 0 is the most urgent.
 func (c *Call) Priority() int {
 	if c.Tenant != nil && c.Tenant.Priority != nil {
--- a/core/core.go
+++ b/core/core.go
@@ -111,6 +111,7 @@
 	origin          origin.Resolution // of the stream that the caller resumes
 	via             string            // id of the daemon that relayed its reply; empty if it came directly
 	streamEnd       streamEnd         // of the latest dispatch
+	answerBegun     bool              // the latest dispatch has brought a whole event
 	// failedStatus is the status of a replica's error response relayed to the caller; zero without
 	// one.
 	failedStatus int
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -32,11 +32,13 @@
 
 // dispatchOutcome is the result of a dispatch and its cause.
 type dispatchOutcome struct {
-	result     Result
-	cause      error
-	status     int // of the replica's response; zero without one
-	health     fleet.Result
-	errorReply *bufferedReply // to relay if the call is not retried; nil if there is none
+	result Result
+	cause  error
+	status int // of the replica's response; zero without one
+	health fleet.Result
+	// answerBegun means that a whole event of a stream, or a whole response, was received.
+	answerBegun bool
+	errorReply  *bufferedReply // to relay if the call is not retried; nil if there is none
 }
 
 // dispatch sends the call to a replica and relays the response.
@@ -85,8 +87,10 @@
 	}
 	defer func() { _ = reply.Body.Close() }()
 	state.via = reply.Via
+	state.answerBegun = false
 	outcome := c.relayReply(state, reply)
 	outcome.status = reply.Status
+	outcome.answerBegun = state.answerBegun || outcome.result == Answered
 	return outcome
 }
 
--- a/core/events.go
+++ b/core/events.go
@@ -188,7 +188,6 @@
 func (c *Core) relayEvents(state *callState, reply *Reply) dispatchOutcome {
 	splitter := &eventSplitter{}
 	buffer := make([]byte, eventReadBytes)
-	hasEvent := false
 	for {
 		n, readErr := reply.Body.Read(buffer)
 		splitter.pending = append(splitter.pending, buffer[:n]...)
@@ -196,8 +195,8 @@
 			return interruptedStream(state, errEventLength, fleet.Failed)
 		}
 		events, lastID := splitter.completeEvents()
-		if !hasEvent && splitter.eventFound {
-			hasEvent = true
+		if !state.answerBegun && splitter.eventFound {
+			state.answerBegun = true
 			c.bindVersion(state)
 		}
 		ended := readErr == io.EOF
--- a/core/log.go
+++ b/core/log.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -13,10 +14,23 @@
 func (c *Core) entry(state *callState) logrus.FieldLogger {
 	return c.Log.WithFields(logrus.Fields{
 		logging.RequestID: state.ID, logging.Fingerprint: state.Fingerprint.String(), logging.Route: state.Route.Name, logging.Service: state.Service.Name,
-		logging.Model: state.Target.Model, logging.Adapter: state.Target.Adapter, logging.Tenant: state.tenant(),
+		logging.Model: state.Target.Model, logging.Adapter: state.Target.Adapter, logging.Tenant: state.tenant(), logging.PromptParts: sharedPartsText(state.Call),
 	})
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// sharedPartsText returns the ids of the first parts of a prompt that other prompts may have too, joined by commas.
+func sharedPartsText(call *Call) string {
+	shared := call.SharedParts()
+	var ids []string
+	for _, part := range shared[:min(len(shared), maxLoggedParts)] {
+		ids = append(ids, part.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // logWait logs that no replica could take a call at once, and whether the call waits. backingOff is the replica
 // whose back-off the call waits for; it may be empty.
 func (c *Core) logWait(state *callState, reason fleet.Miss, decision waitDecision, backingOff string) {
@@ -52,7 +66,7 @@
 	}
 	c.entry(state).WithFields(c.paymentFields(state.payment)).WithFields(state.streamEnd.fields()).WithFields(logrus.Fields{
 		logging.Replica: pick.ID, logging.SoftwareVersion: pick.Version, logging.Address: pick.Address, logging.Inflight: pick.Inflight, logging.Status: outcome.status,
-		logging.Outcome: outcome.result.String(), logging.Retry: verdict.Retry, logging.LastEvent: state.lastEventID,
+		logging.Outcome: outcome.result.String(), logging.Retry: verdict.Retry, logging.LastEvent: state.lastEventID, logging.AnswerBegun: outcome.answerBegun,
 		logging.AgeMs: time.Since(state.Arrived).Milliseconds(), logging.Cause: errorText(outcome.cause),
 	}).Warn("dispatch failed")
 }
--- a/logging/fields.go
+++ b/logging/fields.go
@@ -72,6 +72,8 @@
 	GapTargetMs         = "gap_target_ms"
 	Priority            = "priority"
 	PromptTokens        = "prompt_tokens"
+	PromptParts         = "prompt_parts"
+	AnswerBegun         = "answer_begun"
 	WaitReason          = "wait_reason"
 	FailedStatus        = "failed_status"
 	Framing             = "framing"
