Quarantine: crashes are charged to the parts of prompts too

Cause: a crash was charged to the name of the whole request (method, host, path, tenant, body). Requests that share only the part that crashes replicas have a new name each, so that no count ever rose.

Change: reports of crashes name the shared parts of each request that the replica had not begun to answer, as hashes with how often each was answered lately. A part explains a crash if no answer to a prompt with it has begun since; of the parts that were at the same crashes the rarer and later one explains them best, and takes them away from the others. A part that explains three crashes is quarantined at all daemons; from two on requests with it wait for up to 0.4 s for evidence. The first answer that begins anywhere clears a part. One trial of a quarantined part, by one daemon of all (a conditional write), is made after a second, a minute, ten minutes and then each 55 minutes. Requests are checked again right before they are written.

Why it works: the shared part that is innocent is answered elsewhere within milliseconds and cleared; the one that crashes each replica never is. What is wrongly quarantined, since all replicas were down, is cleared by its trial.

--- a/core/core.go
+++ b/core/core.go
@@ -13,6 +13,7 @@
 	"github.com/finchspoke/finchspoke/failure"
 	"github.com/finchspoke/finchspoke/fleet"
 	"github.com/finchspoke/finchspoke/origin"
+	"github.com/finchspoke/finchspoke/quarantine"
 )
 
 // Core serves calls: it admits each, chooses replicas, dispatches, retries and relays the response.
@@ -62,6 +63,9 @@
 // errStopped cancels calls still running at the end of a planned stop.
 var errStopped = errors.New("daemon is stopping")
 
+// errHeld is why a call ended that waited for evidence on a part of its prompt.
+var errHeld = errors.New("replicas crashed with a part of the prompt, and no answer to another prompt with it began in time")
+
 // Prepare initializes the core; it must be called before any other method.
 func (c *Core) Prepare() {
 	c.startedAt = time.Now()
@@ -111,7 +115,9 @@
 	origin          origin.Resolution // of the stream that the caller resumes
 	via             string            // id of the daemon that relayed its reply; empty if it came directly
 	streamEnd       streamEnd         // of the latest dispatch
-	answerBegun     bool              // the latest dispatch has brought a whole event
+	answerBegun     bool              // the latest dispatch has brought a whole event or response
+	suspect         quarantine.Suspect
+	onTrial         bool // the next dispatch is a trial of a quarantined part of the prompt
 	// failedStatus is the status of a replica's error response relayed to the caller; zero without
 	// one.
 	failedStatus int
@@ -167,7 +173,7 @@
 	defer cancelCause(nil)
 	defer context.AfterFunc(c.lifetime, func() { cancelCause(errStopped) })()
 	state := &callState{
-		Call: call, writer: writer, lastEventID: call.ResumeAfter,
+		Call: call, writer: writer, lastEventID: call.ResumeAfter, suspect: suspectOf(call),
 		lifecycle: &Lifecycle{Repeatable: call.Route.Repeatable(), Resumable: call.Route.Resumable, MaxRuns: max(1, call.Route.Attempts), Deadline: call.Deadline},
 	}
 	failed = c.precheck(state)
@@ -186,8 +192,8 @@
 	if failed := rejectUndeclared(state.Call); failed != nil {
 		return failed
 	}
-	if failed := c.checkQuarantine(state); failed != nil {
-		return failed
+	if verdict := c.checkQuarantine(state); verdict.Refused != nil && !verdict.TrialDue {
+		return verdict.Refused
 	}
 	return c.checkStopping(state.Call)
 }
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -53,7 +53,8 @@
 	if ctx.Err() != nil && outcome.health == fleet.Unreachable {
 		outcome.health = fleet.Answered // not a failure of the replica: the caller disconnected or time ran out
 	}
-	if outcome.result != Answered && !errors.Is(outcome.cause, fleet.ErrRateLimited) { // usable again with a permit
+	usableLater := errors.Is(outcome.cause, fleet.ErrRateLimited) || errors.Is(outcome.cause, fleet.ErrQuarantined)
+	if outcome.result != Answered && !usableLater {
 		state.tried = append(state.tried, pick.ID)
 	}
 	pick.Release(outcome.health, state.Target, time.Now())
@@ -72,7 +73,7 @@
 func (c *Core) exchange(ctx context.Context, state *callState, pick *fleet.Pick) dispatchOutcome {
 	reply, err := c.Driver.Send(ctx, Dispatch{
 		Call: state.Call, ReplicaID: pick.ID, Address: pick.Address, Remaining: time.Until(state.Deadline), ResumeAfter: state.lastEventID, Permit: state.permit,
-		TransferFrom: c.transferSource(state), Admit: c.versionCheck(state, pick),
+		TransferFrom: c.transferSource(state), Admit: c.admitDispatch(state, pick),
 	})
 	if err != nil {
 		var failed *SendError
@@ -90,7 +91,7 @@
 	state.answerBegun = false
 	outcome := c.relayReply(state, reply)
 	outcome.status = reply.Status
-	outcome.answerBegun = state.answerBegun || outcome.result == Answered
+	outcome.answerBegun = state.answerBegun
 	return outcome
 }
 
@@ -124,6 +125,9 @@
 	if err != nil {
 		return dispatchOutcome{result: Lost, cause: err, health: fleet.Unreachable}
 	}
+	if reply.Status < http.StatusMultipleChoices {
+		c.recordAnswerBegun(state)
+	}
 	if len(body) > maxBufferedResponse {
 		return c.relayUnbuffered(state, reply, body)
 	}
--- a/core/events.go
+++ b/core/events.go
@@ -196,7 +196,7 @@
 		}
 		events, lastID := splitter.completeEvents()
 		if !state.answerBegun && splitter.eventFound {
-			state.answerBegun = true
+			c.recordAnswerBegun(state)
 			c.bindVersion(state)
 		}
 		ended := readErr == io.EOF
--- a/core/quarantine_test.go
+++ b/core/quarantine_test.go
@@ -18,20 +18,42 @@
 type fakeQuarantine struct {
 	allowed                   int
 	broken, served, abandoned int
+	suspects                  []quarantine.Suspect    // of broken connections
+	begun                     [][]quarantine.PartHash // of prompts that replicas began to answer
+	heldChecks                int                     // how many checks say that the request is to wait
+	trialDue                  bool                    // a refused request may be dispatched as a trial
+	trials                    int                     // that may begin
 }
 
-func (q *fakeQuarantine) Blocked(quarantine.Fingerprint) *failure.Error {
-	if q.broken < q.allowed {
-		return nil
+func (q *fakeQuarantine) Check(suspect quarantine.Suspect) quarantine.Verdict {
+	if q.heldChecks > 0 {
+		q.heldChecks--
+		return quarantine.Verdict{HoldUntil: time.Now().Add(holdStep)}
 	}
-	return failure.New(failure.Quarantined, "send another request", "the request is suspected of crashing replicas").WithRetryAfter(time.Hour)
+	isTrial := q.trialDue && len(suspect.Parts) == 0
+	if q.broken < q.allowed || isTrial {
+		return quarantine.Verdict{}
+	}
+	refused := failure.New(failure.Quarantined, "send another request", "the request is suspected of crashing replicas").WithRetryAfter(time.Hour)
+	return quarantine.Verdict{Refused: refused, TrialDue: q.trialDue}
 }
 
-func (q *fakeQuarantine) ConnectionBroken(context.Context, fleet.Incarnation, string, quarantine.Fingerprint) {
+// holdStep is how long fakeQuarantine holds a request at each check.
+const holdStep = 10 * time.Millisecond
+
+func (q *fakeQuarantine) BeginTrial(context.Context, quarantine.Suspect) bool {
+	q.trials--
+	return q.trials >= 0
+}
+
+func (q *fakeQuarantine) ConnectionBroken(_ context.Context, _ fleet.Incarnation, _ string, suspect quarantine.Suspect) {
 	q.broken++
+	q.suspects = append(q.suspects, suspect)
 }
 
-func (q *fakeQuarantine) Abandoned(fleet.Incarnation, string, quarantine.Fingerprint) { q.abandoned++ }
+func (q *fakeQuarantine) Abandoned(fleet.Incarnation, string, quarantine.Suspect) { q.abandoned++ }
+
+func (q *fakeQuarantine) Begun(parts []quarantine.PartHash) { q.begun = append(q.begun, parts) }
 
 func (q *fakeQuarantine) Served(quarantine.Fingerprint) { q.served++ }
 
@@ -140,3 +162,98 @@
 	require.Nil(t, failed)
 	require.Equal(t, 1, fake.broken, "a resumption that ends inside an event is a failure")
 }
+
+// promptParts are the parts of a prompt whose last one belongs to the request itself.
+var promptParts = []PromptPart{{ID: "shared", Tokens: 100}, {ID: "document", Tokens: 50}, {ID: "own", Tokens: 10}}
+
+// Guards against crashes that are charged to parts of prompts whose answers had begun, and against parts that are never
+// cleared.
+func TestPartsAreSuspectsUntilTheAnswerBegins(t *testing.T) {
+	shared := quarantine.HashParts("press", []string{"shared", "document"})
+	whole := reply(http.StatusOK, "id: 1\ndata: a\n\n", false)
+	for name, test := range map[string]struct {
+		script   func(context.Context, Dispatch) (*Reply, error)
+		suspects []quarantine.Suspect
+		begun    int
+	}{
+		"no answer":              {sendError(true), []quarantine.Suspect{{Parts: shared}}, 1},
+		"head alone":             {reply(http.StatusOK, "", true), []quarantine.Suspect{{Parts: shared}}, 1},
+		"within the first event": {reply(http.StatusOK, "id: 1\nda", true), []quarantine.Suspect{{Parts: shared}}, 1},
+		"after the first event":  {reply(http.StatusOK, "id: 1\ndata: a\n\nid: 2\nda", true), []quarantine.Suspect{{}}, 2},
+		"whole":                  {whole, nil, 1},
+	} {
+		s := newSetup(t, routing.Stream, 2, test.script, whole)
+		fake := &fakeQuarantine{allowed: 5}
+		s.core.Quarantine, s.call.PromptParts = fake, promptParts
+		failed, _ := s.serve(t)
+		require.Nil(t, failed, name)
+		require.Equal(t, test.suspects, fake.suspects, name)
+		require.Len(t, fake.begun, test.begun, name)
+		for _, parts := range fake.begun {
+			require.Equal(t, shared, parts, name)
+		}
+	}
+}
+
+func TestHeldRequestIsDispatchedOnceItMayBe(t *testing.T) {
+	s := newSetup(t, routing.Stream, 1, reply(http.StatusOK, "id: 1\ndata: a\n\n", false))
+	s.core.Quarantine = &fakeQuarantine{allowed: 1, heldChecks: 4}
+	failed, _ := s.serve(t)
+	require.Nil(t, failed)
+	require.Len(t, s.driver.dispatches, 1)
+}
+
+func TestHeldRequestEndsWithItsDeadline(t *testing.T) {
+	s := newSetup(t, routing.Stream, 1)
+	s.core.Quarantine = &fakeQuarantine{allowed: 1, heldChecks: 1000}
+	s.call.Deadline = time.Now().Add(5 * holdStep)
+	failed, _ := s.serve(t)
+	require.Equal(t, failure.DeadlineExceeded, failed.Kind)
+	require.Equal(t, failure.NotRun, failed.Execution)
+	require.Empty(t, s.driver.dispatches)
+}
+
+// Guards against a request that waits for its replica while its part is quarantined, and is sent there nevertheless.
+func TestQuarantineIsCheckedRightBeforeARequestIsWritten(t *testing.T) {
+	fake := &fakeQuarantine{allowed: 1}
+	admitted := func(ctx context.Context, dispatch Dispatch) (*Reply, error) {
+		fake.broken = fake.allowed // quarantined while the connection is opened
+		if err := dispatch.Admit(); err != nil {
+			return nil, &SendError{Cause: err}
+		}
+		return reply(http.StatusOK, "id: 1\ndata: a\n\n", false)(ctx, dispatch)
+	}
+	s := newSetup(t, routing.Stream, 2, admitted, admitted)
+	s.core.Quarantine = fake
+	failed, _ := s.serve(t)
+	require.Equal(t, failure.Quarantined, failed.Kind)
+	require.Equal(t, failure.NotRun, failed.Execution)
+	require.Len(t, s.driver.dispatches, 1)
+}
+
+// Guards against more than one dispatch of a trial that crashes its replica, and against a trial that ends without one.
+func TestTrialIsDispatchedOnce(t *testing.T) {
+	whole := reply(http.StatusOK, "id: 1\ndata: a\n\n", false)
+	for name, test := range map[string]struct {
+		trials     int
+		script     []func(context.Context, Dispatch) (*Reply, error)
+		dispatches int
+		kind       failure.Kind
+	}{
+		"answered":              {1, []func(context.Context, Dispatch) (*Reply, error){whole}, 1, ""},
+		"crashes its replica":   {1, []func(context.Context, Dispatch) (*Reply, error){sendError(true), whole}, 1, failure.OutcomeUnknown},
+		"rejected, so not run":  {1, []func(context.Context, Dispatch) (*Reply, error){replyAs(Rejected), whole}, 2, ""},
+		"of another daemon":     {0, nil, 0, failure.Quarantined},
+		"another request's one": {-1, nil, 0, failure.Quarantined},
+	} {
+		s := newSetup(t, routing.Stream, 2, test.script...)
+		s.core.Quarantine, s.call.PromptParts = &fakeQuarantine{trialDue: true, trials: test.trials}, promptParts
+		failed, _ := s.serve(t)
+		if test.kind == "" {
+			require.Nil(t, failed, name)
+		} else {
+			require.Equal(t, test.kind, failed.Kind, name)
+		}
+		require.Len(t, s.driver.dispatches, test.dispatches, name)
+	}
+}
--- a/core/wait.go
+++ b/core/wait.go
@@ -207,7 +207,8 @@
 	startedAt := time.Now()
 	defer func() { state.waitTime += time.Since(startedAt) }()
 	for {
-		if failed := c.checkQuarantine(state); failed != nil {
+		needsTrial, failed := c.awaitQuarantine(ctx, state)
+		if failed != nil {
 			return nil, failed
 		}
 		changed := c.Fleet.Changed(state.Service.Name, state.Target)
@@ -216,7 +217,7 @@
 		pick, miss := c.choose(ctx, state, requirements, now)
 		if pick != nil {
 			if c.awaitReservation(ctx, state, pick) {
-				return c.checkCallActive(ctx, state, pick)
+				return c.checkTrial(ctx, state, pick, needsTrial)
 			}
 			requirements.NotBefore = state.denied.notBefore()
 			continue
--- a/fleet/hint.go
+++ b/fleet/hint.go
@@ -93,6 +93,7 @@
 	ErrBackingOff   AdmissionError = "replica asked this daemon to back off"
 	ErrRateLimited  AdmissionError = "replica is rate-limited and the request has no valid permit"
 	ErrOtherVersion AdmissionError = "replica started again with another software version"
+	ErrQuarantined  AdmissionError = "request is quarantined, or held until it is known whether it crashes replicas"
 )
 
 // Error returns the reason.
--- a/logging/fields.go
+++ b/logging/fields.go
@@ -74,6 +74,8 @@
 	PromptTokens        = "prompt_tokens"
 	PromptParts         = "prompt_parts"
 	AnswerBegun         = "answer_begun"
+	PartHash            = "part"
+	PartHashes          = "parts"
 	WaitReason          = "wait_reason"
 	FailedStatus        = "failed_status"
 	Framing             = "framing"
--- a/node/gauges.go
+++ b/node/gauges.go
@@ -30,6 +30,14 @@
 			_, quarantined, _ := n.quarantine.Counts()
 			return float64(quarantined)
 		}},
+		{"finchspoke_quarantine_parts_named", "Distinct parts of prompts that were at a crash of a replica and are not cleared of it.", func() float64 {
+			suspected, _ := n.quarantine.PartCounts()
+			return float64(suspected)
+		}},
+		{"finchspoke_quarantine_parts_withheld", "Distinct parts of prompts that are quarantined, so that no request with them is sent to replicas.", func() float64 {
+			_, quarantined := n.quarantine.PartCounts()
+			return float64(quarantined)
+		}},
 		{"finchspoke_replicas_limited", "Replicas known to this daemon that have stated a request limit.", func() float64 { return float64(n.fleet.RateLimitedCount()) }},
 		{"finchspoke_permits_waiting", "Reservations at replicas with a request limit that this daemon granted as the leader and that are not due yet.", func() float64 { return float64(n.limitServer.PendingReservations()) }},
 		{"finchspoke_daemons_attached", "Daemons attached to the leader, as last reported by it.", func() float64 { return float64(n.core.DaemonCount()) }},
--- a/node/node.go
+++ b/node/node.go
@@ -260,7 +260,7 @@
 	})
 	n.quarantine = &quarantine.Guard{
 		Prefix: n.config.CrashPrefix, Store: adapters.Store, Prober: replicas.Prober, IsDraining: n.isDraining, BackoffUntil: n.fleet.BackoffUntil, Leading: n.mirror.Leading,
-		Now: time.Now, Metrics: quarantine.NewMetrics(n.metrics), Log: n.log,
+		DaemonCount: requestCore.DaemonCount, Now: time.Now, Metrics: quarantine.NewMetrics(n.metrics), Log: n.log,
 	}
 	n.quarantine.Prepare()
 	requestCore.Quarantine = n.quarantine
--- a/quarantine/abandoned.go
+++ b/quarantine/abandoned.go
@@ -21,13 +21,13 @@
 type abandonedRequests map[string][]abandonedRequest
 
 type abandonedRequest struct {
-	request Fingerprint
+	suspect Suspect
 	at      time.Time
 }
 
 // add records an abandoned request, unless maxAbandoned are recorded already. first reports whether
 // it is the only one recorded for its replica.
-func (a abandonedRequests) add(replica string, request Fingerprint, now time.Time) (first bool) {
+func (a abandonedRequests) add(replica string, suspect Suspect, now time.Time) (first bool) {
 	count := 0
 	for _, entries := range a {
 		count += len(entries)
@@ -35,16 +35,16 @@
 	if count >= maxAbandoned {
 		return false
 	}
-	a[replica] = append(a[replica], abandonedRequest{request, now})
+	a[replica] = append(a[replica], abandonedRequest{suspect, now})
 	return len(a[replica]) == 1
 }
 
 // takeRecent removes all requests of a replica and returns those abandoned within abandonWindow before now.
-func (a abandonedRequests) takeRecent(replica string, now time.Time) []Fingerprint {
-	var requests []Fingerprint
+func (a abandonedRequests) takeRecent(replica string, now time.Time) []Suspect {
+	var requests []Suspect
 	for _, entry := range a[replica] {
 		if now.Sub(entry.at) <= abandonWindow {
-			requests = append(requests, entry.request)
+			requests = append(requests, entry.suspect)
 		}
 	}
 	delete(a, replica)
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -52,8 +52,9 @@
 	// probeTimeout bounds a probe, and with it the delay before a request whose connection broke
 	// is retried at another replica.
 	probeTimeout = 300 * time.Millisecond
-	// maxReportFingerprints bounds the size of a report's record.
+	// maxReportFingerprints and maxReportParts bound the size of a report's record.
 	maxReportFingerprints = 512
+	maxReportParts        = 8192
 )
 
 // Guard detects replica crashes, publishes the requests that the replicas had, and decides which
@@ -75,6 +76,10 @@
 	// Leading reports whether this daemon is the leader, which deletes expired records and
 	// rewrites lost ones.
 	Leading func() bool
+	// DaemonCount returns the number of daemons; zero if unknown. Nil means that this is the only one.
+	DaemonCount func() int
+	// Draw returns a random duration below a bound; nil means rand.N.
+	Draw    func(bound time.Duration) time.Duration
 	Now     func() time.Time
 	Metrics *Metrics
 	Log     logrus.FieldLogger
@@ -92,6 +97,11 @@
 	// probedInBackoff holds, by replica, the end of the back-off during which it was last probed.
 	probedInBackoff map[string]time.Time
 	abandoned       abandonedRequests
+	popularity      popularity
+	suspectParts    map[PartHash]*suspectPart
+	partsChanged    chan struct{} // closed and replaced when a part is held, quarantined or free again
+	// unannounced holds clearances that are not part of a report yet, as replicas by part.
+	unannounced map[PartHash][]string
 }
 
 // probe is a probe in flight; all waiters share its result, which is set before done is closed.
@@ -105,6 +115,7 @@
 	g.ledger, g.pendingReady, g.probes = newLedger(), make(chan struct{}, 1), map[fleet.Incarnation]*probe{}
 	g.probedInBackoff = map[string]time.Time{}
 	g.abandoned = abandonedRequests{}
+	g.suspectParts, g.partsChanged, g.unannounced = map[PartHash]*suspectPart{}, make(chan struct{}), map[PartHash][]string{}
 	g.lostReports, g.lostSignal = map[string]int64{}, make(chan struct{}, 1)
 	g.pendingKey = g.newKey()
 }
@@ -112,10 +123,9 @@
 // newKey returns a unique record key, so that no other daemon writes the same record.
 func (g *Guard) newKey() string { return g.Prefix + uuid.NewString() }
 
-// Blocked returns the error for a quarantined request, or nil if the request may be dispatched.
-func (g *Guard) Blocked(request Fingerprint) *failure.Error {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
+// blocked returns the error for a quarantined request, or nil if it is not quarantined as a whole. The caller holds
+// the mutex.
+func (g *Guard) blocked(request Fingerprint) *failure.Error {
 	history := g.ledger.crashHistory(request)
 	if !history.Blocked() {
 		return nil
@@ -129,12 +139,12 @@
 // ConnectionBroken probes a replica whose connection broke while it had a request, and records a
 // crash if the replica has ended. It returns once the probe has finished or timed out. The request
 // must not be dispatched again before that, since it may be quarantined by then.
-func (g *Guard) ConnectionBroken(ctx context.Context, replica fleet.Incarnation, address string, request Fingerprint) {
+func (g *Guard) ConnectionBroken(ctx context.Context, replica fleet.Incarnation, address string, suspect Suspect) {
 	if g.IsDraining(replica.ID) {
 		return
 	}
 	if g.probe(ctx, replica, address, g.chargeProbe) == NotRunning {
-		g.recordCrash(replica, request)
+		g.recordCrash(replica, suspect)
 	}
 }
 
@@ -157,13 +167,13 @@
 // Abandoned records that a dispatch was canceled while the replica had the request, because the
 // caller disconnected or the deadline passed. The replica may still execute the request and crash
 // without a broken connection at this daemon, so the guard probes it later.
-func (g *Guard) Abandoned(replica fleet.Incarnation, address string, request Fingerprint) {
+func (g *Guard) Abandoned(replica fleet.Incarnation, address string, suspect Suspect) {
 	if g.IsDraining(replica.ID) {
 		return
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if g.abandoned.add(replica.String(), request, g.Now()) {
+	if g.abandoned.add(replica.String(), suspect, g.Now()) {
 		g.scheduleAbandonCheck(replica, address)
 	}
 }
@@ -198,12 +208,13 @@
 
 // recordCrash records the given requests, and those recently abandoned at the replica, as suspects
 // of its crash.
-func (g *Guard) recordCrash(replica fleet.Incarnation, requests ...Fingerprint) {
+func (g *Guard) recordCrash(replica fleet.Incarnation, suspects ...Suspect) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	for _, request := range append(requests, g.abandoned.takeRecent(replica.String(), g.Now())...) {
-		g.recordSuspect(replica.String(), request)
+	for _, suspect := range append(suspects, g.abandoned.takeRecent(replica.String(), g.Now())...) {
+		g.recordSuspect(replica.String(), suspect)
 	}
+	g.updateSuspectParts()
 }
 
 // probe returns the liveness of a replica. Concurrent calls for the same incarnation share one probe;
@@ -260,16 +271,16 @@
 }
 
 // recordSuspect adds a request to the pending report as a suspect of a replica's crash. replica is
-// the incarnation as text. The caller holds the mutex.
-func (g *Guard) recordSuspect(replica string, request Fingerprint) {
+// the incarnation as text. The caller holds the mutex and calls updateSuspectParts afterwards.
+func (g *Guard) recordSuspect(replica string, suspect Suspect) {
 	if !g.hasRoom() {
 		return
 	}
-	g.pending.addCrash(replica, request)
+	g.pending.addCrash(replica, suspect.Request, g.withPopularity(suspect.Parts))
 	g.queuePending()
-	history := g.ledger.crashHistory(request)
+	history := g.ledger.crashHistory(suspect.Request)
 	g.Log.WithFields(logrus.Fields{
-		logging.Fingerprint: request.String(), logging.Replica: replica, logging.Crashes: len(history.Replicas),
+		logging.Fingerprint: suspect.Request.String(), logging.PartHashes: joinParts(suspect.Parts), logging.Replica: replica, logging.Crashes: len(history.Replicas),
 		logging.Outcome: map[bool]string{true: "withheld", false: "may go on"}[history.Blocked()],
 	}).Warn(logging.MessageReplicaCrashed)
 }
@@ -294,7 +305,7 @@
 // hasRoom reports whether the pending report has room for another fingerprint, and counts a dropped
 // one if not. The report fills up while the key-value service is unavailable. The caller holds the mutex.
 func (g *Guard) hasRoom() bool {
-	if g.pending.fingerprintCount() < maxReportFingerprints {
+	if g.pending.fingerprintCount() < maxReportFingerprints && g.pending.partCount() < maxReportParts {
 		return true
 	}
 	g.Metrics.dropped.Inc()
@@ -315,6 +326,7 @@
 func (g *Guard) Observe(event kv.Event) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	defer g.updateSuspectParts()
 	switch {
 	case event.Deleted && event.AfterRestore:
 		g.markLost(event.Pair.Key)
@@ -331,8 +343,8 @@
 	}
 	g.ledger.put(event.Pair.Key, report, event.Pair.ModRevision, g.Now())
 	for _, crash := range report.Crashes {
-		for _, request := range g.abandoned.takeRecent(crash.Replica, g.Now()) {
-			g.recordSuspect(crash.Replica, request)
+		for _, suspect := range g.abandoned.takeRecent(crash.Replica, g.Now()) {
+			g.recordSuspect(crash.Replica, suspect)
 		}
 	}
 }
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -62,6 +62,7 @@
 	mutex        sync.Mutex
 	guards       []*Guard
 	records      map[string][]byte
+	revisions    map[string]int64 // of the records' latest changes
 	revision     int64
 	deletes      int // transactions that deleted records
 	noLeader     atomic.Bool
@@ -79,13 +80,14 @@
 		return kv.TxnResult{}, failed
 	}
 	for _, condition := range txn.Conditions {
-		if s.records[condition.Key] != nil {
+		if s.revisions[condition.Key] != condition.ModRevision {
 			return kv.TxnResult{}, nil
 		}
 	}
 	s.revision++
 	for _, put := range txn.Puts {
 		s.records[put.Key] = put.Value
+		s.revisions[put.Key] = s.revision
 		s.notify(kv.Event{Pair: kv.Pair{Key: put.Key, Value: put.Value, ModRevision: s.revision}})
 	}
 	if len(txn.Deletes) > 0 {
@@ -93,6 +95,7 @@
 	}
 	for _, key := range txn.Deletes {
 		delete(s.records, key)
+		delete(s.revisions, key)
 		s.notify(kv.Event{Pair: kv.Pair{Key: key, ModRevision: s.revision}, Deleted: true})
 	}
 	return kv.TxnResult{Succeeded: true, Revision: s.revision}, failed
@@ -137,7 +140,7 @@
 // startGuards runs the guards of several daemons on one store until the test ends.
 func startGuards(t *testing.T, daemons int, prober Prober) (*fakeStore, []*Guard) {
 	t.Helper()
-	store := &fakeStore{records: map[string][]byte{}}
+	store := &fakeStore{records: map[string][]byte{}, revisions: map[string]int64{}}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	for number := range daemons {
@@ -158,18 +161,18 @@
 		prober := &fakeProber{results: map[string]Liveness{"r0": NotRunning, "r1": NotRunning, "r2": NotRunning}, latency: time.Millisecond}
 		_, guards := startGuards(t, 3, prober)
 		for number, guard := range guards {
-			require.Nil(t, guard.Blocked(testFingerprint(1)))
-			guard.ConnectionBroken(t.Context(), fleet.Incarnation{ID: fmt.Sprintf("r%d", number)}, "address", testFingerprint(1))
+			require.Nil(t, guard.Check(testSuspect(1)).Refused)
+			guard.ConnectionBroken(t.Context(), fleet.Incarnation{ID: fmt.Sprintf("r%d", number)}, "address", testSuspect(1))
 		}
 		time.Sleep(2 * gatherDelay)
 		for _, guard := range guards {
-			failed := guard.Blocked(testFingerprint(1))
+			failed := guard.Check(testSuspect(1)).Refused
 			require.NotNil(t, failed)
 			require.Equal(t, failure.Quarantined, failed.Kind)
 			require.Equal(t, failure.NotRun, failed.Execution)
 			require.ErrorContains(t, failed, "r0, r1, r2")
 			require.Greater(t, failed.RetryAfter, quarantineTTL-time.Minute)
-			require.Nil(t, guard.Blocked(testFingerprint(2)))
+			require.Nil(t, guard.Check(testSuspect(2)).Refused)
 		}
 	})
 }
@@ -179,9 +182,9 @@
 		store, guards := startGuards(t, 1, &fakeProber{results: map[string]Liveness{"r0": NotRunning, "r1": NotRunning, "r2": NotRunning}})
 		store.failNext(kv.ErrUnavailable, kv.ErrUnavailable, kv.ErrUncertain, kv.ErrUnavailable)
 		for number := range CrashThreshold {
-			guards[0].ConnectionBroken(t.Context(), fleet.Incarnation{ID: fmt.Sprintf("r%d", number)}, "address", testFingerprint(1))
+			guards[0].ConnectionBroken(t.Context(), fleet.Incarnation{ID: fmt.Sprintf("r%d", number)}, "address", testSuspect(1))
 		}
-		require.NotNil(t, guards[0].Blocked(testFingerprint(1)), "not quarantined before the report is published")
+		require.NotNil(t, guards[0].Check(testSuspect(1)).Refused, "not quarantined before the report is published")
 		time.Sleep(10 * time.Second)
 		require.NotZero(t, store.recordCount(), "report not written after the store recovered")
 		_, quarantined, _ := guards[0].Counts()
@@ -195,16 +198,16 @@
 		store, guards := startGuards(t, 1, prober)
 		for range 2 * CrashThreshold {
 			for _, replica := range []string{"runs", "cut", "leaving"} {
-				guards[0].ConnectionBroken(t.Context(), fleet.Incarnation{ID: replica}, "address", testFingerprint(1))
+				guards[0].ConnectionBroken(t.Context(), fleet.Incarnation{ID: replica}, "address", testSuspect(1))
 			}
 		}
 		prober.setResult("silent", NotRunning, time.Hour)
 		startedAt := time.Now()
-		guards[0].ConnectionBroken(t.Context(), fleet.Incarnation{ID: "silent"}, "address", testFingerprint(1))
+		guards[0].ConnectionBroken(t.Context(), fleet.Incarnation{ID: "silent"}, "address", testSuspect(1))
 		require.Equal(t, probeTimeout, time.Since(startedAt), "wait for a probe")
 		time.Sleep(time.Second)
 		require.Zero(t, store.recordCount())
-		require.Nil(t, guards[0].Blocked(testFingerprint(1)))
+		require.Nil(t, guards[0].Check(testSuspect(1)).Refused)
 	})
 }
 
@@ -218,7 +221,7 @@
 			broken.Add(1)
 			go func() {
 				defer broken.Done()
-				guards[0].ConnectionBroken(t.Context(), fleet.Incarnation{ID: "r0"}, "address", testFingerprint(number))
+				guards[0].ConnectionBroken(t.Context(), fleet.Incarnation{ID: "r0"}, "address", testSuspect(number))
 			}()
 		}
 		broken.Wait()
@@ -240,13 +243,13 @@
 		store, guards := startGuards(t, 2, &fakeProber{results: results})
 		guards[1].Served(testFingerprint(1))
 		for number := range 20 {
-			guards[number%2].ConnectionBroken(t.Context(), fleet.Incarnation{ID: fmt.Sprintf("r%d", number)}, "address", testFingerprint(1))
+			guards[number%2].ConnectionBroken(t.Context(), fleet.Incarnation{ID: fmt.Sprintf("r%d", number)}, "address", testSuspect(1))
 			time.Sleep(time.Second)
 			guards[(number+1)%2].Served(testFingerprint(1))
 			time.Sleep(time.Second)
 		}
-		require.Nil(t, guards[0].Blocked(testFingerprint(1)))
-		require.Nil(t, guards[1].Blocked(testFingerprint(1)))
+		require.Nil(t, guards[0].Check(testSuspect(1)).Refused)
+		require.Nil(t, guards[1].Check(testSuspect(1)).Refused)
 		require.LessOrEqual(t, store.recordCount(), 30, "served requests reported although the next crash would not quarantine them")
 	})
 }
@@ -261,7 +264,7 @@
 			store.failNext(kv.ErrUnavailable)
 		}
 		for number := range 3 * maxReportFingerprints {
-			guards[0].ConnectionBroken(t.Context(), fleet.Incarnation{ID: "r0"}, "address", testFingerprint(number))
+			guards[0].ConnectionBroken(t.Context(), fleet.Incarnation{ID: "r0"}, "address", testSuspect(number))
 			if number == 0 {
 				time.Sleep(2 * gatherDelay) // the first report is being published
 			}
@@ -277,7 +280,7 @@
 func TestOnlyLeaderDeletesExpiredRecords(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, guards := startGuards(t, 2, &fakeProber{results: map[string]Liveness{"r0": NotRunning}})
-		guards[1].ConnectionBroken(t.Context(), fleet.Incarnation{ID: "r0"}, "address", testFingerprint(1))
+		guards[1].ConnectionBroken(t.Context(), fleet.Incarnation{ID: "r0"}, "address", testSuspect(1))
 		time.Sleep(suspectTTL - time.Minute)
 		require.Equal(t, 1, store.recordCount())
 		time.Sleep(time.Minute + 2*sweepInterval)
@@ -295,7 +298,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store, guards := startGuards(t, 1, &fakeProber{results: map[string]Liveness{"r0": NotRunning}})
 		store.noLeader.Store(true)
-		guards[0].ConnectionBroken(t.Context(), fleet.Incarnation{ID: "r0"}, "address", testFingerprint(1))
+		guards[0].ConnectionBroken(t.Context(), fleet.Incarnation{ID: "r0"}, "address", testSuspect(1))
 		time.Sleep(suspectTTL + 2*sweepInterval)
 		require.Equal(t, 1, store.recordCount())
 		total, _, _ := guards[0].Counts()
@@ -319,18 +322,18 @@
 		prober := &fakeProber{results: map[string]Liveness{"r0": NotRunning, "r1": NotRunning, "r2": NotRunning, "runs": Running}, latency: probeTimeout - time.Millisecond}
 		_, guards := startGuards(t, 2, prober)
 		for _, replica := range []string{"r0", "r1"} { // no other request shows the crash
-			guards[0].Abandoned(fleet.Incarnation{ID: replica}, "address", testFingerprint(1))
+			guards[0].Abandoned(fleet.Incarnation{ID: replica}, "address", testSuspect(1))
 		}
-		guards[0].Abandoned(fleet.Incarnation{ID: "runs"}, "address", testFingerprint(1))
+		guards[0].Abandoned(fleet.Incarnation{ID: "runs"}, "address", testSuspect(1))
 		time.Sleep(abandonWindow / 2)
-		guards[0].Abandoned(fleet.Incarnation{ID: "runs"}, "address", testFingerprint(2))
-		guards[0].Abandoned(fleet.Incarnation{ID: "r2"}, "address", testFingerprint(1))
-		guards[1].ConnectionBroken(t.Context(), fleet.Incarnation{ID: "r2"}, "address", testFingerprint(3)) // the other daemon detects the crash
+		guards[0].Abandoned(fleet.Incarnation{ID: "runs"}, "address", testSuspect(2))
+		guards[0].Abandoned(fleet.Incarnation{ID: "r2"}, "address", testSuspect(1))
+		guards[1].ConnectionBroken(t.Context(), fleet.Incarnation{ID: "r2"}, "address", testSuspect(3)) // the other daemon detects the crash
 		time.Sleep(2 * abandonWindow)
 		for _, guard := range guards {
-			require.NotNil(t, guard.Blocked(testFingerprint(1)))
-			require.Nil(t, guard.Blocked(testFingerprint(2)))
-			require.Nil(t, guard.Blocked(testFingerprint(3)))
+			require.NotNil(t, guard.Check(testSuspect(1)).Refused)
+			require.Nil(t, guard.Check(testSuspect(2)).Refused)
+			require.Nil(t, guard.Check(testSuspect(3)).Refused)
 		}
 		require.Zero(t, abandonedCount(guards[0]))
 	})
@@ -340,12 +343,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		prober := &fakeProber{results: map[string]Liveness{"r0": Running}}
 		store, guards := startGuards(t, 1, prober)
-		guards[0].Abandoned(fleet.Incarnation{ID: "r0"}, "address", testFingerprint(1))
+		guards[0].Abandoned(fleet.Incarnation{ID: "r0"}, "address", testSuspect(1))
 		time.Sleep(abandonWindow - time.Millisecond)
-		guards[0].Abandoned(fleet.Incarnation{ID: "r0"}, "address", testFingerprint(2)) // the probe covers only the first
+		guards[0].Abandoned(fleet.Incarnation{ID: "r0"}, "address", testSuspect(2)) // the probe covers only the first
 		time.Sleep(2 * time.Millisecond)
 		prober.setResult("r0", NotRunning, 0)
-		guards[0].ConnectionBroken(t.Context(), fleet.Incarnation{ID: "r0"}, "address", testFingerprint(3))
+		guards[0].ConnectionBroken(t.Context(), fleet.Incarnation{ID: "r0"}, "address", testSuspect(3))
 		time.Sleep(2 * gatherDelay)
 		require.Equal(t, 1, store.recordCount())
 		total, _, _ := guards[0].Counts()
@@ -359,7 +362,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		_, guards := startGuards(t, 1, &fakeProber{results: map[string]Liveness{"r0": Running}})
 		for number := range 2 * maxAbandoned {
-			guards[0].Abandoned(fleet.Incarnation{ID: fmt.Sprintf("r%d", number%7)}, "address", testFingerprint(number))
+			guards[0].Abandoned(fleet.Incarnation{ID: fmt.Sprintf("r%d", number%7)}, "address", testSuspect(number))
 		}
 		require.Equal(t, maxAbandoned, abandonedCount(guards[0]))
 	})
@@ -370,9 +373,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		_, guards := startGuards(t, 2, &fakeProber{results: map[string]Liveness{"r0": NotRunning}})
 		guards[0].Prober = &fakeProber{results: map[string]Liveness{"r0": Unknown}}
-		guards[0].Abandoned(fleet.Incarnation{ID: "r0"}, "address", testFingerprint(1))
+		guards[0].Abandoned(fleet.Incarnation{ID: "r0"}, "address", testSuspect(1))
 		time.Sleep(abandonWindow / 2)
-		guards[1].ConnectionBroken(t.Context(), fleet.Incarnation{ID: "r0"}, "address", testFingerprint(2))
+		guards[1].ConnectionBroken(t.Context(), fleet.Incarnation{ID: "r0"}, "address", testSuspect(2))
 		time.Sleep(2 * abandonWindow)
 		for _, guard := range guards {
 			total, _, _ := guard.Counts()
@@ -383,9 +386,9 @@
 
 func TestTakeRecentDropsOlderRequests(t *testing.T) {
 	abandoned := abandonedRequests{}
-	require.True(t, abandoned.add("r0", testFingerprint(1), testStart))
-	require.False(t, abandoned.add("r0", testFingerprint(2), testStart.Add(abandonWindow)))
-	require.Equal(t, []Fingerprint{testFingerprint(2)}, abandoned.takeRecent("r0", testStart.Add(abandonWindow+time.Millisecond)))
+	require.True(t, abandoned.add("r0", testSuspect(1), testStart))
+	require.False(t, abandoned.add("r0", testSuspect(2), testStart.Add(abandonWindow)))
+	require.Equal(t, []Suspect{testSuspect(2)}, abandoned.takeRecent("r0", testStart.Add(abandonWindow+time.Millisecond)))
 	require.Empty(t, abandoned)
 }
 
@@ -398,15 +401,15 @@
 		end := time.Now().Add(backoff)
 		guards[0].BackoffUntil = func(string) time.Time { return end }
 		replica := fleet.Incarnation{ID: "r0"}
-		guards[0].Abandoned(replica, "address", testFingerprint(1))
+		guards[0].Abandoned(replica, "address", testSuspect(1))
 		time.Sleep(2 * abandonWindow)
 		require.Zero(t, prober.calls())
 		for range 3 {
-			guards[0].ConnectionBroken(t.Context(), replica, "address", testFingerprint(1))
+			guards[0].ConnectionBroken(t.Context(), replica, "address", testSuspect(1))
 		}
 		require.Equal(t, 1, prober.calls())
 		time.Sleep(time.Until(end))
-		guards[0].ConnectionBroken(t.Context(), replica, "address", testFingerprint(1))
+		guards[0].ConnectionBroken(t.Context(), replica, "address", testSuspect(1))
 		require.Equal(t, 2, prober.calls())
 	})
 }
@@ -430,11 +433,11 @@
 		rateLimiter := &fakeRateLimiter{}
 		guards[0].RequestLimiter = rateLimiter
 		replica := fleet.Incarnation{ID: "r0"}
-		guards[0].ConnectionBroken(t.Context(), replica, "address", testFingerprint(1))
+		guards[0].ConnectionBroken(t.Context(), replica, "address", testSuspect(1))
 		require.EqualValues(t, 1, rateLimiter.charged.Load())
 		require.Equal(t, 1, prober.calls())
 
-		guards[0].Abandoned(replica, "address", testFingerprint(1))
+		guards[0].Abandoned(replica, "address", testSuspect(1))
 		time.Sleep(2*abandonCheckDelay + time.Millisecond)
 		require.EqualValues(t, 2, rateLimiter.calls.Load())
 		require.Equal(t, 1, prober.calls(), "probed without a reservation")
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -29,6 +29,8 @@
 	reports map[string]*ledgerEntry // by record key
 	// suspects maps each request of a report, suspect or served, to the keys of the records that name it.
 	suspects map[Fingerprint]map[string]bool
+	evidence *evidence                 // against parts of prompts
+	trials   map[PartHash]*ledgerEntry // the latest trial of each part
 }
 
 // ledgerEntry is a report with the metadata of its record.
@@ -39,17 +41,26 @@
 }
 
 func newLedger() *ledger {
-	return &ledger{reports: map[string]*ledgerEntry{}, suspects: map[Fingerprint]map[string]bool{}}
+	return &ledger{reports: map[string]*ledgerEntry{}, suspects: map[Fingerprint]map[string]bool{}, evidence: newEvidence(), trials: map[PartHash]*ledgerEntry{}}
 }
 
-// put adds a report or replaces the one under the same key, which keeps its observation time.
+// put adds a report or replaces the one under the same key, which keeps its observation time unless it is of another
+// trial.
 func (l *ledger) put(key string, report Report, revision int64, now time.Time) {
-	observedAt := now
+	entry := &ledgerEntry{Report: report, revision: revision, observedAt: now}
+	l.evidence.add(key, report, now)
 	if previous := l.reports[key]; previous != nil {
-		observedAt = previous.observedAt
-		l.remove(key)
+		if report.Trial == nil || previous.Trial != nil && previous.Trial.Number == report.Trial.Number {
+			entry.observedAt = previous.observedAt
+		}
+		l.removeFingerprints(key, previous)
+		named := report.replicas()
+		l.evidence.remove(key, slices.DeleteFunc(previous.replicas(), func(replica string) bool { return slices.Contains(named, replica) }))
+	}
+	l.reports[key] = entry
+	if report.Trial != nil {
+		l.trials[PartHash(report.Trial.Part)] = entry
 	}
-	l.reports[key] = &ledgerEntry{Report: report, revision: revision, observedAt: observedAt}
 	for _, request := range report.fingerprints() {
 		if l.suspects[request] == nil {
 			l.suspects[request] = map[string]bool{}
@@ -64,6 +75,14 @@
 		return
 	}
 	delete(l.reports, key)
+	l.removeFingerprints(key, entry)
+	l.evidence.remove(key, entry.replicas())
+	if entry.Trial != nil {
+		delete(l.trials, PartHash(entry.Trial.Part))
+	}
+}
+
+func (l *ledger) removeFingerprints(key string, entry *ledgerEntry) {
 	for _, request := range entry.fingerprints() {
 		delete(l.suspects[request], key)
 		if len(l.suspects[request]) == 0 {
@@ -72,6 +91,16 @@
 	}
 }
 
+// candidates returns what may explain crashes and was at minCrashes of them or more.
+func (l *ledger) candidates(minCrashes int) []candidate {
+	return l.evidence.candidates(minCrashes, func(request Fingerprint) bool { return l.crashHistory(request).Blocked() })
+}
+
+// quarantinedParts returns the parts of prompts that are quarantined, with the crashes that each explains.
+func (l *ledger) quarantinedParts() map[PartHash]culprit {
+	return l.evidence.culprits(CrashThreshold, l.candidates(holdThreshold))
+}
+
 // fingerprints returns all requests in the report, suspect and served ones.
 func (r Report) fingerprints() []Fingerprint {
 	requests := make([]Fingerprint, 0, r.fingerprintCount())
@@ -129,40 +158,53 @@
 	return history
 }
 
-// quarantines reports whether any suspect request of the report is quarantined.
-func (l *ledger) quarantines(report *ledgerEntry) bool {
+// quarantines reports whether a report quarantines a request, or a part that one of the culprits is, and since when.
+func (l *ledger) quarantines(report *ledgerEntry, culprits map[PartHash]culprit) (quarantines bool, since time.Time) {
+	since = report.observedAt
+	named := report.replicas()
+	for part, cause := range culprits {
+		isTrial := report.Trial != nil && PartHash(report.Trial.Part) == part
+		if isTrial || slices.ContainsFunc(named, func(replica string) bool { return cause.replicas[replica] }) {
+			quarantines = true
+			if cause.latest.After(since) {
+				since = cause.latest
+			}
+		}
+	}
 	for _, crash := range report.Crashes {
 		for _, fingerprint := range crash.Requests {
 			if l.crashHistory(Fingerprint(fingerprint)).Blocked() {
-				return true
+				return true, since
 			}
 		}
 	}
-	return false
+	return quarantines, since
+}
+
+// retainedReport is a report that has not expired.
+type retainedReport struct {
+	key         string
+	quarantines bool
+	observedAt  time.Time
 }
 
 // expired returns the sorted keys of the records to delete: those past their TTL, and the oldest
-// beyond maxReports, of which those that quarantine a request are deleted last.
+// beyond maxReports, of which those that quarantine a request or a part of prompts are deleted last.
 func (l *ledger) expired(now time.Time) []string {
-	type candidate struct {
-		key         string
-		quarantines bool
-		observedAt  time.Time
-		revision    int64
-	}
 	var keys []string
-	var remaining []candidate
+	var remaining []retainedReport
+	culprits := l.quarantinedParts()
 	for key, report := range l.reports {
-		age, quarantines := now.Sub(report.observedAt), l.quarantines(report)
-		if age > quarantineTTL || age > suspectTTL && !quarantines {
+		quarantines, since := l.quarantines(report, culprits)
+		if age := now.Sub(since); age > quarantineTTL || age > suspectTTL && !quarantines {
 			keys = append(keys, key)
 			continue
 		}
-		remaining = append(remaining, candidate{key, quarantines, report.observedAt, report.revision})
+		remaining = append(remaining, retainedReport{key, quarantines, report.observedAt})
 	}
 	surplus := len(remaining) - maxReports
 	if surplus > 0 {
-		slices.SortFunc(remaining, func(a, b candidate) int {
+		slices.SortFunc(remaining, func(a, b retainedReport) int {
 			switch {
 			case a.quarantines != b.quarantines && b.quarantines:
 				return -1
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -20,12 +20,15 @@
 	return Identity{Path: fmt.Sprintf("/%d", number)}.Fingerprint()
 }
 
+// testSuspect returns the request with a number, without parts of its prompt.
+func testSuspect(number int) Suspect { return Suspect{Request: testFingerprint(number)} }
+
 // reportOf returns a report of crashes, given as requests by replica, and of served requests.
 func reportOf(crashes map[string][]int, served ...int) Report {
 	var report Report
 	for replica, requests := range crashes {
 		for _, number := range requests {
-			report.addCrash(replica, testFingerprint(number))
+			report.addCrash(replica, testFingerprint(number), nil)
 		}
 	}
 	for _, number := range served {
@@ -95,7 +98,7 @@
 				key := fmt.Sprint(rapid.IntRange(0, 12).Draw(t, "key"))
 				report := Report{}
 				for range rapid.IntRange(0, 4).Draw(t, "ends") {
-					report.addCrash(fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "replica")), testFingerprint(rapid.IntRange(0, 3).Draw(t, "request")))
+					report.addCrash(fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "replica")), testFingerprint(rapid.IntRange(0, 3).Draw(t, "request")), nil)
 				}
 				if rapid.IntRange(0, 4).Draw(t, "served") == 0 {
 					request := testFingerprint(rapid.IntRange(0, 3).Draw(t, "served request"))
--- a/quarantine/metrics.go
+++ b/quarantine/metrics.go
@@ -8,6 +8,9 @@
 	probes    *prometheus.CounterVec
 	published prometheus.Counter
 	dropped   prometheus.Counter
+	// partsRefused and trials concern quarantined parts of prompts.
+	partsRefused prometheus.Counter
+	trials       prometheus.Counter
 }
 
 // NewMetrics creates the metrics and registers them.
@@ -26,6 +29,12 @@
 			Name: "finchspoke_quarantine_left_out_total", Help: "Fingerprints dropped because the pending report was full.",
 		}),
 	}
-	registerer.MustRegister(metrics.refused, metrics.probes, metrics.published, metrics.dropped)
+	metrics.partsRefused = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "finchspoke_quarantine_part_refused_total", Help: "Requests refused or not retried because a part of their prompt is quarantined.",
+	})
+	metrics.trials = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "finchspoke_quarantine_trials_total", Help: "Trials of quarantined parts of prompts that this daemon began.",
+	})
+	registerer.MustRegister(metrics.refused, metrics.probes, metrics.published, metrics.dropped, metrics.partsRefused, metrics.trials)
 	return metrics
 }
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -11,6 +11,21 @@
 type Crash struct {
 	Replica  string   `json:"replica"`  // the incarnation
 	Requests [][]byte `json:"requests"` // their fingerprints
+	// Parts holds, for each request, the parts of its prompt if the replica had not begun to answer: for each part
+	// its hash and a byte with its popularity at the daemon. Earlier versions do not write it.
+	Parts [][]byte `json:"parts,omitempty"`
+}
+
+// Clearance names crashes that a part of prompts did not cause, since an answer to a prompt with it began later.
+type Clearance struct {
+	Part     []byte   `json:"part"` // its hash
+	Replicas []string `json:"replicas"`
+}
+
+// Trial is a request with a quarantined part that was sent to a replica to find out whether the part still crashes it.
+type Trial struct {
+	Part   []byte `json:"part"`   // its hash
+	Number int    `json:"number"` // of trials so far
 }
 
 // Report holds the observations of one daemon within a short time. It is stored as a record of the
@@ -19,7 +34,36 @@
 	Crashes []Crash `json:"ends,omitempty"`
 	// Served holds the fingerprints of requests that a replica served completely, which clears them
 	// of the crashes reported before.
-	Served [][]byte `json:"served,omitempty"`
+	Served  [][]byte    `json:"served,omitempty"`
+	Cleared []Clearance `json:"cleared,omitempty"`
+	Trial   *Trial      `json:"trial,omitempty"`
+}
+
+// reportedPart is a part of a request's prompt in a report.
+type reportedPart struct {
+	hash       PartHash
+	popularity uint8
+}
+
+const reportedPartBytes = partHashBytes + 1
+
+// partsOf returns the parts of a crash's request, in order.
+func (c Crash) partsOf(index int) (parts []reportedPart) {
+	if index >= len(c.Parts) {
+		return nil
+	}
+	for data := c.Parts[index]; len(data) >= reportedPartBytes; data = data[reportedPartBytes:] {
+		parts = append(parts, reportedPart{PartHash(data[:partHashBytes]), data[partHashBytes]})
+	}
+	return parts
+}
+
+func encodeParts(parts []reportedPart) []byte {
+	data := make([]byte, 0, len(parts)*reportedPartBytes)
+	for _, part := range parts {
+		data = append(append(data, part.hash[:]...), part.popularity)
+	}
+	return data
 }
 
 // ParseReport decodes a report that Encode wrote.
@@ -37,7 +81,31 @@
 			return Report{}, errors.Errorf("fingerprint has %d bytes, want %d", len(fingerprint), FingerprintBytes)
 		}
 	}
-	return report, nil
+	return report, report.checkParts()
+}
+
+// checkParts checks what the report says of parts of prompts.
+func (r Report) checkParts() error {
+	var hashes [][]byte
+	for _, clearance := range r.Cleared {
+		hashes = append(hashes, clearance.Part)
+	}
+	if r.Trial != nil {
+		hashes = append(hashes, r.Trial.Part)
+	}
+	for _, hash := range hashes {
+		if len(hash) != partHashBytes {
+			return errors.Errorf("hash of a prompt's part has %d bytes, want %d", len(hash), partHashBytes)
+		}
+	}
+	for _, crash := range r.Crashes {
+		for _, parts := range crash.Parts {
+			if len(parts)%reportedPartBytes != 0 {
+				return errors.Errorf("parts of a prompt have %d bytes, want a multiple of %d", len(parts), reportedPartBytes)
+			}
+		}
+	}
+	return nil
 }
 
 // Encode returns the report as the JSON value of its record.
@@ -54,24 +122,65 @@
 	return fingerprintCount
 }
 
-// addCrash adds a request to the crash of a replica, once.
-func (r *Report) addCrash(replica string, request Fingerprint) {
+// partCount returns the number of hashes of parts in the report.
+func (r Report) partCount() int {
+	partCount := 0
+	for _, crash := range r.Crashes {
+		for _, parts := range crash.Parts {
+			partCount += len(parts) / reportedPartBytes
+		}
+	}
+	for _, clearance := range r.Cleared {
+		partCount += len(clearance.Replicas)
+	}
+	return partCount
+}
+
+// addCrash adds a request to the crash of a replica, once. parts are those of its prompt if the replica had not begun
+// to answer it.
+func (r *Report) addCrash(replica string, request Fingerprint, parts []reportedPart) {
 	index := slices.IndexFunc(r.Crashes, func(crash Crash) bool { return crash.Replica == replica })
 	if index < 0 {
 		index = len(r.Crashes)
 		r.Crashes = append(r.Crashes, Crash{Replica: replica})
 	}
-	if containsFingerprint(r.Crashes[index].Requests, request) {
+	crash := &r.Crashes[index]
+	if containsFingerprint(crash.Requests, request) {
 		return
 	}
-	r.Crashes[index].Requests = append(r.Crashes[index].Requests, request[:])
+	crash.Requests = append(crash.Requests, request[:])
+	crash.Parts = append(crash.Parts, encodeParts(parts))
 }
 
-// clone returns a copy that later calls of addCrash do not change.
+// addClearance adds a crash that a part did not cause.
+func (r *Report) addClearance(part PartHash, replica string) {
+	index := slices.IndexFunc(r.Cleared, func(clearance Clearance) bool { return PartHash(clearance.Part) == part })
+	if index < 0 {
+		index = len(r.Cleared)
+		r.Cleared = append(r.Cleared, Clearance{Part: part[:]})
+	}
+	r.Cleared[index].Replicas = append(r.Cleared[index].Replicas, replica)
+}
+
+// replicas returns the replicas whose crashes the report names, with repetitions.
+func (r Report) replicas() (replicas []string) {
+	for _, crash := range r.Crashes {
+		replicas = append(replicas, crash.Replica)
+	}
+	for _, clearance := range r.Cleared {
+		replicas = append(replicas, clearance.Replicas...)
+	}
+	return replicas
+}
+
+// clone returns a copy that later additions do not change.
 func (r Report) clone() Report {
-	copied := Report{Served: slices.Clone(r.Served)}
+	copied := Report{Served: slices.Clone(r.Served), Trial: r.Trial}
 	for _, crash := range r.Crashes {
-		copied.Crashes = append(copied.Crashes, Crash{Replica: crash.Replica, Requests: slices.Clone(crash.Requests)})
+		copied.Crashes = append(copied.Crashes, Crash{Replica: crash.Replica, Requests: slices.Clone(crash.Requests), Parts: slices.Clone(crash.Parts)})
+	}
+	for _, clearance := range r.Cleared {
+		copied.Cleared = append(copied.Cleared, Clearance{Part: clearance.Part, Replicas: slices.Clone(clearance.Replicas)})
 	}
 	return copied
 }
