Quarantine: a request whose response is not valid is a suspect of its replica's crash

A replica that crashes within a response which is not valid (without a signature, or of a status that no replica sends) was reported by all requests that it had, except by the one that caused it: the outcome counted as a failed response, not as a broken connection. The cause then never reached three crashes; the parts of the prompts beside it did.

Such a dispatch is now recorded as abandoned: it is charged with a crash of its replica within a second, reported by anyone or found by the probe that follows. TestQuarantineReceivesDispatchOutcomes ("invalid response") failed before.

--- a/core/quarantine.go
+++ b/core/quarantine.go
@@ -133,7 +133,9 @@
 	case outcome.result == Answered && outcome.status < http.StatusMultipleChoices:
 		c.Quarantine.Served(state.Fingerprint)
 	case outcome.result != Lost && outcome.result != Broken:
-	case attemptCtx.Err() != nil || outcome.health == fleet.Answered: // ended by the caller or by this daemon
+	case attemptCtx.Err() != nil || outcome.health == fleet.Answered || outcome.health == fleet.Failed:
+		// Ended by the caller or by this daemon, or after a response that is not valid. No connection broke, but the
+		// replica may crash, or may have crashed within that response.
 		c.Quarantine.Abandoned(pick.Incarnation, pick.Address, suspect)
 	case outcome.health == fleet.Unreachable:
 		c.Quarantine.ConnectionBroken(attemptCtx, pick.Incarnation, pick.Address, suspect)
--- a/core/quarantine_test.go
+++ b/core/quarantine_test.go
@@ -105,6 +105,7 @@
 		"wrong replica":       {replyAs(WrongReplica), 0, 1, 0},
 		"error response":      {reply(http.StatusInternalServerError, "no", false), 0, 1, 0},
 		"no response in time": {neverReplies, 0, 1, 1},
+		"invalid response":    {replyAs(InvalidResponse), 0, 1, 1},
 	} {
 		s := newSetup(t, routing.Repeatable, 2, test.script, complete)
 		fake := &fakeQuarantine{allowed: 2}
