Quarantine: expired reports are deleted in transactions that the key-value service allows

TestManyExpiredRecordsAreDeletedInSeveralTransactions failed before, with a store that refuses such transactions.

--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
@@ -79,6 +80,9 @@
 	if failed == kv.ErrUnavailable {
 		return kv.TxnResult{}, failed
 	}
+	if entries := len(txn.Conditions) + len(txn.Puts) + len(txn.Deletes); entries > maxTxnEntries {
+		return kv.TxnResult{}, errTooManyEntries
+	}
 	for _, condition := range txn.Conditions {
 		if s.revisions[condition.Key] != condition.ModRevision {
 			return kv.TxnResult{}, nil
@@ -101,6 +105,11 @@
 	return kv.TxnResult{Succeeded: true, Revision: s.revision}, failed
 }
 
+// maxTxnEntries is how many entries one transaction of the platform's service may have.
+const maxTxnEntries = 32
+
+var errTooManyEntries = errors.New("transaction has too many entries")
+
 // snapshot returns the records and the number of transactions that deleted any.
 func (s *fakeStore) snapshot() (records map[string][]byte, deletes int) {
 	s.mutex.Lock()
@@ -294,6 +303,21 @@
 	})
 }
 
+// Guards against a transaction that deletes more records than the key-value service allows, and so deletes none.
+func TestManyExpiredRecordsAreDeletedInSeveralTransactions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const records = 3*maxTxnEntries + 1
+		store, guards := startGuards(t, 1, crashedProber{})
+		for number := range records {
+			guards[0].ConnectionBroken(t.Context(), fleet.Incarnation{ID: fmt.Sprintf("r%d", number)}, "address", testSuspect(number))
+			time.Sleep(2 * gatherDelay)
+		}
+		require.Equal(t, records, store.recordCount())
+		time.Sleep(suspectTTL + 2*sweepInterval)
+		require.Zero(t, store.recordCount())
+	})
+}
+
 func TestExpiredRecordsAreIgnoredWithoutLeader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, guards := startGuards(t, 1, &fakeProber{results: map[string]Liveness{"r0": NotRunning}})
--- a/quarantine/publish.go
+++ b/quarantine/publish.go
@@ -22,7 +22,7 @@
 	minRetryDelay    = 200 * time.Millisecond
 	maxRetryDelay    = time.Second
 	sweepInterval    = 10 * time.Second // between removals of expired reports
-	maxDeletesPerTxn = 64
+	maxDeletesPerTxn = 32               // entries that the key-value service allows in one transaction
 )
 
 // Serve publishes pending reports, rewrites lost ones and removes expired ones until ctx ends. It
