Quarantine: two parts that crash replicas do not free each other

Where two parts crash replicas and requests with both are often at the same one, each is at the crashes of the other. The part that explains most crashes was quarantined and took the shared ones away from the other; after the other's next crash it was the other way round, so that they freed each other in turn.

A trial is begun only for a call that is still waited for.

--- a/core/constraint.go
+++ b/core/constraint.go
@@ -57,14 +57,16 @@
 // checkTrial returns the chosen replica, or the failure of a call that needed a trial to be dispatched and got none, or
 // that ended while it waited.
 func (c *Core) checkTrial(ctx context.Context, state *callState, pick *fleet.Pick, needsTrial bool) (*fleet.Pick, *failure.Error) {
-	if needsTrial {
-		if failed := c.beginTrial(ctx, state); failed != nil {
-			pick.Cancel()
-			state.returnPermit()
-			return nil, failed
-		}
+	pick, failed := c.checkCallActive(ctx, state, pick)
+	if failed != nil || !needsTrial {
+		return pick, failed
+	}
+	if failed := c.beginTrial(ctx, state); failed != nil {
+		pick.Cancel()
+		state.returnPermit()
+		return nil, failed
 	}
-	return c.checkCallActive(ctx, state, pick)
+	return pick, nil
 }
 
 // waitConstraint describes why no replica can take a call now.
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -20,7 +20,8 @@
 	reports    map[string]bool // keys of the records that name the crash
 	requests   map[Fingerprint]bool
 	parts      map[PartHash]partTrace
-	cleared    map[PartHash]bool // whether a report clears the part; false: only this daemon knows
+	prompts    map[Fingerprint][]reportedPart // by request, if it has parts
+	cleared    map[PartHash]bool              // whether a report clears the part; false: only this daemon knows
 	observedAt time.Time
 }
 
@@ -38,7 +39,7 @@
 func (e *evidence) crash(replica, key string, now time.Time) *crashEvidence {
 	crash := e.crashes[replica]
 	if crash == nil {
-		crash = &crashEvidence{reports: map[string]bool{}, requests: map[Fingerprint]bool{}, parts: map[PartHash]partTrace{}, cleared: map[PartHash]bool{}, observedAt: now}
+		crash = &crashEvidence{reports: map[string]bool{}, requests: map[Fingerprint]bool{}, parts: map[PartHash]partTrace{}, prompts: map[Fingerprint][]reportedPart{}, cleared: map[PartHash]bool{}, observedAt: now}
 		e.crashes[replica] = crash
 	}
 	crash.reports[key] = true
@@ -51,7 +52,11 @@
 		crash := e.crash(reported.Replica, key, now)
 		for index, request := range reported.Requests {
 			crash.requests[Fingerprint(request)] = true
-			for position, part := range reported.partsOf(index) {
+			parts := reported.partsOf(index)
+			if len(parts) > 0 {
+				crash.prompts[Fingerprint(request)] = parts
+			}
+			for position, part := range parts {
 				e.addPart(reported.Replica, crash, part, position)
 			}
 		}
@@ -116,6 +121,34 @@
 	latest   time.Time // when the last of the crashes was observed
 }
 
+// remainsSuspect reports whether a part is still to be quarantined although other parts explain its crashes better: it
+// was at enough of them in prompts of its own. Two parts that crash replicas are often at the same crashes, and each
+// would else be freed by the other's.
+func (e *evidence) remainsSuspect(part PartHash, quarantined map[PartHash]culprit) bool {
+	apart := 0
+	for replica := range e.uncleared[part] {
+		if !e.crashes[replica].inPromptWith(part, quarantined) {
+			apart++
+		}
+	}
+	return apart >= CrashThreshold
+}
+
+// inPromptWith reports whether a part was at the crash in a prompt with a quarantined one.
+func (c *crashEvidence) inPromptWith(part PartHash, quarantined map[PartHash]culprit) bool {
+	for _, prompt := range c.prompts {
+		hasPart, hasQuarantined := false, false
+		for _, other := range prompt {
+			_, isQuarantined := quarantined[other.hash]
+			hasPart, hasQuarantined = hasPart || other.hash == part, hasQuarantined || isQuarantined
+		}
+		if hasPart && hasQuarantined {
+			return true
+		}
+	}
+	return false
+}
+
 // candidate is a part of prompts, or a whole request, that may explain crashes.
 type candidate struct {
 	part       PartHash
--- a/quarantine/guardparts.go
+++ b/quarantine/guardparts.go
@@ -180,7 +180,7 @@
 		changed = g.updateSuspectPart(part, quarantined[part], true) || changed
 	}
 	maps.DeleteFunc(g.suspectParts, func(part PartHash, state *suspectPart) bool {
-		if _, isQuarantined := quarantined[part]; isQuarantined {
+		if _, isQuarantined := quarantined[part]; isQuarantined || state.isQuarantined() && g.ledger.evidence.remainsSuspect(part, quarantined) {
 			return false
 		}
 		if _, isHeld := held[part]; isHeld && !state.isQuarantined() {
--- a/quarantine/parts_model_test.go
+++ b/quarantine/parts_model_test.go
@@ -399,6 +399,8 @@
 		"few replicas, two parts":             {crashing: [][]string{{shared, "bad"}, {shared, "worse"}}, bad: []string{"bad", "worse"}, daemons: 3, replicaCount: 4, soundRate: 75, crashRate: 10, restart: 500 * time.Millisecond},
 		"two parts at the same moment": {crashing: [][]string{{shared, "bad"}, {shared, "worse"}}, bad: []string{"bad", "worse"}, daemons: 3, replicaCount: 2, soundRate: 75,
 			lockstep: 300 * time.Millisecond, firstEvent: 100 * time.Millisecond, restart: 500 * time.Millisecond},
+		"two parts at the same replica": {crashing: [][]string{{shared, "bad"}, {shared, "worse"}}, bad: []string{"bad", "worse"}, daemons: 3, replicaCount: 1, soundRate: 75,
+			lockstep: 1500 * time.Millisecond, firstEvent: 100 * time.Millisecond, restart: 500 * time.Millisecond},
 		"one daemon":     {crashing: second, bad: []string{"bad"}, daemons: 1},
 		"thirty daemons": {crashing: second, bad: []string{"bad"}, daemons: 30, replicaCount: 60, soundRate: 150, crashRate: 10},
 	} {
