--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -113,8 +113,10 @@
 		held := guards[0].Check(promptOf(100, "shared"))
 		require.Nil(t, held.Refused)
 		require.Equal(t, holdTime, time.Until(held.HoldUntil))
+		heldAt := time.Now()
 		time.AfterFunc(holdTime/2, func() { guards[0].Begun(HashParts("press", []string{"shared"})) })
 		<-held.Changed
+		require.Equal(t, holdTime/2, time.Since(heldAt), "cleared before other daemons are told")
 		require.Zero(t, guards[0].Check(promptOf(100, "shared")))
 	})
 }
