--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -220,6 +220,29 @@
 	})
 }
 
+// Guards against two parts that crash replicas and are at the same crashes, each of which frees the other in turn.
+func TestTwoPartsThatCrashReplicasDoNotFreeEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, guards := startPartGuards(t, 1)
+		for number := range CrashThreshold {
+			crashUnder(t, guards[0], fmt.Sprintf("r%d", number), promptOf(number, "shared", "bad"), promptOf(50+number, "shared", "worse"))
+		}
+		time.Sleep(afterHold)
+		first, second := "bad", "worse"
+		if guards[0].Check(promptOf(100, "shared", first)).Refused == nil {
+			first, second = second, first
+		}
+		require.NotNil(t, guards[0].Check(promptOf(101, "shared", first)).Refused)
+		for number := range CrashThreshold {
+			crashUnder(t, guards[0], fmt.Sprintf("s%d", number), promptOf(200+number, "shared", second))
+			time.Sleep(afterHold)
+			require.NotNil(t, guards[0].Check(promptOf(102, "shared", first)).Refused, "freed by the other's crash")
+		}
+		require.NotNil(t, guards[0].Check(promptOf(103, "shared", second)).Refused)
+		require.Zero(t, guards[0].Check(promptOf(104, "shared")))
+	})
+}
+
 func TestQuarantinedPartsSurviveStoreRestoreAndRestart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, guards := startPartGuards(t, 2)
