Loader tests: an order in flight is not removed by a report of the round before

Traced: the first round requests reports in the background; one that ended after the test had entered its order in flight removed that entry ("in flight map[]", no earlier state of r2), which no round does to an order of its own, since a replica has one call at a time.

The test now waits for reports before it goes on, and the restart comes before the round.

--- a/loader/handover_test.go
+++ b/loader/handover_test.go
@@ -160,6 +160,7 @@
 		go func() { _ = campaign.Serve(t.Context()) }()
 		time.Sleep(lease / 2)
 		leader.runRound(t.Context(), time.Now())
+		synctest.Wait() // the reports that the round requested have ended, and with them their calls in flight
 		first := leader.fence
 		require.NotZero(t, first)
 		adapter := func(replica string) loading.Order {
@@ -173,10 +174,12 @@
 
 		store.revision.Store(kv.MakeRevision(1, 1))
 		campaign.Observe(kv.Event{Pair: kv.Pair{Key: "term", ModRevision: kv.MakeRevision(1, 1)}, Deleted: true, AfterRestore: true})
-		leader.runRound(t.Context(), time.Now())
 		directory.Put(fleet.Entry{ID: "r3", Born: 2, Service: "press", Address: "b:1"}, time.Now()) // has restarted
+		// The campaign takes the term up again in the background: this round ends the term, or begins the next one at once.
+		leader.runRound(t.Context(), time.Now())
 		synctest.Wait()
 		leader.runRound(t.Context(), time.Now())
+		synctest.Wait()
 		require.Greater(t, leader.fence, first)
 		require.True(t, campaign.Reclaimed())
 		require.Len(t, leader.states["r1"].Pending, 1)
