--- a/quarantine/parts_model_test.go
+++ b/quarantine/parts_model_test.go
@@ -121,19 +121,7 @@
 		m.result[part] = &partCost{}
 	}
 	m.started = time.Now()
-	m.store = &delayedStore{fakeStore: fakeStore{records: map[string][]byte{}, revisions: map[string]int64{}}, delay: m.propagation}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	for range m.daemons {
-		guard := &Guard{Prefix: "ends/", Store: m.store, Prober: &fakeProber{results: map[string]Liveness{}}, IsDraining: func(string) bool { return false },
-			BackoffUntil: func(string) time.Time { return time.Time{} }, Leading: func() bool { return false }, DaemonCount: func() int { return m.daemons }, Draw: func(bound time.Duration) time.Duration { return time.Duration(m.random.Int64N(int64(bound))) },
-			Now: time.Now, Metrics: NewMetrics(prometheus.NewRegistry()), Log: log}
-		guard.Prober = crashedProber{}
-		guard.Prepare()
-		m.guards = append(m.guards, guard)
-		go func() { _ = guard.Serve(m.t.Context()) }()
-	}
-	m.store.guards = m.guards
+	m.startGuards()
 	for range m.replicaCount {
 		m.replicas = append(m.replicas, &modelReplica{upAt: m.started})
 	}
@@ -170,6 +158,30 @@
 	}
 }
 
+// draw returns a random duration below a bound; the middle if the model is not random.
+func (m *partModel) draw(bound time.Duration) time.Duration {
+	if m.random == nil {
+		return bound / 2
+	}
+	return time.Duration(m.random.Int64N(int64(bound)))
+}
+
+// startGuards starts the guards of all daemons on one store.
+func (m *partModel) startGuards() {
+	m.store = &delayedStore{fakeStore: fakeStore{records: map[string][]byte{}, revisions: map[string]int64{}}, delay: m.propagation}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for range m.daemons {
+		guard := &Guard{Prefix: "ends/", Store: m.store, Prober: crashedProber{}, IsDraining: func(string) bool { return false },
+			BackoffUntil: func(string) time.Time { return time.Time{} }, Leading: func() bool { return false }, DaemonCount: func() int { return m.daemons }, Draw: m.draw,
+			Now: time.Now, Metrics: NewMetrics(prometheus.NewRegistry()), Log: log}
+		guard.Prepare()
+		m.guards = append(m.guards, guard)
+		go func() { _ = guard.Serve(m.t.Context()) }()
+	}
+	m.store.guards = m.guards
+}
+
 func (s *delayedStore) setDown(down bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -154,6 +154,31 @@
 	})
 }
 
+// Guards against a trial by each daemon that has not heard yet of another's.
+func TestDaemonsThatTryAPartAtOnceBeginOneTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &partModel{t: t, daemons: 3, propagation: 200 * time.Millisecond}
+		m.startGuards()
+		for number := range CrashThreshold {
+			crashUnder(t, m.guards[0], fmt.Sprintf("r%d", number), promptOf(number, "bad"))
+		}
+		time.Sleep(trialDelays[0] + 2*m.propagation)
+		began := 0
+		for number, guard := range m.guards {
+			require.True(t, guard.Check(promptOf(10+number, "bad")).TrialDue)
+			if guard.BeginTrial(t.Context(), promptOf(10+number, "bad")) {
+				began++
+			}
+		}
+		require.Equal(t, 1, began)
+	})
+}
+
+func TestPartsOfDifferentServicesDiffer(t *testing.T) {
+	require.NotEqual(t, HashParts("press", []string{"a"}), HashParts("prose", []string{"a"}))
+	require.NotEqual(t, hashPart("press", "a"), hashPart("pres", "sa"))
+}
+
 // A part that still crashes replicas in its trials stays quarantined at one crash in quarantineTTL.
 func TestAPartThatFailsItsTrialsStaysQuarantined(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
