--- a/quarantine/parts_model_test.go
+++ b/quarantine/parts_model_test.go
@@ -66,7 +66,6 @@
 	begun      bool
 	dispatches int
 	onTrial    bool
-	needsTrial bool
 }
 
 // partCost counts what one bad part did.
