Streams go on only at a replica whose version the registry confirms

Callers got streams of two software versions: a replica had changed its version (or started again under its id) up to half a second before, and daemons read changes of records in batches 0.4 s apart.

A stream that goes on is now sent to its replica only after the entry was read from the key-value service.

--- a/core/core.go
+++ b/core/core.go
@@ -30,6 +30,8 @@
 	Quarantine Quarantine
 	// Origins tells which software version began a stream that a caller resumes; nil allows any.
 	Origins Origins
+	// Registry confirms the software versions of replicas before streams go on there; nil: the known versions count.
+	Registry Registry
 	// Permits grants permits for rate-limited replicas; nil ignores their limits.
 	Permits ReplicaPermitter
 	// Balancer asks the leader for replicas; nil: this daemon always chooses itself.
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -71,6 +71,9 @@
 }
 
 func (c *Core) exchange(ctx context.Context, state *callState, pick *fleet.Pick) dispatchOutcome {
+	if err := c.confirmVersion(ctx, state, pick); err != nil {
+		return dispatchOutcome{result: NotWritten, cause: err, health: fleet.Unsent}
+	}
 	reply, err := c.Driver.Send(ctx, Dispatch{
 		Call: state.Call, ReplicaID: pick.ID, Address: pick.Address, Remaining: time.Until(state.Deadline), ResumeAfter: state.lastEventID, Permit: state.permit,
 		TransferFrom: c.transferSource(state), Admit: c.admitDispatch(state, pick),
--- a/core/metrics.go
+++ b/core/metrics.go
@@ -24,6 +24,7 @@
 	streamEnds      *prometheus.CounterVec
 	bodyEnds        *prometheus.CounterVec
 	delays          prometheus.Histogram
+	versionChecks   *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them.
@@ -71,7 +72,10 @@
 	metrics.bodyEnds = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "finchspoke_core_body_ends_total", Help: "Bodies, other than streams, that replicas ended without an error, by framing of the response.",
 	}, []string{"framing"})
-	registerer.MustRegister(metrics.streamEnds, metrics.bodyEnds, metrics.choices, metrics.delays, metrics.tenantRequests, metrics.tenantUsage, metrics.overrun, metrics.ended, metrics.timeToFirstByte, metrics.waitTime, metrics.dispatches, metrics.retries, metrics.duration)
+	metrics.versionChecks = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "finchspoke_core_version_checks_total", Help: "Checks of a replica's software version in the registry before a stream goes on there, by outcome.",
+	}, []string{"outcome"})
+	registerer.MustRegister(metrics.versionChecks, metrics.streamEnds, metrics.bodyEnds, metrics.choices, metrics.delays, metrics.tenantRequests, metrics.tenantUsage, metrics.overrun, metrics.ended, metrics.timeToFirstByte, metrics.waitTime, metrics.dispatches, metrics.retries, metrics.duration)
 	return metrics
 }
 
--- a/core/origin.go
+++ b/core/origin.go
@@ -17,6 +17,20 @@
 	Resolve(ctx context.Context, query origin.Query) origin.Resolution
 }
 
+// Registry tells what the registry of replicas states now, as opposed to what this daemon has learned of it so far.
+type Registry interface {
+	// VersionOf returns the software version of a replica. known is false if the registry could not be read, or does not
+	// list the replica. It blocks for a short, bounded time.
+	VersionOf(ctx context.Context, replica string) (version string, known bool)
+}
+
+// Outcomes of a check of a replica's software version, used in metrics.
+const (
+	versionConfirmed = "confirmed"
+	versionChanged   = "changed"
+	versionUnknown   = "unknown"
+)
+
 // resolveOrigin restricts a stream that its caller resumes to the software version that began it. If that version is
 // not known, it returns why the stream cannot go on.
 func (c *Core) resolveOrigin(ctx context.Context, state *callState) *failure.Error {
@@ -61,3 +75,23 @@
 	}
 	return func() error { return c.Fleet.AdmitVersion(pick.ID, pick.Version) }
 }
+
+// confirmVersion returns fleet.ErrOtherVersion if a stream that goes on must not be sent to its replica, because the
+// registry states another software version than this daemon knows. Daemons learn of changes with a delay. If the registry
+// cannot be read, the known version counts: streams go on during an outage of the key-value service.
+func (c *Core) confirmVersion(ctx context.Context, state *callState, pick *fleet.Pick) error {
+	if c.Registry == nil || state.requiredVersion == nil {
+		return nil
+	}
+	version, known := c.Registry.VersionOf(ctx, pick.ID)
+	switch {
+	case !known:
+		c.Metrics.versionChecks.WithLabelValues(versionUnknown).Inc()
+	case version != *state.requiredVersion:
+		c.Metrics.versionChecks.WithLabelValues(versionChanged).Inc()
+		return fleet.ErrOtherVersion
+	default:
+		c.Metrics.versionChecks.WithLabelValues(versionConfirmed).Inc()
+	}
+	return nil
+}
--- a/core/origin_test.go
+++ b/core/origin_test.go
@@ -132,3 +132,55 @@
 	require.Nil(t, failed)
 	require.Nil(t, s.driver.dispatches[0].Admit, "no version matters to other requests")
 }
+
+// fakeRegistry states versions of replicas by id; it does not know others.
+type fakeRegistry map[string]string
+
+func (f fakeRegistry) VersionOf(_ context.Context, replica string) (version string, known bool) {
+	version, known = f[replica]
+	return version, known
+}
+
+// Guards against a resumed stream that goes on at a replica whose new software version this daemon has not learned, or
+// that is refused because the registry cannot be read.
+func TestResumedStreamGoesOnWhereTheRegistryStatesItsVersion(t *testing.T) {
+	for name, test := range map[string]struct {
+		registry fakeRegistry
+		replica  string // where the stream goes on; empty: nowhere
+	}{
+		"first replica changed":  {fakeRegistry{"r1": "new", "r2": "old"}, "r2"},
+		"second replica changed": {fakeRegistry{"r1": "old", "r2": "new"}, "r1"},
+		"both changed":           {fakeRegistry{"r1": "new", "r2": "newer"}, ""},
+		"one not listed":         {fakeRegistry{"r1": "new"}, "r2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newResumption(t, &fakeOrigins{resolution: origin.Resolution{Known: true, Version: "old"}})
+			s.putVersion("r2", "old")
+			s.core.Registry = test.registry
+			failed, _ := s.serve(t)
+			if test.replica == "" {
+				require.Equal(t, failure.NotRun, failed.Execution)
+				require.Empty(t, s.driver.dispatches)
+				return
+			}
+			require.Nil(t, failed)
+			require.Len(t, s.driver.dispatches, 1)
+			require.Equal(t, test.replica, s.driver.dispatches[0].ReplicaID)
+		})
+	}
+	s := newResumption(t, &fakeOrigins{resolution: origin.Resolution{Known: true, Version: "old"}})
+	s.core.Registry = fakeRegistry{}
+	failed, _ := s.serve(t)
+	require.Nil(t, failed)
+	require.Equal(t, "r1", s.driver.dispatches[0].ReplicaID)
+}
+
+// Guards against a read of the registry for each new stream.
+func TestNewStreamsDoNotReadTheRegistry(t *testing.T) {
+	s := newResumption(t, &fakeOrigins{})
+	s.core.Registry = fakeRegistry{"r1": "newer", "r2": "newer"}
+	s.call.ResumeAfter, s.call.ResumedAttempt = "", ""
+	failed, _ := s.serve(t)
+	require.Nil(t, failed)
+	require.Len(t, s.driver.dispatches, 1)
+}
--- a/logging/messages.go
+++ b/logging/messages.go
@@ -47,6 +47,7 @@
 	MessageKeepersChanged            = "keepers of stream origins changed"
 	MessageOriginConflict            = "stream origin not kept"
 	MessageOriginsNotStored          = "stream origins not stored"
+	MessageVersionNotRead            = "software version of a replica not read"
 	MessageOriginQueryFailed         = "peer not asked for a stream's origin"
 )
 
--- a/node/origins.go
+++ b/node/origins.go
@@ -22,7 +22,7 @@
 		}
 		n.mirror.Handle(n.config.VersionsKey, n.versionRecord.Observe)
 	}
-	requestCore.Origins = n.origins
+	requestCore.Origins, requestCore.Registry = n.origins, newVersionReader(n, adapters)
 	n.leader.KnownKeepers = n.origins.Keepers
 	n.follower.SetKeepers, n.follower.OriginProcess = n.origins.SetKeepers, n.origins.Process()
 }
--- a/node/versions.go
+++ b/node/versions.go
@@ -54,6 +54,11 @@
 	if n.fleet.Limited() {
 		return n.replicas.client.Connected()
 	}
+	return n.storeAnswers()
+}
+
+// storeAnswers reports whether the key-value service has answered this daemon, or the one that forwards its records, lately.
+func (n *Node) storeAnswers() bool {
 	age, known := n.mirror.ContactAge()
 	return known && age <= maxRecordAge
 }
