Origins of streams are told to two keepers while one version is known

Every origin is now told to two keepers, the first by the attempt and the first other one by the request; to five, as before, while several versions are known.

--- a/origin/owners.go
+++ b/origin/owners.go
@@ -13,6 +13,9 @@
 	// ownersByRequest is how many are told it since they own its request, for callers that do not name the
 	// attempt.
 	ownersByRequest = 2
+	// ownersOfOneVersion is how many are told it while one version of the service is known: the first that owns the attempt
+	// and the first other one that owns the request.
+	ownersOfOneVersion = 2
 )
 
 // keeperList is an immutable list of keepers.
@@ -32,10 +35,16 @@
 	return list
 }
 
-// owners returns the keepers that are told an origin by a daemon, without that daemon.
-func (l keeperList) owners(origin Origin, daemon string) []string {
-	owners := ranked(l.ids, origin.Attempt, ownersByAttempt, daemon)
-	return appendMissing(owners, ranked(l.ids, requestHashKey(origin.Fingerprint), ownersByRequest, daemon))
+// owners returns the keepers that are told an origin by a daemon, without that daemon. While one version of the service
+// is known they are fewer: the origin only matters if a further version appears after the daemon has ended.
+func (l keeperList) owners(origin Origin, daemon string, severalVersions bool) []string {
+	byAttempt := ranked(l.ids, origin.Attempt, ownersByAttempt, daemon)
+	byRequest := ranked(l.ids, requestHashKey(origin.Fingerprint), ownersByRequest, daemon)
+	if severalVersions {
+		return appendMissing(byAttempt, byRequest)
+	}
+	owners := appendMissing(slices.Clone(byAttempt[:min(1, len(byAttempt))]), byRequest)
+	return owners[:min(ownersOfOneVersion, len(owners))]
 }
 
 // maxKeepersAsked is the number of keepers up to which all are asked for an origin. Each also tells which software
--- a/origin/publisher.go
+++ b/origin/publisher.go
@@ -27,20 +27,20 @@
 	maxQueued = maxOwn
 )
 
-// publisher tells keepers the origins of this daemon's streams, of those services of which several versions are
-// known.
+// publisher tells keepers the origins of this daemon's streams, and more keepers those of services of which several
+// versions are known.
 type publisher struct {
 	client *Client
 	wake   chan struct{}
 
-	mutex    sync.Mutex
-	services map[string]bool // whose origins are told
-	list     keeperList      // to which links exist
-	links    map[string]*link
+	mutex   sync.Mutex
+	several map[string]bool // services of which several versions are known
+	list    keeperList      // to which links exist
+	links   map[string]*link
 }
 
 func newPublisher(client *Client) publisher {
-	return publisher{client: client, wake: make(chan struct{}, 1), services: map[string]bool{}, links: map[string]*link{}}
+	return publisher{client: client, wake: make(chan struct{}, 1), several: map[string]bool{}, links: map[string]*link{}}
 }
 
 func (p *publisher) wakeUp() {
@@ -50,20 +50,17 @@
 	}
 }
 
-// publish queues an origin for its owners if several versions of its service are known.
+// publish queues an origin for its owners.
 func (p *publisher) publish(origin dated) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if !p.services[origin.Service] {
-		return
-	}
-	for _, id := range p.list.owners(origin.Origin, p.client.Daemon) {
+	for _, id := range p.list.owners(origin.Origin, p.client.Daemon, p.several[origin.Service]) {
 		p.links[id].enqueue(origin)
 	}
 }
 
-// refresh applies the current keepers, and begins or ends to tell the origins of services. The links of new
-// keepers serve with start until their keeper is no longer listed.
+// refresh applies the current keepers, and which services have several versions. The links of new keepers serve with
+// start until their keeper is no longer listed.
 func (p *publisher) refresh(start func(*link)) {
 	c := p.client
 	current := c.keeperList()
@@ -73,18 +70,14 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	earlier, earlierServices := p.list, p.services
-	p.services = several
+	earlier, earlierSeveral := p.list, p.several
+	p.several = several
 	restarted := p.updateLinks(current, start)
 	keepersChanged := len(restarted) > 0 || !slices.Equal(earlier.ids, current.ids)
-	begun := func(service string) bool { return several[service] && !earlierServices[service] }
-	due := func(service string) bool { return begun(service) || several[service] && keepersChanged }
+	due := func(service string) bool { return keepersChanged || several[service] && !earlierSeveral[service] }
 	for _, origin := range c.own.ofServices(due, c.Now()) {
-		var told []string
-		if !begun(origin.Service) {
-			told = earlier.owners(origin.Origin, c.Daemon)
-		}
-		for _, id := range current.owners(origin.Origin, c.Daemon) {
+		told := earlier.owners(origin.Origin, c.Daemon, earlierSeveral[origin.Service])
+		for _, id := range current.owners(origin.Origin, c.Daemon, several[origin.Service]) {
 			if !slices.Contains(told, id) || restarted[id] {
 				p.links[id].enqueue(origin)
 			}
@@ -125,8 +118,8 @@
 	if p.links[keeper] == nil {
 		return
 	}
-	for _, origin := range p.client.own.ofServices(func(service string) bool { return p.services[service] }, p.client.Now()) {
-		if slices.Contains(p.list.owners(origin.Origin, p.client.Daemon), keeper) {
+	for _, origin := range p.client.own.ofServices(func(string) bool { return true }, p.client.Now()) {
+		if slices.Contains(p.list.owners(origin.Origin, p.client.Daemon, p.several[origin.Service]), keeper) {
 			p.links[keeper].enqueue(origin)
 		}
 	}
@@ -164,7 +157,7 @@
 	for _, existing := range p.links {
 		existing.stop()
 	}
-	p.links, p.list, p.services = map[string]*link{}, keeperList{}, map[string]bool{}
+	p.links, p.list, p.several = map[string]*link{}, keeperList{}, map[string]bool{}
 }
 
 // link is the queue of origins for one keeper.
