--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -53,7 +53,10 @@
 		entry.WithField(logging.Outcome, "begun by another daemon").Info(logging.MessagePartTrial)
 		return false
 	}
-	if report, err := ParseReport(txn.Puts[0].Value); err == nil {
+	report, err := ParseReport(txn.Puts[0].Value)
+	if err != nil { // the mirror brings the record once it has been written
+		entry.WithField(logging.Cause, err.Error()).Warn("replica crash report could not be decoded and is ignored")
+	} else {
 		g.ledger.put(txn.Puts[0].Key, report, result.Revision, g.Now())
 	}
 	g.Metrics.trials.Inc()
