Loading: a slow report does not end orders that it cannot show yet

Cause: an accepted order that no report reflects ends 0.6 s after its acceptance, and the leader compared with the time at which a report was applied. A report that takes long shows the replica as it was before. Now the time at which the report was requested counts.

--- a/loader/orders.go
+++ b/loader/orders.go
@@ -188,7 +188,9 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 		defer cancel()
+		requestedAt := time.Now()
 		report, err := l.ReplicaClient.Report(ctx, entry)
+		report.RequestedAt = requestedAt
 		l.applyReport(id, fence, report, err)
 	}()
 }
--- a/loading/state.go
+++ b/loading/state.go
@@ -10,6 +10,8 @@
 
 // Report is a replica's report of its own state, which may lag behind its responses to orders.
 type Report struct {
+	// RequestedAt is when this daemon asked for the report, which may take long to arrive; zero: when it is applied.
+	RequestedAt     time.Time
 	Born            int64 // start time in Unix ms; zero if not given
 	Sequence        int64
 	Busy            bool // a model is being loaded or unloaded
@@ -20,7 +22,8 @@
 }
 
 const (
-	// unconfirmedOrderTTL is how long an accepted order that no report reflects still counts as pending.
+	// unconfirmedOrderTTL is how long after its acceptance a report must be requested to show that an order has ended which
+	// the report does not reflect.
 	unconfirmedOrderTTL = 600 * time.Millisecond
 	// refusalBackoff defers orders after a refusal.
 	refusalBackoff = 150 * time.Millisecond
@@ -169,13 +172,17 @@
 // orderEnded reports whether, according to a report, an order is no longer pending.
 func (r *Replica) orderEnded(order Pending, report Report, now time.Time) bool {
 	done := report.Holdings.Has(order.Target) == (order.Verb == Load)
+	if !report.RequestedAt.IsZero() {
+		now = report.RequestedAt
+	}
+	confirmable := now.Sub(order.Since) > unconfirmedOrderTTL
 	switch {
 	case order.ForModel():
-		return done && !report.Busy || !report.Busy && now.Sub(order.Since) > unconfirmedOrderTTL
+		return !report.Busy && (done || confirmable)
 	case done:
 		return true
 	}
-	return !slices.Contains(report.LoadingAdapters, order.Target) && now.Sub(order.Since) > unconfirmedOrderTTL
+	return !slices.Contains(report.LoadingAdapters, order.Target) && confirmable
 }
 
 // applyOrder changes the holdings as a finished order does.
