--- a/Makefile
+++ b/Makefile
@@ -10,13 +10,15 @@
 	$(GO) run ./cmd/finchlab dev --once
 
 # -count=1: tests with real processes depend on programs that the test cache does not
-# see.
+# see. -parallel: these tests mostly wait.
+TEST_FLAGS ?= -count=1 -parallel 8
+
 test:
-	$(GO) test -count=1 ./...
+	$(GO) test $(TEST_FLAGS) ./...
 
 # The same tests; only those listed in KNOWN-RED.txt may fail, and they are printed.
 test-judged: build
-	$(GO) test -json -count=1 ./... | bin/finchlab judge
+	$(GO) test -json $(TEST_FLAGS) ./... | bin/finchlab judge
 
 build:
 	$(GO) build -o bin/ ./cmd/...
