--- a/node/versionread.go
+++ b/node/versionread.go
@@ -20,6 +20,8 @@
 	// reads, and other calls need most of them.
 	maxVersionReads  = 200
 	versionReadBurst = 8
+	// versionReadPause is how long nothing is read after a read without an answer, so that streams do not wait for one each.
+	versionReadPause = 500 * time.Millisecond
 )
 
 // versionReader reads the software versions of single replicas from the registry. It implements core.Registry.
@@ -33,8 +35,9 @@
 	log         logrus.FieldLogger
 	limiter     *rate.Limiter
 
-	mutex sync.Mutex
-	reads map[string]*versionRead // under way, by replica
+	mutex       sync.Mutex
+	reads       map[string]*versionRead // under way, by replica
+	pausedUntil time.Time
 }
 
 // versionRead is a sequence of reads of one replica's version.
@@ -58,7 +61,7 @@
 // VersionOf implements core.Registry. Queries that come during a read share the next one, so that each gets the version
 // at a time after it came.
 func (r *versionReader) VersionOf(ctx context.Context, replica string) (version string, known bool) {
-	if !r.reachable() {
+	if !r.reachable() || r.isPaused() {
 		return "", false
 	}
 	arrived := time.Now()
@@ -70,10 +73,14 @@
 		return "", false
 	}
 	defer func() { <-read.turn }()
-	if !read.began.After(arrived) {
-		read.began = time.Now()
-		read.version, read.known = r.read(ctx, replica)
+	if read.began.After(arrived) {
+		return read.version, read.known
 	}
+	if r.isPaused() {
+		return "", false
+	}
+	read.began = time.Now()
+	read.version, read.known = r.read(ctx, replica)
 	return read.version, read.known
 }
 
@@ -97,6 +104,19 @@
 	}
 }
 
+// isPaused reports whether a read had no answer a moment ago.
+func (r *versionReader) isPaused() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return time.Now().Before(r.pausedUntil)
+}
+
+func (r *versionReader) pause() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.pausedUntil = time.Now().Add(versionReadPause)
+}
+
 // read reads a replica's entry. Its result serves other queries too, so it does not end with ctx.
 func (r *versionReader) read(ctx context.Context, replica string) (version string, known bool) {
 	r.limiter.SetLimit(maxVersionReads / rate.Limit(max(1, r.daemonCount())))
@@ -108,6 +128,9 @@
 	}
 	pair, found, err := r.store.Get(ctx, r.prefix+replica)
 	if err != nil {
+		if ctx.Err() != nil {
+			r.pause()
+		}
 		r.logNotRead(replica, err)
 		return "", false
 	}
--- a/node/versionread_test.go
+++ b/node/versionread_test.go
@@ -109,6 +109,21 @@
 		require.Equal(t, logging.MessageVersionNotRead, hook.LastEntry().Message)
 
 		reads := store.reads
+		startedAt = time.Now()
+		for range 40 {
+			_, known = reader.VersionOf(t.Context(), "r2")
+			require.False(t, known)
+		}
+		require.Zero(t, time.Since(startedAt), "streams do not wait again at once")
+		require.Equal(t, reads, store.reads)
+		store.hangs = false
+		store.set("servers/r2", "v2")
+		time.Sleep(versionReadPause)
+		version, known := reader.VersionOf(t.Context(), "r2")
+		require.True(t, known)
+		require.Equal(t, "v2", version)
+
+		reads = store.reads
 		reader.reachable = func() bool { return false }
 		_, known = reader.VersionOf(t.Context(), "r1")
 		require.False(t, known)
