--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -212,3 +212,20 @@
 		}
 	}
 }
+
+// Guards against a replica that failed once and gets no request again, while other replicas have room.
+func TestReplicaThatFailedOnceIsChosenAgain(t *testing.T) {
+	directory := newTestDirectory(pressEntry("r1", "a", nil), pressEntry("r2", "a", nil))
+	pick, _ := directory.Choose(Query{Service: "press"}, testTime)
+	failed := pick.ID
+	pick.Release(Unreachable, Target{}, testTime)
+	chosen := map[string]int{}
+	for second := range 300 {
+		now := testTime.Add(time.Duration(second) * time.Second)
+		pick, miss := directory.Choose(Query{Service: "press"}, now)
+		require.Equal(t, Found, miss)
+		chosen[pick.ID]++
+		pick.Release(Answered, Target{}, now)
+	}
+	require.NotZero(t, chosen[failed], "of one request a second for five minutes")
+}
