--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -6,12 +6,15 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // cases are the scripts by name. Each returns the breaches of its rule.
 var cases = map[string]func(directory string, record *record, trouble bool) ([]string, error){
 	"surplus": runSurplus,
+	"flood":   runFlood,
 }
 
 func main() { os.Exit(play()) }
@@ -32,6 +35,14 @@
 		return 2
 	}
 	defer func() { _ = os.RemoveAll(directory) }()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stop
+		endRunning()
+		_ = os.RemoveAll(directory)
+		os.Exit(2)
+	}()
 	breaches, err := cases[os.Args[1]](directory, record, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		record.add("the case could not run: %s", err)
--- a/review/standins/system.go
+++ b/review/standins/system.go
@@ -108,8 +108,44 @@
 	return nil
 }
 
+// running holds the processes to end if this program is stopped.
+var running struct {
+	sync.Mutex
+	processes map[*os.Process]bool
+	stopped   bool
+}
+
+func setRunning(process *os.Process, runs bool) {
+	running.Lock()
+	defer running.Unlock()
+	if running.processes == nil {
+		running.processes = map[*os.Process]bool{}
+	}
+	if runs {
+		running.processes[process] = true
+		return
+	}
+	delete(running.processes, process)
+}
+
+// endRunning ends all processes, after which none starts.
+func endRunning() {
+	running.Lock()
+	defer running.Unlock()
+	running.stopped = true
+	for process := range running.processes {
+		_ = process.Kill()
+	}
+}
+
 // start starts a daemon with the command of the deploy file.
 func (d *daemon) start() error {
+	running.Lock()
+	stopped := running.stopped
+	running.Unlock()
+	if stopped {
+		return fmt.Errorf("the script is being stopped")
+	}
 	d.command = exec.Command("target/finchspoke", "node", "--metrics-port", "9464")
 	d.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "FINCHSPOKE_CONFIG=" + d.settings}
 	d.command.Stdout, d.command.Stderr = d.log, d.log
@@ -118,8 +154,10 @@
 	}
 	command, exited := d.command, make(chan struct{})
 	d.exited = exited
+	setRunning(command.Process, true)
 	go func() {
 		_ = command.Wait()
+		setRunning(command.Process, false)
 		close(exited)
 	}()
 	return nil
@@ -189,13 +227,17 @@
 	safePath    = "/lookup/"
 )
 
-// configure writes the operator's configuration: one service, with an unsafe and a safe route.
+// configure writes the operator's configuration: one service, with an unsafe route, a safe one and one of streams.
 func (p *platform) configure() error {
 	route := func(name, prefix, kind string, attempts int) map[string]any {
-		return map[string]any{"name": name, "hostname": host, "pathPrefix": prefix, "kind": kind, "service": deskService, "attempts": attempts, "timeoutMs": 1000, "targetMs": 150, "priority": 2}
+		route := map[string]any{"name": name, "hostname": host, "pathPrefix": prefix, "kind": kind, "service": deskService, "attempts": attempts, "timeoutMs": 1000, "targetMs": 150, "priority": 2}
+		if kind == "stream" {
+			route["timeoutMs"], route["targetMs"], route["gapTargetMs"] = 25000, 6000, 300
+		}
+		return route
 	}
 	value, err := json.Marshal(map[string]any{
-		"version": 1, "routes": []any{route("approve", unsafePath, "unsafe", 1), route("lookup", safePath, "safe", 2)},
+		"version": 1, "routes": []any{route("approve", unsafePath, "unsafe", 1), route("lookup", safePath, "safe", 2), route("draft", draftPath, "stream", 1)},
 		"services": []any{map[string]any{"name": deskService, "maxConns": 96}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 5000},
 	})
