--- a/review/standins/system.go
+++ b/review/standins/system.go
@@ -55,23 +55,36 @@
 	return &platform{store: standin.NewStore(), directory: directory}
 }
 
-// freeNetwork returns the first three numbers of a loopback network whose addresses are not in use.
-func freeNetwork() (string, error) {
+// daemonPorts are the ports of a daemon on its address; the last one is that of the deploy file's command.
+var daemonPorts = []int{8149, 8141, 8144, 9464}
+
+// freeNetwork returns the first three numbers of a loopback network in which the ports of some daemons are free.
+func freeNetwork(daemons int) (string, error) {
 	for attempt := range 200 {
 		network := fmt.Sprintf("127.%d.%d", 20+(os.Getpid()+attempt)%200, 1+(os.Getpid()/7+attempt)%250)
-		listener, err := net.Listen("tcp", network+".1:9464")
-		if err != nil {
-			continue
+		if isFree(network, daemons) {
+			return network, nil
+		}
+	}
+	return "", fmt.Errorf("no loopback network with free ports")
+}
+
+func isFree(network string, daemons int) bool {
+	for number := range daemons {
+		for _, port := range daemonPorts {
+			listener, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", network, number+1, port))
+			if err != nil {
+				return false
+			}
+			_ = listener.Close()
 		}
-		_ = listener.Close()
-		return network, nil
 	}
-	return "", fmt.Errorf("no free loopback network")
+	return true
 }
 
 // addDaemons writes the settings of daemons in one zone; their figures are those of a small deployment.
 func (p *platform) addDaemons(count int) error {
-	network, err := freeNetwork()
+	network, err := freeNetwork(count)
 	if err != nil {
 		return err
 	}
