--- /dev/null
+++ b/upstream/exchange.go
@@ -0,0 +1,152 @@
+package upstream
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	readBufferBytes  = 4 << 10
+	writeBufferBytes = 4 << 10
+	// maxInlineBodyBytes is the largest body that is written before the response is read. A longer one
+	// is written concurrently, since the replica may respond early.
+	maxInlineBodyBytes = 16 << 10
+	// maxStaleResponses is how many responses to earlier requests are skipped.
+	maxStaleResponses = 2
+)
+
+// exchange is one request and its response on a connection.
+type exchange struct {
+	pool        *Pool
+	conn        *connection
+	address     string
+	cancelWatch func() bool
+	bodyErr     chan error // result of a body that is written concurrently; nil otherwise
+	releaseOnce sync.Once
+}
+
+// countingConn counts the bytes written to a connection.
+type countingConn struct {
+	net.Conn
+	written int
+}
+
+func (c *countingConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.written += n
+	return n, err
+}
+
+func (e *exchange) write(request Request) error {
+	counting := &countingConn{Conn: e.conn.Conn}
+	writer := bufio.NewWriterSize(counting, writeBufferBytes)
+	writeHead(writer, request)
+	if len(request.Body) > maxInlineBodyBytes {
+		if err := writer.Flush(); err != nil {
+			return &Error{RequestWritten: counting.written > 0, cause: errors.Wrap(err, "write")}
+		}
+		e.bodyErr = make(chan error, 1)
+		go func() {
+			_, err := e.conn.Write(request.Body)
+			e.bodyErr <- err
+		}()
+		return nil
+	}
+	_, _ = writer.Write(request.Body) // Flush returns the error
+	if err := writer.Flush(); err != nil {
+		return &Error{RequestWritten: counting.written > 0, cause: errors.Wrap(err, "write")}
+	}
+	return nil
+}
+
+// writeHead writes the request line and the headers. Names and values come from a request that
+// net/http has parsed, so they contain no line breaks.
+func writeHead(writer *bufio.Writer, request Request) {
+	parts := []string{request.HTTP.Method, " ", request.HTTP.URL.RequestURI(), " HTTP/1.1\r\nHost: ", request.HTTP.Host, "\r\n"}
+	if request.HTTP.RequestURI != "" {
+		parts[2] = request.HTTP.RequestURI
+	}
+	for _, part := range parts {
+		_, _ = writer.WriteString(part)
+	}
+	for name, values := range request.HTTP.Header {
+		for _, value := range values {
+			_, _ = writer.WriteString(name)
+			_, _ = writer.WriteString(": ")
+			_, _ = writer.WriteString(value)
+			_, _ = writer.WriteString("\r\n")
+		}
+	}
+	if len(request.Body) > 0 || request.HTTP.Method == http.MethodPost || request.HTTP.Method == http.MethodPut {
+		_, _ = writer.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
+	}
+	_, _ = writer.WriteString("\r\n")
+}
+
+// readHead reads response heads until one belongs to the request.
+func (e *exchange) readHead(request Request) (*Response, error) {
+	for range maxStaleResponses + 1 {
+		response, err := e.nextHead(request)
+		if err != nil {
+			return nil, err
+		}
+		if request.Matches == nil || request.Matches(response.Header) {
+			return &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Chunked: chunked(response),
+				Via: e.conn.via, response: response, exchange: e}, nil
+		}
+		if response.Close || response.ContentLength < 0 && !chunked(response) {
+			return nil, errors.New("received a response to another request, whose body has no known end")
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return nil, errors.Wrap(err, "skip a response to another request")
+		}
+	}
+	return nil, errors.New("received only responses to other requests")
+}
+
+func chunked(response *http.Response) bool {
+	return len(response.TransferEncoding) > 0 && response.TransferEncoding[0] == "chunked"
+}
+
+func (e *exchange) nextHead(request Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(e.conn.reader, request.HTTP)
+		if err != nil {
+			return nil, errors.Wrap(err, "read the response head")
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+}
+
+// release returns the connection to the pool if it is reusable, or closes it.
+func (e *exchange) release(reusable bool) {
+	e.releaseFor(reusable, defaultIdleTimeout)
+}
+
+func (e *exchange) releaseFor(reusable bool, idleTimeout time.Duration) {
+	e.releaseOnce.Do(func() {
+		contextActive := e.cancelWatch()
+		if e.bodyErr != nil {
+			select {
+			case err := <-e.bodyErr:
+				reusable = reusable && err == nil
+			default:
+				reusable = false // response before the end of the body
+			}
+		}
+		if reusable && contextActive && e.conn.reader.Buffered() == 0 && idleTimeout > 0 {
+			e.pool.putIdle(e.address, e.conn, idleTimeout)
+			return
+		}
+		_ = e.conn.Close()
+	})
+}
--- /dev/null
+++ b/upstream/pool.go
@@ -0,0 +1,147 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	dialTimeout = 400 * time.Millisecond
+	// unackedTimeout closes a connection whose peer acknowledges no data, and by TCP_USER_TIMEOUT also one whose peer
+	// answers no keep-alive probe for so long. A sound replica may be silent for a second or so.
+	unackedTimeout = 2 * time.Second
+	// keepAliveInterval is the time between the probes that detect a connection that is cut without a FIN or RST.
+	// Where unackedTimeout applies, keepAliveProbes has no effect.
+	keepAliveInterval = time.Second
+	keepAliveProbes   = 2
+)
+
+// Pool holds idle connections by address. It is safe for concurrent use.
+type Pool struct {
+	dial   DialFunc
+	relay  RelayFunc // nil: all connections are direct
+	paths  paths
+	mutex  sync.Mutex
+	idle   map[string][]*connection
+	onDial func()
+	now    func() time.Time // replaced by tests
+}
+
+// NewPool returns an empty pool, which opens connections with dial, nil meaning Dial, and calls onDial for each.
+func NewPool(dial DialFunc, onDial func()) *Pool {
+	if dial == nil {
+		dial = Dial
+	}
+	return &Pool{dial: dial, idle: map[string][]*connection{}, onDial: onDial, now: time.Now}
+}
+
+// Dial opens a TCP connection that ends soon after its peer cannot be reached any more. It implements
+// DialFunc.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
+		Control:         setUserTimeout,
+	}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// connection serves one request at a time.
+type connection struct {
+	net.Conn
+	reader  *bufio.Reader
+	expires time.Time // end of its use as an idle connection
+	via     string    // id of the daemon that relays it; empty if it is direct
+}
+
+// get returns an idle connection that is still usable, or opens one.
+func (p *Pool) get(ctx context.Context, request Request) (*connection, error) {
+	for {
+		conn := p.takeIdle(request.Address)
+		if conn == nil {
+			break
+		}
+		if p.now().Before(conn.expires) && isReusable(conn.Conn) {
+			return conn, nil
+		}
+		_ = conn.Close()
+	}
+	opened, err := p.open(ctx, request)
+	if err != nil {
+		return nil, errors.Wrap(err, "connect")
+	}
+	return p.newConnection(opened), nil
+}
+
+// newConnection prepares an open connection for requests.
+func (p *Pool) newConnection(opened net.Conn) *connection {
+	if p.onDial != nil {
+		p.onDial()
+	}
+	return &connection{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferBytes), via: viaOf(opened)}
+}
+
+func (p *Pool) takeIdle(address string) *connection {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	conn := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return conn
+}
+
+// HasIdle reports whether the pool has an unexpired idle connection to an address.
+func (p *Pool) HasIdle(address string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	list := p.idle[address]
+	return len(list) > 0 && p.now().Before(list[len(list)-1].expires)
+}
+
+// putIdle keeps a connection for later requests. A relayed one is closed: the daemon that relays it may stop,
+// and its own path to the replica is needed only while the direct one is down.
+func (p *Pool) putIdle(address string, conn *connection, idleTimeout time.Duration) {
+	if conn.via != "" {
+		_ = conn.Close()
+		return
+	}
+	conn.expires = p.now().Add(idleTimeout)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.idle[address] = append(p.idle[address], conn)
+}
+
+// Sweep closes idle connections that have expired, and those to addresses that are not in use.
+func (p *Pool) Sweep(inUse func(address string) bool) {
+	p.paths.retain(inUse)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := p.now()
+	for address, list := range p.idle {
+		remaining := list[:0]
+		for _, conn := range list {
+			if now.Before(conn.expires) && inUse(address) {
+				remaining = append(remaining, conn)
+			} else {
+				_ = conn.Close()
+			}
+		}
+		clear(list[len(remaining):])
+		if len(remaining) == 0 {
+			delete(p.idle, address)
+		} else {
+			p.idle[address] = remaining
+		}
+	}
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() { p.Sweep(func(string) bool { return false }) }
