Logs tell on which exchange of a connection a request was sent, and count surplus responses

`dispatch failed` and `request ended` gain `connection` (local address and number of the exchange); `surplus response of a replica` and finchspoke_replica_surplus_responses_total tell of responses that no request was waiting for, skipped or found on an idle connection.

No logic changes in this commit.

--- a/core/call.go
+++ b/core/call.go
@@ -126,6 +126,8 @@
 	Body        Body
 	// Via is the id of the daemon through which the reply came; empty if it came directly.
 	Via string
+	// Connection identifies, in logs, the connection to the replica and the exchange on it.
+	Connection string
 }
 
 // Body is the body of a reply. Read returns io.EOF only after the complete body, except for a body framed by its
@@ -162,7 +164,8 @@
 
 // SendError is the error of a dispatch without a response.
 type SendError struct {
-	RequestWritten bool // the replica may have received the request
+	RequestWritten bool   // the replica may have received the request
+	Connection     string // as in Reply; empty if no connection was used
 	Cause          error
 }
 
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -45,7 +45,7 @@
 func (c *Core) dispatch(ctx context.Context, state *callState, pick *fleet.Pick) dispatchOutcome {
 	stopRunning := c.Demand.BeginRun(state.key())
 	defer stopRunning()
-	state.lastReplicaID, state.lastVersion, state.pick, state.sentAt, state.via = pick.ID, pick.Version, pick, time.Now(), ""
+	state.lastReplicaID, state.lastVersion, state.pick, state.sentAt, state.via, state.connection = pick.ID, pick.Version, pick, time.Now(), "", ""
 	state.streamEnd = streamEnd{}
 	attemptCtx, cancel := c.attemptContext(ctx, state)
 	defer cancel()
@@ -81,6 +81,9 @@
 	if err != nil {
 		var failed *SendError
 		var notAdmitted fleet.AdmissionError
+		if errors.As(err, &failed) {
+			state.connection = failed.Connection
+		}
 		if errors.As(err, &notAdmitted) {
 			return dispatchOutcome{result: NotWritten, cause: err, health: fleet.Unsent}
 		}
@@ -90,7 +93,7 @@
 		return dispatchOutcome{result: Lost, cause: err, health: fleet.Unreachable}
 	}
 	defer func() { _ = reply.Body.Close() }()
-	state.via = reply.Via
+	state.via, state.connection = reply.Via, reply.Connection
 	state.answerBegun = false
 	outcome := c.relayReply(state, reply)
 	outcome.status = reply.Status
--- a/core/log.go
+++ b/core/log.go
@@ -65,7 +65,7 @@
 		return
 	}
 	c.entry(state).WithFields(c.paymentFields(state.payment)).WithFields(state.streamEnd.fields()).WithFields(logrus.Fields{
-		logging.Replica: pick.ID, logging.SoftwareVersion: pick.Version, logging.Address: pick.Address, logging.Inflight: pick.Inflight, logging.Status: outcome.status,
+		logging.Replica: pick.ID, logging.SoftwareVersion: pick.Version, logging.Address: pick.Address, logging.Connection: state.connection, logging.Inflight: pick.Inflight, logging.Status: outcome.status,
 		logging.Outcome: outcome.result.String(), logging.Retry: verdict.Retry, logging.LastEvent: state.lastEventID, logging.AnswerBegun: outcome.answerBegun,
 		logging.AgeMs: time.Since(state.Arrived).Milliseconds(), logging.Cause: errorText(outcome.cause),
 	}).Warn("dispatch failed")
@@ -91,7 +91,7 @@
 func (c *Core) logEnd(state *callState, failed *failure.Error) {
 	outcome, execution := logging.OutcomeAnswered, failure.Completed
 	entry := c.entry(state).WithFields(logrus.Fields{
-		logging.Replica: state.lastReplicaID, logging.SoftwareVersion: state.lastVersion, logging.WaitedMs: state.waitTime.Milliseconds(), logging.EstimateMs: state.waitEstimate.Milliseconds(),
+		logging.Replica: state.lastReplicaID, logging.Connection: state.connection, logging.SoftwareVersion: state.lastVersion, logging.WaitedMs: state.waitTime.Milliseconds(), logging.EstimateMs: state.waitEstimate.Milliseconds(),
 		logging.FirstByteMs: state.firstByte.Milliseconds(), logging.LongestPauseMs: state.longestPause.Milliseconds(),
 		logging.DurationMs: time.Since(state.Arrived).Milliseconds(), logging.ConfigVersion: state.Version,
 		logging.ObjectiveMs: state.Route.Objective.Milliseconds(), logging.GapTargetMs: state.Route.MaxGap.Milliseconds(),
--- a/logging/fields.go
+++ b/logging/fields.go
@@ -15,6 +15,8 @@
 	Replica             = "replica"
 	Via                 = "via"
 	Address             = "address"
+	Connection          = "connection"
+	Position            = "position"
 	Zone                = "zone"
 	Reason              = "reason"
 	Outcome             = "outcome"
--- a/node/node.go
+++ b/node/node.go
@@ -208,11 +208,7 @@
 
 func (n *Node) assemble(adapters Adapters) {
 	adapters.Store = n.meterStore(adapters.Store)
-	connectionsOpened := prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "finchspoke_replica_connections_opened_total", Help: "Connections opened to replicas.",
-	})
-	n.metrics.MustRegister(connectionsOpened)
-	n.pool = upstream.NewPool(n.config.DialReplica, connectionsOpened.Inc)
+	n.pool = n.newReplicaPool()
 	n.assembleRelay()
 	n.fleet.SetConnected(n.pool.HasIdle)
 	n.hints = newHintCounters(n.metrics)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -44,7 +44,8 @@
 	return n, err
 }
 
-func (e *exchange) write(request Request) error {
+// write sends the request, or all but a long body, which is sent concurrently.
+func (e *exchange) write(request Request) *Error {
 	counting := &countingConn{Conn: e.conn.Conn}
 	writer := bufio.NewWriterSize(counting, writeBufferBytes)
 	writeHead(writer, request)
@@ -99,8 +100,9 @@
 		}
 		if request.Matches == nil || request.Matches(response.Header) {
 			return &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Chunked: chunked(response),
-				Via: e.conn.via, response: response, exchange: e}, nil
+				Via: e.conn.via, Connection: e.conn.String(), response: response, exchange: e}, nil
 		}
+		e.pool.reportSurplus(e.address, e.conn, SurplusBeforeResponse, response.StatusCode)
 		if response.Close || response.ContentLength < 0 && !chunked(response) {
 			return nil, errors.New("received a response to another request, whose body has no known end")
 		}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
@@ -29,7 +30,9 @@
 	mutex  sync.Mutex
 	idle   map[string][]*connection
 	onDial func()
-	now    func() time.Time // replaced by tests
+	// onSurplus is called with each response that answers no request; it may be nil.
+	onSurplus func(SurplusResponse)
+	now       func() time.Time // replaced by tests
 }
 
 // NewPool returns an empty pool, which opens connections with dial, nil meaning Dial, and calls onDial for each.
@@ -57,8 +60,14 @@
 	reader  *bufio.Reader
 	expires time.Time // end of its use as an idle connection
 	via     string    // id of the daemon that relays it; empty if it is direct
+	// name is the local address, which the replica sees as the address of its peer unless a daemon relays.
+	name      string
+	exchanges int // how many it has carried, the current one included
 }
 
+// String identifies the current, or latest, exchange of the connection in logs.
+func (c *connection) String() string { return c.name + "#" + strconv.Itoa(c.exchanges) }
+
 // get returns an idle connection that is still usable, or opens one.
 func (p *Pool) get(ctx context.Context, request Request) (*connection, error) {
 	for {
@@ -66,9 +75,13 @@
 		if conn == nil {
 			break
 		}
-		if p.now().Before(conn.expires) && isReusable(conn.Conn) {
+		state := stateOf(conn.Conn)
+		if p.now().Before(conn.expires) && state == idleSilent {
 			return conn, nil
 		}
+		if state == idleReceived {
+			p.reportSurplus(request.Address, conn, SurplusWhileIdle, 0)
+		}
 		_ = conn.Close()
 	}
 	opened, err := p.open(ctx, request)
@@ -83,7 +96,7 @@
 	if p.onDial != nil {
 		p.onDial()
 	}
-	return &connection{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferBytes), via: viaOf(opened)}
+	return &connection{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferBytes), via: viaOf(opened), name: opened.LocalAddr().String()}
 }
 
 func (p *Pool) takeIdle(address string) *connection {
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -17,13 +17,15 @@
 
 // Response is a response whose head has been read. Its body must be read to its end, or closed.
 type Response struct {
-	Status   int
-	Header   http.Header
-	Length   int64  // of the body; -1 if unknown
-	Chunked  bool   // the last chunk ends the body; without it and a length, the end of the connection does
-	Via      string // id of the daemon that relayed it; empty if it came directly
-	response *http.Response
-	exchange *exchange
+	Status  int
+	Header  http.Header
+	Length  int64  // of the body; -1 if unknown
+	Chunked bool   // the last chunk ends the body; without it and a length, the end of the connection does
+	Via     string // id of the daemon that relayed it; empty if it came directly
+	// Connection identifies the exchange: the local address of its connection and its number there, from 1.
+	Connection string
+	response   *http.Response
+	exchange   *exchange
 }
 
 // Read reads the body. It returns io.EOF only at the end of a complete body, except for a body that ends with its
--- a/upstream/socket.go
+++ b/upstream/socket.go
@@ -19,18 +19,35 @@
 	return sockoptErr
 }
 
-// isReusable reports whether an idle connection is open and has received no data.
-func isReusable(conn net.Conn) bool {
+// idleState is the state of a connection without an exchange.
+type idleState int
+
+const (
+	idleSilent   idleState = iota // open, and nothing has arrived
+	idleClosed                    // closed or broken
+	idleReceived                  // data has arrived, which answers no request
+)
+
+// stateOf returns the state of an idle connection.
+func stateOf(conn net.Conn) idleState {
 	raw, err := conn.(syscall.Conn).SyscallConn()
 	if err != nil {
-		return false
+		return idleClosed
 	}
-	reusable := false
+	state := idleClosed
 	err = raw.Read(func(descriptor uintptr) bool {
 		var buffer [1]byte
-		_, _, recvErr := unix.Recvfrom(int(descriptor), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		reusable = recvErr == unix.EAGAIN || recvErr == unix.EWOULDBLOCK
+		n, _, recvErr := unix.Recvfrom(int(descriptor), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case recvErr == unix.EAGAIN || recvErr == unix.EWOULDBLOCK:
+			state = idleSilent
+		case recvErr == nil && n > 0:
+			state = idleReceived
+		}
 		return true
 	})
-	return err == nil && reusable
+	if err != nil {
+		return idleClosed
+	}
+	return state
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -9,15 +9,15 @@
 	"net"
 	"net/http"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
 // Error means that a request got no response.
 type Error struct {
 	// RequestWritten reports whether any byte of the request may have reached the replica.
 	RequestWritten bool
-	cause          error
+	// Connection is as in Response; empty if no connection was used.
+	Connection string
+	cause      error
 }
 
 // Error returns the cause and whether the request was sent.
@@ -63,25 +63,26 @@
 			return nil, &Error{cause: err}
 		}
 	}
+	conn.exchanges++
 	exchange := &exchange{pool: p, conn: conn, address: request.Address}
 	exchange.cancelWatch = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if err := exchange.write(request); err != nil {
 		exchange.release(false)
-		return nil, preferContextError(ctx, err)
+		return nil, exchange.failure(ctx, err)
 	}
 	response, err := exchange.readHead(request)
 	if err != nil {
 		exchange.release(false)
-		return nil, preferContextError(ctx, &Error{RequestWritten: true, cause: err})
+		return nil, exchange.failure(ctx, &Error{RequestWritten: true, cause: err})
 	}
 	return response, nil
 }
 
-// preferContextError replaces the cause of an error by that of ctx if ctx has ended.
-func preferContextError(ctx context.Context, err error) error {
-	var upstreamErr *Error
-	if ctx.Err() != nil && errors.As(err, &upstreamErr) {
-		return &Error{RequestWritten: upstreamErr.RequestWritten, cause: ctx.Err()}
+// failure completes an error of the exchange. If ctx has ended, that is its cause.
+func (e *exchange) failure(ctx context.Context, failed *Error) error {
+	failed.Connection = e.conn.String()
+	if ctx.Err() != nil {
+		failed.cause = ctx.Err()
 	}
-	return err
+	return failed
 }
