A repeated request no longer takes a second response to its first attempt for its own

Cause: responses on a connection were told apart by the request's id alone, and a request that a replica had rejected went out again on the connection that had carried it. A second response to the first attempt has the same id.

Fix: a connection remembers (hashes of) the ids of its latest 64 exchanges and carries no request with one of them; the repeat takes another idle connection, or a new one. So a response with the request's id on that connection can only be its own.

TestIdleConnectionHonorsKeepAliveTimeout sent one id three times; it now sends three, as reuse is what it is about.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -98,7 +98,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if request.Matches == nil || request.Matches(response.Header) {
+		if request.ResponseID == nil || request.ResponseID(response.Header) == request.ID {
 			return &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Chunked: chunked(response),
 				Via: e.conn.via, Connection: e.conn.String(), response: response, exchange: e}, nil
 		}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -61,17 +62,20 @@
 	expires time.Time // end of its use as an idle connection
 	via     string    // id of the daemon that relays it; empty if it is direct
 	// name is the local address, which the replica sees as the address of its peer unless a daemon relays.
-	name      string
-	exchanges int // how many it has carried, the current one included
+	name    string
+	history history // the current exchange included
 }
 
 // String identifies the current, or latest, exchange of the connection in logs.
-func (c *connection) String() string { return c.name + "#" + strconv.Itoa(c.exchanges) }
+func (c *connection) String() string { return c.name + "#" + strconv.Itoa(c.history.count) }
+
+// mayCarry reports whether the response to a request could be told from second responses to earlier requests.
+func (c *connection) mayCarry(request Request) bool { return c.history.distinguishes(request.ID) }
 
 // get returns an idle connection that is still usable, or opens one.
 func (p *Pool) get(ctx context.Context, request Request) (*connection, error) {
 	for {
-		conn := p.takeIdle(request.Address)
+		conn := p.takeIdle(request)
 		if conn == nil {
 			break
 		}
@@ -99,16 +103,18 @@
 	return &connection{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferBytes), via: viaOf(opened), name: opened.LocalAddr().String()}
 }
 
-func (p *Pool) takeIdle(address string) *connection {
+// takeIdle takes the connection that was used last among those that may carry a request; nil if there is none.
+func (p *Pool) takeIdle(request Request) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	list := p.idle[request.Address]
+	for index, conn := range slices.Backward(list) {
+		if conn.mayCarry(request) {
+			p.idle[request.Address] = slices.Delete(list, index, index+1)
+			return conn
+		}
 	}
-	conn := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return conn
+	return nil
 }
 
 // HasIdle reports whether the pool has an unexpired idle connection to an address.
--- a/upstream/surplus_test.go
+++ b/upstream/surplus_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -42,3 +43,42 @@
 	require.Equal(t, SurplusResponse{Address: address, Connection: first.Connection, Position: SurplusBeforeResponse, Status: http.StatusOK}, first)
 	require.Contains(t, first.Connection, "#2", "the second exchange on its connection")
 }
+
+// Guards against a repeat that takes a second response to its first attempt for its own.
+func TestRepeatIsSentOnAConnectionThatHasNotCarriedTheRequest(t *testing.T) {
+	opened := 0
+	pool := NewPool(nil, func() { opened++ })
+	address := startServer(t, func(_, count int, read *http.Request) string {
+		id := read.Header.Get("Id")
+		if count == 0 {
+			return reply(id, "first")
+		}
+		return reply("1", "first") + reply(id, "own")
+	})
+	text, err := fetch(t, pool, request(t, address, http.MethodPost, "1", "x"))
+	require.NoError(t, err)
+	require.Equal(t, "first", text)
+	text, err = fetch(t, pool, request(t, address, http.MethodPost, "1", "x"))
+	require.NoError(t, err)
+	require.Equal(t, "first", text, "the first response on a connection of its own")
+	require.Equal(t, 2, opened)
+	for _, id := range []string{"2", "3", "4"} {
+		text, err = fetch(t, pool, request(t, address, http.MethodPost, id, "x"))
+		require.NoError(t, err)
+		require.Equal(t, "own", text)
+	}
+	require.Equal(t, 2, opened, "other requests go on using both")
+}
+
+// Guards against a history that forgets an exchange while a second response to it may still arrive.
+func TestHistoryRemembersTheLatestExchanges(t *testing.T) {
+	var h history
+	require.True(t, h.distinguishes("0"))
+	for number := range rememberedExchanges + 1 {
+		h.record(strconv.Itoa(number))
+	}
+	require.True(t, h.distinguishes("0"))
+	for number := range rememberedExchanges {
+		require.False(t, h.distinguishes(strconv.Itoa(number+1)))
+	}
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -1,7 +1,8 @@
 // Package upstream sends requests to replicas over pooled HTTP/1.1 connections.
 //
 // Unlike net/http's Transport it never retries a request, its errors report whether any byte was
-// written, and it does not reuse a connection that received unexpected data.
+// written, it does not reuse a connection that received unexpected data, and it repeats a request on a
+// connection that has not carried it, so that second responses to the first attempt are told apart.
 package upstream
 
 import (
@@ -42,9 +43,12 @@
 	// HTTP holds method, URL, host, headers and length; its body is ignored.
 	HTTP *http.Request
 	Body []byte
-	// Matches reports whether a response belongs to this request; other responses that arrive before it
-	// are skipped. If nil, any response matches.
-	Matches func(http.Header) bool
+	// ID is the ID that the response carries; empty if it carries none. The request is sent on a connection that has
+	// carried none with the same ID, as a second response to that one could not be told from its own.
+	ID string
+	// ResponseID returns the ID that a response carries. Responses with another one that arrive first are skipped. If
+	// nil, any response is taken.
+	ResponseID func(http.Header) string
 	// Admit is called once a connection is open, right before the request is written. If it returns an
 	// error, the request is not sent. It may be nil.
 	Admit func() error
@@ -63,7 +67,7 @@
 			return nil, &Error{cause: err}
 		}
 	}
-	conn.exchanges++
+	conn.history.record(request.ID)
 	exchange := &exchange{pool: p, conn: conn, address: request.Address}
 	exchange.cancelWatch = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if err := exchange.write(request); err != nil {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -55,7 +56,7 @@
 	httpRequest, err := http.NewRequest(method, "http://shop.example/a/b?c=%20d", nil)
 	require.NoError(t, err)
 	httpRequest.Header.Set("Id", id)
-	return Request{Address: address, HTTP: httpRequest, Body: []byte(body), Matches: func(header http.Header) bool { return header.Get("Id") == id }}
+	return Request{Address: address, HTTP: httpRequest, Body: []byte(body), ID: id, ResponseID: func(header http.Header) string { return header.Get("Id") }}
 }
 
 func reply(id, body string) string {
@@ -218,9 +219,9 @@
 	address := startServer(t, func(connection, count int, read *http.Request) string {
 		return strings.Replace(reply(read.Header.Get("Id"), "x"), "\r\n", "\r\nKeep-Alive: timeout=5, max=9\r\n", 1)
 	})
-	for _, wait := range []time.Duration{0, 4 * time.Second, 5 * time.Second} {
+	for number, wait := range []time.Duration{0, 4 * time.Second, 5 * time.Second} {
 		now = now.Add(wait)
-		_, err := fetch(t, pool, request(t, address, http.MethodGet, "1", ""))
+		_, err := fetch(t, pool, request(t, address, http.MethodGet, strconv.Itoa(number), ""))
 		require.NoError(t, err)
 	}
 	require.Equal(t, 2, opened)
