A load order no longer takes the response to the order or report before for its own

Callers saw: nothing at once. An order that a replica refused could count as done: the leader then believes an adapter gone that is there, and its next order may exceed the replica's adapter slots (LIMIT).

Responses to orders and reports carry no id, so that a second response to one of them, late, cannot be told from the response to the next.

Fix: an order goes out on a connection whose latest exchange has an id, or on a new one. A second response is due in the place of the next one, so that an exchange with an id in between separates them. A report states the replica's count of orders and is recognized by it, so it may follow any; requests and reports take the connections that an order cannot use first. Idle connections are taken by these rules in Pool.takeIdle.

--- a/upstream/history.go
+++ b/upstream/history.go
@@ -14,19 +14,22 @@
 type history struct {
 	hashes [rememberedExchanges]uint64
 	count  int // exchanges so far
+	// lastHasID reports whether the latest exchange has an ID.
+	lastHasID bool
 }
 
 // record adds an exchange, which has begun.
 func (h *history) record(id string) {
 	h.hashes[h.count%rememberedExchanges] = maphash.String(historySeed, id)
 	h.count++
+	h.lastHasID = id != ""
 }
 
-// distinguishes reports whether the response to an exchange with an ID could be told from second responses to the
-// exchanges so far. It makes no statement about exchanges without an ID.
+// distinguishes reports whether the response to an exchange could be told from second responses to the exchanges so
+// far. An exchange without an ID must not follow another one, whose second response would be due in its place.
 func (h *history) distinguishes(id string) bool {
 	if id == "" {
-		return true
+		return h.count == 0 || h.lastHasID
 	}
 	hash := maphash.String(historySeed, id)
 	for _, earlier := range h.hashes[:min(h.count, rememberedExchanges)] {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -70,7 +70,9 @@
 func (c *connection) String() string { return c.name + "#" + strconv.Itoa(c.history.count) }
 
 // mayCarry reports whether the response to a request could be told from second responses to earlier requests.
-func (c *connection) mayCarry(request Request) bool { return c.history.distinguishes(request.ID) }
+func (c *connection) mayCarry(request Request) bool {
+	return request.Versioned && request.ID == "" || c.history.distinguishes(request.ID)
+}
 
 // get returns an idle connection that is still usable, or opens one.
 func (p *Pool) get(ctx context.Context, request Request) (*connection, error) {
@@ -103,18 +105,30 @@
 	return &connection{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferBytes), via: viaOf(opened), name: opened.LocalAddr().String()}
 }
 
-// takeIdle takes the connection that was used last among those that may carry a request; nil if there is none.
+// takeIdle takes a connection that may carry a request; nil if there is none. Of several it takes the one that was used
+// last, but first those whose latest exchange has no ID: the others can also carry requests without one.
 func (p *Pool) takeIdle(request Request) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	list := p.idle[request.Address]
+	list, chosen := p.idle[request.Address], -1
 	for index, conn := range slices.Backward(list) {
-		if conn.mayCarry(request) {
-			p.idle[request.Address] = slices.Delete(list, index, index+1)
-			return conn
+		if !conn.mayCarry(request) {
+			continue
+		}
+		if chosen < 0 {
+			chosen = index
 		}
+		if !conn.history.lastHasID {
+			chosen = index
+			break
+		}
+	}
+	if chosen < 0 {
+		return nil
 	}
-	return nil
+	conn := list[chosen]
+	p.idle[request.Address] = slices.Delete(list, chosen, chosen+1)
+	return conn
 }
 
 // HasIdle reports whether the pool has an unexpired idle connection to an address.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -49,6 +49,9 @@
 	// ResponseID returns the ID that a response carries. Responses with another one that arrive first are skipped. If
 	// nil, any response is taken.
 	ResponseID func(http.Header) string
+	// Versioned means that the response states the version of what it describes, so that the sender recognizes an older
+	// one. Without an ID, only such a request may follow another one without an ID on its connection.
+	Versioned bool
 	// Admit is called once a connection is open, right before the request is written. If it returns an
 	// error, the request is not sent. It may be nil.
 	Admit func() error
