Surplus responses before a request's own are skipped up to a bound of bytes

Callers saw: a request whose replica sent three surplus responses first got 502, though its own response followed; one that was followed by a long surplus body waited for all of it, whatever its length.

Cause: at most two responses to other requests were skipped, and each with its whole body.

Fix: up to 16 responses and 1 MB of their bodies are skipped; beyond that the exchange fails, the request counts as one that may have run, and the connection is closed.

Test: TestSurplusResponsesAreSkippedUpToABound.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -18,8 +18,10 @@
 	// maxInlineBodyBytes is the largest body that is written before the response is read. A longer one
 	// is written concurrently, since the replica may respond early.
 	maxInlineBodyBytes = 16 << 10
-	// maxStaleResponses is how many responses to earlier requests are skipped.
-	maxStaleResponses = 2
+	// maxSurplusResponses and maxSurplusBytes bound the responses to other requests, and their bodies, that are skipped
+	// before a response.
+	maxSurplusResponses = 16
+	maxSurplusBytes     = 1 << 20
 )
 
 // exchange is one request and its response on a connection.
@@ -93,7 +95,8 @@
 
 // readHead reads response heads until one belongs to the request.
 func (e *exchange) readHead(request Request) (*Response, error) {
-	for range maxStaleResponses + 1 {
+	remaining := int64(maxSurplusBytes)
+	for range maxSurplusResponses + 1 {
 		response, err := e.nextHead(request)
 		if err != nil {
 			return nil, err
@@ -106,9 +109,13 @@
 		if response.Close || response.ContentLength < 0 && !chunked(response) {
 			return nil, errors.New("received a response to another request, whose body has no known end")
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, remaining+1))
+		if err != nil {
 			return nil, errors.Wrap(err, "skip a response to another request")
 		}
+		if remaining -= skipped; remaining < 0 {
+			return nil, errors.Errorf("the responses to other requests exceed %d bytes", maxSurplusBytes)
+		}
 	}
 	return nil, errors.New("received only responses to other requests")
 }
--- a/upstream/surplus_test.go
+++ b/upstream/surplus_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -82,3 +83,35 @@
 		require.False(t, h.distinguishes(strconv.Itoa(number+1)))
 	}
 }
+
+// Guards against a request whose own response is lost since several surplus responses come before it, and against
+// surplus responses that are read without end.
+func TestSurplusResponsesAreSkippedUpToABound(t *testing.T) {
+	endless := "HTTP/1.1 200 OK\r\nId: 9\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("10000\r\n"+strings.Repeat("x", 0x10000)+"\r\n", 64)
+	for name, test := range map[string]struct {
+		surplus string
+		skipped bool
+	}{
+		"as many as the bound":                {strings.Repeat(reply("9", "late"), maxSurplusResponses), true},
+		"more than the bound":                  {strings.Repeat(reply("9", "late"), maxSurplusResponses+1), false},
+		"a long body":                          {reply("9", strings.Repeat("x", maxSurplusBytes)), true},
+		"a longer body":                        {reply("9", strings.Repeat("x", maxSurplusBytes+1)), false},
+		"two bodies that exceed the bound":     {strings.Repeat(reply("9", strings.Repeat("x", maxSurplusBytes/2+1)), 2), false},
+		"a body without an end":                {endless, false},
+		"a body that ends with its connection": {"HTTP/1.1 200 OK\r\nId: 9\r\n\r\nlate", false},
+		"one that closes the connection":       {strings.Replace(reply("9", "late"), "\r\n", "\r\nConnection: close\r\n", 1), false},
+	} {
+		address := startServer(t, func(_, _ int, read *http.Request) string { return test.surplus + reply(read.Header.Get("Id"), "own") })
+		pool := NewPool(nil, nil)
+		text, err := fetch(t, pool, request(t, address, http.MethodGet, "1", ""))
+		if test.skipped {
+			require.NoError(t, err, name)
+			require.Equal(t, "own", text, name)
+			continue
+		}
+		var failed *Error
+		require.ErrorAs(t, err, &failed, name)
+		require.True(t, failed.RequestWritten, name)
+		require.Empty(t, pool.idle[address], name)
+	}
+}
