HEAD requests share no connection to a replica with other requests

Callers saw: nothing on the sites, whose clients send no HEAD. A second response to a HEAD request states a length and has no body; skipping it before another request's response takes that many bytes of that response, and the rest of it is read as a head. In the other direction, the body of a second response is left before a HEAD request's own.

Fix: a HEAD request goes out on a new connection, which is closed after it.

Test: TestHeadRequestsShareNoConnection, failing before ("HEAD 1": malformed response).

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -30,6 +30,7 @@
 	conn        *connection
 	address     string
 	cancelWatch func() bool
+	exclusive   bool       // the connection carries no other exchange, so it is not kept
 	bodyErr     chan error // result of a body that is written concurrently; nil otherwise
 	releaseOnce sync.Once
 }
@@ -152,7 +153,7 @@
 				reusable = false // response before the end of the body
 			}
 		}
-		if reusable && contextActive && e.conn.reader.Buffered() == 0 && idleTimeout > 0 {
+		if reusable && !e.exclusive && contextActive && e.conn.reader.Buffered() == 0 && idleTimeout > 0 {
 			e.pool.putIdle(e.address, e.conn, idleTimeout)
 			return
 		}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -71,6 +71,9 @@
 
 // mayCarry reports whether the response to a request could be told from second responses to earlier requests.
 func (c *connection) mayCarry(request Request) bool {
+	if request.isExclusive() {
+		return false
+	}
 	return request.Versioned && request.ID == "" || c.history.distinguishes(request.ID)
 }
 
--- a/upstream/surplus_test.go
+++ b/upstream/surplus_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -92,7 +93,7 @@
 		surplus string
 		skipped bool
 	}{
-		"as many as the bound":                {strings.Repeat(reply("9", "late"), maxSurplusResponses), true},
+		"as many as the bound":                 {strings.Repeat(reply("9", "late"), maxSurplusResponses), true},
 		"more than the bound":                  {strings.Repeat(reply("9", "late"), maxSurplusResponses+1), false},
 		"a long body":                          {reply("9", strings.Repeat("x", maxSurplusBytes)), true},
 		"a longer body":                        {reply("9", strings.Repeat("x", maxSurplusBytes+1)), false},
@@ -115,3 +116,28 @@
 		require.Empty(t, pool.idle[address], name)
 	}
 }
+
+// Guards against a second response to a HEAD request, which has a length and no body, that is skipped with a part of
+// the next response, and against a second response to another request whose body is not skipped before a HEAD response.
+func TestHeadRequestsShareNoConnection(t *testing.T) {
+	var mutex sync.Mutex
+	late := map[int]string{} // by connection, the response that is sent again before the next one
+	address := startServer(t, func(connection, _ int, read *http.Request) string {
+		own := reply(read.Header.Get("Id"), "whole")
+		if read.Method == http.MethodHead {
+			own = strings.TrimSuffix(own, "whole")
+		}
+		mutex.Lock()
+		defer mutex.Unlock()
+		text := late[connection] + own
+		late[connection] = own
+		return text
+	})
+	pool := NewPool(nil, nil)
+	for number, method := range []string{http.MethodGet, http.MethodHead, http.MethodGet, http.MethodHead, http.MethodHead} {
+		id := strconv.Itoa(number)
+		text, err := fetch(t, pool, request(t, address, method, id, ""))
+		require.NoError(t, err, "%s %s", method, id)
+		require.Equal(t, method == http.MethodGet, text == "whole", "%s %s: %q", method, id, text)
+	}
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -57,6 +57,10 @@
 	Admit func() error
 }
 
+// isExclusive reports whether the request shares its connection with no other. Where the body of a response ends
+// depends on the method HEAD, so that a second response to another request could be misread.
+func (r Request) isExclusive() bool { return r.HTTP.Method == http.MethodHead }
+
 // Do sends a request and returns the response with an unread body. ctx bounds the whole exchange,
 // reading the body included. An error is an *Error.
 func (p *Pool) Do(ctx context.Context, request Request) (*Response, error) {
@@ -71,7 +75,7 @@
 		}
 	}
 	conn.history.record(request.ID)
-	exchange := &exchange{pool: p, conn: conn, address: request.Address}
+	exchange := &exchange{pool: p, conn: conn, address: request.Address, exclusive: request.isExclusive()}
 	exchange.cancelWatch = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if err := exchange.write(request); err != nil {
 		exchange.release(false)
