A request that was not sent no longer extends the idle time of its connection

Callers saw: a request sent on a connection that its replica was closing, which counts as one that may have run.

Cause: a connection taken for a request that was then not admitted went back to the pool with the default timeout of 60 s, whatever Keep-Alive the replica had stated.

Fix: a connection that was taken and not used keeps its expiry.

Test: TestRejectedAdmissionDoesNotExtendTheKeepAliveTimeout, failing before (one connection opened instead of two).

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -142,14 +142,27 @@
 	return len(list) > 0 && p.now().Before(list[len(list)-1].expires)
 }
 
-// putIdle keeps a connection for later requests. A relayed one is closed: the daemon that relays it may stop,
-// and its own path to the replica is needed only while the direct one is down.
+// putIdle keeps a connection for later requests, until it has been idle for a time.
 func (p *Pool) putIdle(address string, conn *connection, idleTimeout time.Duration) {
+	conn.expires = p.now().Add(idleTimeout)
+	p.keep(address, conn)
+}
+
+// putBack keeps a connection that was taken and not used.
+func (p *Pool) putBack(address string, conn *connection) {
+	if conn.expires.IsZero() {
+		conn.expires = p.now().Add(defaultIdleTimeout)
+	}
+	p.keep(address, conn)
+}
+
+// keep adds a connection to the idle ones. A relayed one is closed: the daemon that relays it may stop, and its own
+// path to the replica is needed only while the direct one is down.
+func (p *Pool) keep(address string, conn *connection) {
 	if conn.via != "" {
 		_ = conn.Close()
 		return
 	}
-	conn.expires = p.now().Add(idleTimeout)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.idle[address] = append(p.idle[address], conn)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -70,7 +70,7 @@
 	}
 	if request.Admit != nil {
 		if err := request.Admit(); err != nil {
-			p.putIdle(request.Address, conn, defaultIdleTimeout)
+			p.putBack(request.Address, conn)
 			return nil, &Error{cause: err}
 		}
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -253,3 +253,27 @@
 	require.Empty(t, read)
 	require.Equal(t, 1, opened)
 }
+
+// Guards against a connection that is used after its replica may have closed it, since a request that was not sent on it
+// counted as use.
+func TestRejectedAdmissionDoesNotExtendTheKeepAliveTimeout(t *testing.T) {
+	opened := 0
+	pool := NewPool(nil, func() { opened++ })
+	now := time.Unix(1000, 0)
+	pool.now = func() time.Time { return now }
+	address := startServer(t, func(_, _ int, read *http.Request) string {
+		return strings.Replace(reply(read.Header.Get("Id"), "x"), "\r\n", "\r\nKeep-Alive: timeout=5\r\n", 1)
+	})
+	_, err := fetch(t, pool, request(t, address, http.MethodGet, "1", ""))
+	require.NoError(t, err)
+	now = now.Add(4 * time.Second)
+	rejected := request(t, address, http.MethodGet, "2", "")
+	rejected.Admit = func() error { return errors.New("the replica is backing off") }
+	_, err = pool.Do(t.Context(), rejected)
+	require.Error(t, err)
+	require.Equal(t, 1, opened)
+	now = now.Add(2 * time.Second)
+	_, err = fetch(t, pool, request(t, address, http.MethodGet, "3", ""))
+	require.NoError(t, err)
+	require.Equal(t, 2, opened)
+}
