--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -279,3 +279,22 @@
 	}
 	require.Equal(t, 1, asked)
 }
+
+// Guards against a relayed connection that leads to one that the replica has used before: a second response to an
+// earlier request would arrive there.
+func TestEachRelayedConnectionHasOneOfItsOwnToTheReplica(t *testing.T) {
+	target := startReplica(t)
+	relaying := startDaemon(t, target)
+	client := clientOf(relaying)
+	seen := map[string]bool{}
+	for range 3 {
+		opened, err := client.Open(t.Context(), replicaID, target.address())
+		require.NoError(t, err)
+		accepted := target.accept(t)
+		require.False(t, seen[accepted.RemoteAddr().String()], "the connection was used before")
+		seen[accepted.RemoteAddr().String()] = true
+		_, err = accepted.Write([]byte("late"))
+		require.NoError(t, err)
+		require.NoError(t, opened.Close())
+	}
+}
