Load orders and reports share connections by turns

Orders and reports can be told from each other, though not two orders: a response to a report has a body, one to an order has none. So a request without an id names its class, and follows any exchange but one of its own class; a response of the other class is skipped, where it closed the connection and cost a second report request before.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -102,7 +102,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if request.ResponseID == nil || request.ResponseID(response.Header) == request.ID {
+		if request.Matches == nil || request.Matches(response) {
 			return &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Chunked: chunked(response),
 				Via: e.conn.via, Connection: e.conn.String(), response: response, exchange: e}, nil
 		}
--- a/upstream/history.go
+++ b/upstream/history.go
@@ -14,24 +14,25 @@
 type history struct {
 	hashes [rememberedExchanges]uint64
 	count  int // exchanges so far
-	// lastHasID reports whether the latest exchange has an ID.
+	// lastHasID reports whether the latest exchange has an ID, and lastClass is its class if not.
 	lastHasID bool
+	lastClass string
 }
 
 // record adds an exchange, which has begun.
-func (h *history) record(id string) {
-	h.hashes[h.count%rememberedExchanges] = maphash.String(historySeed, id)
+func (h *history) record(request Request) {
+	h.hashes[h.count%rememberedExchanges] = maphash.String(historySeed, request.ID)
 	h.count++
-	h.lastHasID = id != ""
+	h.lastHasID, h.lastClass = request.ID != "", request.Class
 }
 
-// distinguishes reports whether the response to an exchange could be told from second responses to the exchanges so
-// far. An exchange without an ID must not follow another one, whose second response would be due in its place.
-func (h *history) distinguishes(id string) bool {
-	if id == "" {
-		return h.count == 0 || h.lastHasID
+// distinguishes reports whether the response to a request could be told from second responses to the exchanges so far.
+// Without an ID, that depends on the latest exchange, whose second response would be due in its place.
+func (h *history) distinguishes(request Request) bool {
+	if request.ID == "" {
+		return h.count == 0 || h.lastHasID || h.lastClass != request.Class || request.Versioned
 	}
-	hash := maphash.String(historySeed, id)
+	hash := maphash.String(historySeed, request.ID)
 	for _, earlier := range h.hashes[:min(h.count, rememberedExchanges)] {
 		if earlier == hash {
 			return false
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -74,7 +74,7 @@
 	if request.isExclusive() {
 		return false
 	}
-	return request.Versioned && request.ID == "" || c.history.distinguishes(request.ID)
+	return c.history.distinguishes(request)
 }
 
 // get returns an idle connection that is still usable, or opens one.
--- a/upstream/surplus_test.go
+++ b/upstream/surplus_test.go
@@ -75,13 +75,14 @@
 // Guards against a history that forgets an exchange while a second response to it may still arrive.
 func TestHistoryRemembersTheLatestExchanges(t *testing.T) {
 	var h history
-	require.True(t, h.distinguishes("0"))
+	numbered := func(number int) Request { return Request{ID: strconv.Itoa(number)} }
+	require.True(t, h.distinguishes(numbered(0)))
 	for number := range rememberedExchanges + 1 {
-		h.record(strconv.Itoa(number))
+		h.record(numbered(number))
 	}
-	require.True(t, h.distinguishes("0"))
+	require.True(t, h.distinguishes(numbered(0)))
 	for number := range rememberedExchanges {
-		require.False(t, h.distinguishes(strconv.Itoa(number+1)))
+		require.False(t, h.distinguishes(numbered(number+1)))
 	}
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -46,12 +46,15 @@
 	// ID is the ID that the response carries; empty if it carries none. The request is sent on a connection that has
 	// carried none with the same ID, as a second response to that one could not be told from its own.
 	ID string
-	// ResponseID returns the ID that a response carries. Responses with another one that arrive first are skipped. If
-	// nil, any response is taken.
-	ResponseID func(http.Header) string
+	// Class names the requests without an ID whose responses cannot be told apart. Such a request does not follow
+	// another one of its class on a connection.
+	Class string
 	// Versioned means that the response states the version of what it describes, so that the sender recognizes an older
-	// one. Without an ID, only such a request may follow another one without an ID on its connection.
+	// one. Such a request may follow another one of its class.
 	Versioned bool
+	// Matches reports whether a response, whose body must not be read, may be the one to this request. Others that
+	// arrive first are skipped. If nil, any response matches.
+	Matches func(*http.Response) bool
 	// Admit is called once a connection is open, right before the request is written. If it returns an
 	// error, the request is not sent. It may be nil.
 	Admit func() error
@@ -74,7 +77,7 @@
 			return nil, &Error{cause: err}
 		}
 	}
-	conn.history.record(request.ID)
+	conn.history.record(request)
 	exchange := &exchange{pool: p, conn: conn, address: request.Address, exclusive: request.isExclusive()}
 	exchange.cancelWatch = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if err := exchange.write(request); err != nil {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -56,7 +56,7 @@
 	httpRequest, err := http.NewRequest(method, "http://shop.example/a/b?c=%20d", nil)
 	require.NoError(t, err)
 	httpRequest.Header.Set("Id", id)
-	return Request{Address: address, HTTP: httpRequest, Body: []byte(body), ID: id, ResponseID: func(header http.Header) string { return header.Get("Id") }}
+	return Request{Address: address, HTTP: httpRequest, Body: []byte(body), ID: id, Matches: func(response *http.Response) bool { return response.Header.Get("Id") == id }}
 }
 
 func reply(id, body string) string {
