Heads of replicas' responses are read up to a bound

Cause: the head of a response was read from the bare connection, and net/textproto collects a line, header lines and interim responses of any length. Only the request's deadline ended it.

Fix: at most 64 KB are read for a head, interim responses before it included; then the exchange fails as one that may have run, and its connection is closed. Bodies are not concerned.

Test: TestHeadWithoutEndIsReadUpToABound offers 200 MB in nine forms (a line, a status, header lines, a name, a value, a continued value, interim responses, blank lines), of which at most 16 MB may be taken. Without the bound it failed ("a header name": more than 16 MB taken). TestBoundOfHeadsConcernsNoBodies guards the other side.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -125,7 +125,10 @@
 	return len(response.TransferEncoding) > 0 && response.TransferEncoding[0] == "chunked"
 }
 
+// nextHead reads the head of a response, and skips interim responses before it.
 func (e *exchange) nextHead(request Request) (*http.Response, error) {
+	e.conn.inflow.limit(e.conn.reader.Buffered())
+	defer e.conn.inflow.unlimit()
 	for {
 		response, err := http.ReadResponse(e.conn.reader, request.HTTP)
 		if err != nil {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -58,6 +58,7 @@
 // connection serves one request at a time.
 type connection struct {
 	net.Conn
+	inflow  *inflow // what reader reads from
 	reader  *bufio.Reader
 	expires time.Time // end of its use as an idle connection
 	via     string    // id of the daemon that relays it; empty if it is direct
@@ -105,7 +106,8 @@
 	if p.onDial != nil {
 		p.onDial()
 	}
-	return &connection{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferBytes), via: viaOf(opened), name: opened.LocalAddr().String()}
+	inflow := &inflow{Conn: opened}
+	return &connection{Conn: opened, inflow: inflow, reader: bufio.NewReaderSize(inflow, readBufferBytes), via: viaOf(opened), name: opened.LocalAddr().String()}
 }
 
 // takeIdle takes a connection that may carry a request; nil if there is none. Of several it takes the one that was used
