--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -134,7 +134,10 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read the response head")
 		}
-		if response.StatusCode >= http.StatusOK {
+		switch {
+		case response.StatusCode < http.StatusContinue:
+			return nil, errors.Errorf("the response has the status %d", response.StatusCode)
+		case response.StatusCode >= http.StatusOK:
 			return response, nil
 		}
 	}
