Messages to a daemon's server are held up to 1 MB

Fix: a server reads messages up to 1 MB. The largest, the first report to the leader, is 260 KB at the design size (4,380 models and adapters, some 60 bytes each; calculated, not measured).

Test: TestMessageBeyondTheBoundClosesItsConnection.

--- a/transport/transport.go
+++ b/transport/transport.go
@@ -9,9 +9,11 @@
 	"github.com/pkg/errors"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 )
 
 const (
@@ -76,9 +78,19 @@
 // Traffic returns the traffic on the server's connections so far.
 func (s *Server) Traffic() Traffic { return s.meter.traffic() }
 
+// maxRequestBytes bounds a message that a daemon sends to another one's server. The largest is the first report to the
+// leader, which lists the demand for all models and adapters.
+const maxRequestBytes = 1 << 20
+
+func newServer(mux *drpcmux.Mux) *drpcserver.Server {
+	return drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxRequestBytes},
+	}})
+}
+
 // Serve implements suture.Service.
 func (s *Server) Serve(ctx context.Context) error {
-	err := drpcserver.New(s.mux).Serve(ctx, meteredListener{s.listener, &s.meter})
+	err := newServer(s.mux).Serve(ctx, meteredListener{s.listener, &s.meter})
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -64,3 +65,29 @@
 		<-explainer.asked
 	}
 }
+
+// Guards against a peer whose message is held without a bound.
+func TestMessageBeyondTheBoundClosesItsConnection(t *testing.T) {
+	explainer := &lateExplainer{asked: make(chan string, 2), calls: 1}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := NewServer(listener)
+	require.NoError(t, rpc.DRPCRegisterExplain(server.Mux(), explainer))
+	serving, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(serving) }()
+	defer func() {
+		stop()
+		<-ended
+	}()
+	ask := func(target string) error {
+		conn, err := Dial(t.Context(), listener.Addr().String())
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, err = rpc.NewDRPCExplainClient(conn).Model(t.Context(), &rpc.ExplainModel{Target: target})
+		return err
+	}
+	require.NoError(t, ask(strings.Repeat("x", maxRequestBytes/2)))
+	require.Error(t, ask(strings.Repeat("x", 2*maxRequestBytes)))
+	require.Len(t, explainer.asked, 1)
+}
