--- a/core/core.go
+++ b/core/core.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/finchspoke/finchspoke/bytebudget"
 	"github.com/finchspoke/finchspoke/demand"
 	"github.com/finchspoke/finchspoke/failure"
 	"github.com/finchspoke/finchspoke/fleet"
@@ -38,8 +39,10 @@
 	Balancer Balancer
 	// LeaderAttached reports whether this daemon is connected to the leader; nil means never.
 	LeaderAttached func() bool
-	Metrics        *Metrics
-	Log            logrus.FieldLogger
+	// Memory bounds the bytes of requests and responses that are held; nil: they are not bounded.
+	Memory  *bytebudget.Budget
+	Metrics *Metrics
+	Log     logrus.FieldLogger
 	// Now is the clock of the retry budgets; nil means boottime.Now.
 	Now func() time.Time
 	// Draw returns random numbers from [0, 1) for the retry budgets; nil means rand.Float64.
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/finchspoke/finchspoke/bytebudget"
 	"github.com/finchspoke/finchspoke/fleet"
 	"github.com/finchspoke/finchspoke/routing"
 )
@@ -17,6 +18,9 @@
 	// an interrupted one can be retried.
 	maxBufferedResponse = 256 << 10
 	chunkBytes          = 16 << 10
+	// inputResponses and inputEvents name the buffered bodies and events of replicas in metrics.
+	inputResponses = "replica_response"
+	inputEvents    = "replica_event"
 	// minAttemptTime and objectivesPerAttempt, in multiples of the route's objective, give the time
 	// that a replica has for a repeatable request before another is tried; the longer one applies.
 	minAttemptTime       = 250 * time.Millisecond
@@ -125,16 +129,19 @@
 // discard reads the short body of a rejection, so that the connection can be reused.
 func discard(body Body) { _, _ = io.CopyN(io.Discard, body, chunkBytes) }
 
-// relayBuffered relays a response that is not an event stream, after reading it completely.
+// relayBuffered relays a response that is not an event stream, after reading it completely if there is memory for it.
 func (c *Core) relayBuffered(state *callState, reply *Reply) dispatchOutcome {
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedResponse+1))
-	if err != nil {
+	memory := c.Memory.Reserve(inputResponses)
+	defer memory.Release()
+	body, err := memory.ReadAll(reply.Body, reply.Length, maxBufferedResponse+1)
+	exhausted := err == bytebudget.ErrExhausted
+	if err != nil && !exhausted {
 		return dispatchOutcome{result: Lost, cause: err, health: fleet.Unreachable}
 	}
 	if reply.Status < http.StatusMultipleChoices {
 		c.recordAnswerBegun(state)
 	}
-	if len(body) > maxBufferedResponse {
+	if len(body) > maxBufferedResponse || exhausted {
 		return c.relayUnbuffered(state, reply, body)
 	}
 	c.Metrics.bodyEnds.WithLabelValues(reply.Framing.String()).Inc()
--- a/core/events.go
+++ b/core/events.go
@@ -8,12 +8,15 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/finchspoke/finchspoke/bytebudget"
 	"github.com/finchspoke/finchspoke/fleet"
 	"github.com/finchspoke/finchspoke/logging"
 )
 
 const (
 	eventReadBytes = 4 << 10
+	// freeEventBytes is the size up to which an event that is being read reserves no memory.
+	freeEventBytes = 4 * eventReadBytes
 	// maxEventBytes limits the size of one event of a stream.
 	maxEventBytes = 4 << 20
 	// byteOrderMark may precede the first line of a stream.
@@ -187,6 +190,8 @@
 // another replica, or ended, between two events.
 func (c *Core) relayEvents(state *callState, reply *Reply) dispatchOutcome {
 	splitter := &eventSplitter{}
+	memory := c.Memory.Reserve(inputEvents)
+	defer memory.Release()
 	buffer := make([]byte, eventReadBytes)
 	for {
 		n, readErr := reply.Body.Read(buffer)
@@ -194,6 +199,9 @@
 		if len(splitter.pending) > maxEventBytes {
 			return interruptedStream(state, errEventLength, fleet.Failed)
 		}
+		if size := int64(cap(splitter.pending)); size > freeEventBytes && !memory.GrowTo(size) {
+			return interruptedStream(state, bytebudget.ErrExhausted, fleet.Answered)
+		}
 		events, lastID := splitter.completeEvents()
 		if !state.answerBegun && splitter.eventFound {
 			c.recordAnswerBegun(state)
--- a/core/interruption_test.go
+++ b/core/interruption_test.go
@@ -12,6 +12,7 @@
 	dto "github.com/prometheus/client_model/go"
 	"github.com/stretchr/testify/require"
 
+	"github.com/finchspoke/finchspoke/bytebudget"
 	"github.com/finchspoke/finchspoke/failure"
 	"github.com/finchspoke/finchspoke/fleet"
 	"github.com/finchspoke/finchspoke/logging"
@@ -141,3 +142,34 @@
 		})
 	}
 }
+
+// Guards against responses that are held although the daemon has no memory for them, and against one that is cut or
+// repeated because it cannot be held.
+func TestResponsesBeyondTheMemoryBudgetAreNotHeld(t *testing.T) {
+	text := strings.Repeat("x", maxBufferedResponse/2)
+	for _, length := range []int64{int64(len(text)), -1} {
+		s := newSetup(t, routing.RunOnce, 1, func(context.Context, Dispatch) (*Reply, error) {
+			return &Reply{Status: http.StatusOK, Header: http.Header{}, Length: length, Body: &fakeBody{Reader: strings.NewReader(text)}}, nil
+		})
+		refused := map[string]int{}
+		s.core.Memory = bytebudget.New(maxBufferedResponse/4, func(input string) { refused[input]++ })
+		failed, _ := s.serve(t)
+		require.Nil(t, failed)
+		require.Equal(t, text, s.caller.String())
+		require.Equal(t, map[string]int{inputResponses: 1}, refused)
+		require.Zero(t, s.core.Memory.Used())
+	}
+}
+
+// Guards against an event that is held although the daemon has no memory for it, and against events that were received
+// before it and are lost.
+func TestEventBeyondTheMemoryBudgetInterruptsItsStream(t *testing.T) {
+	const first = "id: 1\ndata: first\n\n"
+	s := newSetup(t, routing.Stream, 1, framed(FramedByChunks, first+"id: 2\ndata: "+strings.Repeat("x", maxEventBytes/2), false))
+	s.core.Memory = bytebudget.New(bytebudget.SmallBytes, nil)
+	failed, responseStarted := s.serve(t)
+	require.NotNil(t, failed)
+	require.True(t, responseStarted)
+	require.Equal(t, first, s.caller.String())
+	require.Zero(t, s.core.Memory.Used())
+}
--- a/frontend/conn.go
+++ b/frontend/conn.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"golang.org/x/net/netutil"
+
+	"github.com/finchspoke/finchspoke/bytebudget"
 )
 
 // callerConn is a caller's connection that is busy from the first byte of a request on. net/http
@@ -20,14 +22,21 @@
 	busy   bool // from the first byte of a request until its handler returns
 	closed bool // as idle
 	resets bool // instead of closing properly
+	// head reserves memory for the head of the request that is being read, of which headBytes have arrived.
+	head      *bytebudget.Reservation
+	headBytes int64
+	inHandler bool // the head has been read
 }
 
+// inputHeads names the heads of callers' requests in metrics.
+const inputHeads = "caller_head"
+
 // lingerer is implemented by TCP connections.
 type lingerer interface {
 	SetLinger(seconds int) error
 }
 
-// Read implements net.Conn. It marks the connection busy.
+// Read implements net.Conn. It marks the connection busy, and fails if there is no memory for the head of a request.
 func (c *callerConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
 	if n == 0 {
@@ -39,14 +48,27 @@
 		return 0, net.ErrClosed
 	}
 	c.busy = true
+	if !c.inHandler {
+		if c.headBytes += int64(n); c.headBytes > bytebudget.FreeBytes && !c.head.GrowTo(c.headBytes) {
+			return 0, bytebudget.ErrExhausted
+		}
+	}
 	return n, err
 }
 
+// beginRequest notes that the head of a request has been read.
+func (c *callerConn) beginRequest() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.inHandler = true
+}
+
 // endRequest marks the connection idle after a request's handler has returned.
 func (c *callerConn) endRequest() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.busy = false
+	c.busy, c.inHandler, c.headBytes = false, false, 0
+	c.head.Release()
 }
 
 func (c *callerConn) isBusy() bool {
@@ -108,6 +130,7 @@
 	if !c.resets {
 		c.setLinger(lingerDefault)
 	}
+	c.head.Release()
 	return c.Conn.Close()
 }
 
@@ -124,6 +147,7 @@
 type callerListener struct {
 	net.Listener
 	sockets *socketListener
+	memory  *bytebudget.Budget // for heads of requests
 	once    sync.Once
 	closed  chan struct{} // closed when Accept has failed
 }
@@ -161,7 +185,7 @@
 		return nil, err
 	}
 	socket, _ := l.sockets.last.(lingerer)
-	return &callerConn{Conn: conn, socket: socket}, nil
+	return &callerConn{Conn: conn, socket: socket, head: l.memory.Reserve(inputHeads)}, nil
 }
 
 type connContextKey struct{}
@@ -178,6 +202,7 @@
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		conn, ok := request.Context().Value(connContextKey{}).(*callerConn)
 		if ok {
+			conn.beginRequest()
 			defer conn.endRequest()
 		}
 		unframed := ok && !request.ProtoAtLeast(1, 1)
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/finchspoke/finchspoke/bytebudget"
 	"github.com/finchspoke/finchspoke/logging"
 	"github.com/finchspoke/finchspoke/sleep"
 )
@@ -32,6 +33,8 @@
 type Options struct {
 	ReadHeaderTimeout time.Duration
 	MaxHeaderBytes    int
+	// Memory bounds the bytes of requests' heads that are being read; nil: they are not bounded.
+	Memory *bytebudget.Budget
 	// MaxConnections bounds the open connections; zero means no limit.
 	MaxConnections int
 	// IdleTimeout returns the idle timeout of connections that is advertised to callers; zero means none.
@@ -62,6 +65,7 @@
 func New(listener net.Listener, handler http.Handler, options Options) *Server {
 	s := &Server{Options: options, conns: map[*callerConn]connState{}}
 	s.listener = newCallerListener(listener, options.MaxConnections)
+	s.listener.memory = options.Memory
 	s.server = &http.Server{
 		Handler: s.trackRequests(handler), ConnContext: contextWithConn, MaxHeaderBytes: options.MaxHeaderBytes, ReadHeaderTimeout: options.ReadHeaderTimeout,
 		ConnState: s.trackState, DisableGeneralOptionsHandler: true,
--- /dev/null
+++ b/frontend/memory_test.go
@@ -0,0 +1,62 @@
+package frontend
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/finchspoke/finchspoke/bytebudget"
+)
+
+// Guards against heads of requests that are held although the daemon has no memory for them, and against memory that
+// stays reserved once a request has ended.
+func TestHeadsBeyondTheMemoryBudgetCloseTheirConnection(t *testing.T) {
+	const limit = 128 << 10
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	options := testOptions()
+	options.MaxHeaderBytes = 1 << 20
+	options.Memory = bytebudget.New(limit, nil)
+	server := New(listener, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.WriteString(writer, request.Header.Get("Padding"))
+	}), options)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = server.Serve(ctx) }()
+
+	held := options.Memory.Reserve("held")
+	require.True(t, held.GrowTo(limit/2))
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	go func() {
+		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\nPadding: "+strings.Repeat("x", limit)) // the server closes
+	}()
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	answer, _ := io.ReadAll(conn)
+	require.NotContains(t, string(answer), " 200 ")
+	require.Eventually(t, func() bool { return options.Memory.Used() == limit/2 }, 10*time.Second, time.Millisecond, "the head is released")
+	held.Release()
+
+	padding := strings.Repeat("y", limit/4)
+	conn, err = net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for range 5 { // more than the budget in all
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\nPadding: "+padding+"\r\n\r\n")
+		require.NoError(t, err)
+		response, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		text, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Equal(t, padding, string(text))
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -216,7 +216,7 @@
 	tracker := demand.NewTracker()
 	requestCore := &core.Core{
 		Fleet: n.fleet, Demand: tracker, Driver: replicas.Driver, Retries: n.config.Retries,
-		Metrics: core.NewMetrics(n.metrics), Log: n.log,
+		Metrics: core.NewMetrics(n.metrics), Log: n.log, Memory: n.newMemoryBudget(),
 	}
 	requestCore.Prepare()
 	n.core = requestCore
@@ -277,7 +277,7 @@
 	subscriber := &records.Subscriber{Daemon: n.config.ID, Mirror: n.mirror, Source: n.recordSource, Standby: n.standbySource, Seeds: n.replicas.recordPeers, Log: n.log}
 	n.registerGauges()
 	n.frontend = frontend.New(n.listeners.callers, adapters.NewCallerHandler(n.routes, n.gate, requestCore), frontend.Options{
-		ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: n.idleTimeout, ShutdownDelay: shutdownDelay, Log: n.log,
+		ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, Memory: requestCore.Memory, IdleTimeout: n.idleTimeout, ShutdownDelay: shutdownDelay, Log: n.log,
 	})
 	server := transport.NewServer(n.listeners.peers)
 	n.peers = server
--- a/node/services.go
+++ b/node/services.go
@@ -12,9 +12,12 @@
 	"github.com/finchspoke/finchspoke/sleep"
 )
 
+// maxInternalHeaderBytes bounds the heads of requests for readiness and metrics.
+const maxInternalHeaderBytes = 16 << 10
+
 // serveHTTP serves a handler until ctx ends.
 func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxInternalHeaderBytes}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(listener); ctx.Err() == nil {
