A leader without its lease gives orders only while it can prove that most daemons follow it

Cause: without a valid lease a leader went on while most daemons were attached, and a silent stream counts as attached for 5 s; the next leader orders from 3 s on.

Fix: while the lease is overdue the leader probes all daemons, and gives orders only within 0.6 s (a fifth of leaseMs) from the sending of a probe that most acknowledged; of the daemons known to the leader before, too. Its successor hears from the daemons that attach when they last received a probe, and waits where replicas check no fences until no proof can be valid and no order under way. Daemons of earlier versions count while they are attached. Nothing is sent while the lease is renewed in time.

Not covered: few daemons that alone reach the store, beside a leader that most follow and that has lost it.

--- a/loader/attach.go
+++ b/loader/attach.go
@@ -54,6 +54,7 @@
 		return err
 	}
 	daemonID := first.GetDaemonId()
+	l.observeEarlierProbe(first)
 	removeStream := l.addStream(daemonID)
 	defer removeStream()
 	l.clearReported(daemonID)
@@ -80,6 +81,17 @@
 
 var errTermEnded = errors.New("the leader's term has ended")
 
+// observeEarlierProbe records when a daemon that attaches last received a probe of an earlier leader. It must be called
+// before its stream counts.
+func (l *Leader) observeEarlierProbe(first *rpc.LoadsDemand) {
+	if first.GetEarlierProbeMs() <= 0 {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.succession.observe(l.now().Add(-time.Duration(first.GetEarlierProbeMs()) * time.Millisecond))
+}
+
 // addStream counts a daemon's stream; the returned function removes it.
 func (l *Leader) addStream(daemonID string) func() {
 	l.mutex.Lock()
@@ -125,6 +137,9 @@
 		l.daemons[message.GetDaemonId()] = state
 	}
 	state.detachedAt = time.Time{}
+	if number := message.GetAcknowledgedProbe(); number > 0 {
+		l.proof.acknowledge(message.GetDaemonId(), number)
+	}
 	l.applyDraining(message, now)
 	l.applyLimits(message, now)
 	if message.GetKnowsReplicas() && !state.knowsReplicas {
@@ -171,6 +186,7 @@
 	term        int64
 	directories uint64 // version of the directory list
 	keepers     uint64 // version of the list of keepers of stream origins
+	probe       uint64
 }
 
 // sendViews sends the loaded models and the running requests of each replica: first all of them, then each
@@ -201,12 +217,13 @@
 			return stream.Context().Err()
 		case <-next.changed:
 			time.Sleep(next.delay)
+		case <-next.probed:
 		}
 	}
 }
 
 func viewHasChanges(view *rpc.LoadsView) bool {
-	return len(view.GetReplicas())+len(view.GetRunning())+len(view.GetLeaving())+len(view.GetLimits())+len(view.GetPacked()) > 0 || view.GetDirectories() != nil || view.GetOriginKeepers() != nil
+	return len(view.GetReplicas())+len(view.GetRunning())+len(view.GetLeaving())+len(view.GetLimits())+len(view.GetPacked()) > 0 || view.GetProbe() > 0 || view.GetDirectories() != nil || view.GetOriginKeepers() != nil
 }
 
 // pendingViews are the messages to send to a daemon now. Once changed is closed, there may be more; the stream
@@ -215,6 +232,7 @@
 	messages []*rpc.LoadsView
 	changed  <-chan struct{}
 	delay    time.Duration
+	probed   <-chan struct{} // closed with the next probe, which does not wait
 }
 
 // nextViews returns the messages that a daemon has not received yet, and marks them as sent.
@@ -225,7 +243,11 @@
 		return pendingViews{}, errTermEnded
 	}
 	sentState.term = l.fence
-	next := pendingViews{changed: l.changed, delay: viewInterval(l.loadReceivers())}
+	next := pendingViews{changed: l.changed, delay: viewInterval(l.loadReceivers()), probed: l.proof.changed}
+	if number := l.proof.newest(); sentState.probe < number {
+		sentState.probe = number
+		next.messages = append(next.messages, &rpc.LoadsView{Fence: l.fence, Daemons: uint32(l.attachedStreams), Probe: number})
+	}
 	if l.receivesLoads(daemonID) {
 		next.messages = append(next.messages, l.view(sentState.version, now))
 		sentState.version = l.version
--- a/loader/demand.go
+++ b/loader/demand.go
@@ -19,8 +19,10 @@
 	attachedAt        time.Time                                    // start of its current stream
 	address           string                                       // address for connections from other daemons
 	zone              string
-	knowsReplicas     bool   // whether it has the records of all replicas
-	originProcess     uint64 // unique for each start of a daemon that can keep stream origins; zero: it cannot
+	knowsReplicas     bool // whether it has the records of all replicas
+	// acknowledgesProbes is whether the daemon acknowledges probes; earlier versions do not.
+	acknowledgesProbes bool
+	originProcess      uint64 // unique for each start of a daemon that can keep stream origins; zero: it cannot
 }
 
 // arrivalRate holds exponentially decaying averages of arrivals.
--- a/loader/follower.go
+++ b/loader/follower.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/finchspoke/finchspoke/boottime"
 	"github.com/finchspoke/finchspoke/demand"
 	"github.com/finchspoke/finchspoke/election"
 	"github.com/finchspoke/finchspoke/fleet"
@@ -56,13 +57,37 @@
 	changed           chan struct{}   // closed when current changes
 	urgent            chan struct{}   // holds an element while a report should be sent at once
 	attached          atomic.Bool
+	// probedAt is when the last probe of a term with a fencing token was received, by a clock that counts suspensions.
+	// A process that has received none may have forgotten one from before it started.
+	probedAt    time.Time
+	probedFence int64
 }
 
 // Attached reports whether a leader receives this daemon's demand.
 func (f *Follower) Attached() bool { return f.attached.Load() }
 
 // Prepare initializes the follower; it must be called before any other method.
-func (f *Follower) Prepare() { f.changed, f.urgent = make(chan struct{}), make(chan struct{}, 1) }
+func (f *Follower) Prepare() {
+	f.changed, f.urgent = make(chan struct{}), make(chan struct{}, 1)
+	f.probedAt = boottime.Now()
+}
+
+// recordProbe records a probe of a leader.
+func (f *Follower) recordProbe(fence int64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.probedAt, f.probedFence = boottime.Now(), fence
+}
+
+// earlierProbeMs returns how long ago the last probe was received, for the leader of a term; zero if it was of that term.
+func (f *Follower) earlierProbeMs(fence int64) int64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.probedFence == fence {
+		return 0
+	}
+	return max(1, boottime.Now().Sub(f.probedAt).Milliseconds())
+}
 
 // LeaderChanged makes the follower attach to a newly elected leader.
 func (f *Follower) LeaderChanged(leader election.Leader) {
@@ -127,6 +152,7 @@
 	first := f.report(sent, time.Now())
 	first.TermDelayMs, first.Address, first.Zone = f.BaseCampaignDelay.Milliseconds(), f.Address, f.Zone
 	first.OriginProcess = f.OriginProcess
+	first.AcknowledgesProbes, first.EarlierProbeMs = true, f.earlierProbeMs(leader.Fence)
 	if err := stream.Send(first); err != nil {
 		return err
 	}
@@ -158,7 +184,9 @@
 		case <-f.urgent:
 		case <-reportTicker.C:
 		}
-		if report := f.report(sent, time.Now()); heartbeatDue || sent.updateKnowsReplicas(report.GetKnowsReplicas()) || demandHasChanges(report) {
+		report := f.report(sent, time.Now())
+		report.AcknowledgedProbe = sent.takeProbe()
+		if heartbeatDue || report.AcknowledgedProbe > 0 || sent.updateKnowsReplicas(report.GetKnowsReplicas()) || demandHasChanges(report) {
 			if err := stream.Send(report); err != nil {
 				return err
 			}
@@ -174,13 +202,23 @@
 type sentReport struct {
 	counts        map[demand.Key]demand.Count
 	versionWaits  map[demand.VersionKey]demand.VersionWait
-	mutex         sync.Mutex                 // guards running and limits, which the receiving goroutine uses too
+	mutex         sync.Mutex                 // guards running, limits and probe, which the receiving goroutine uses too
+	probe         uint64                     // that has not been acknowledged yet; zero if there is none
 	running       map[string]uint32          // requests of this daemon by replica
 	knowsReplicas bool                       // used only by the sending goroutine
 	draining      map[fleet.Incarnation]bool // used only by the sending goroutine
 	limits        map[fleet.Incarnation]float64
 }
 
+// takeProbe returns the newest probe, if it has not been acknowledged yet.
+func (r *sentReport) takeProbe() uint64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	number := r.probe
+	r.probe = 0
+	return number
+}
+
 // updateKnowsReplicas records whether this daemon has the records of all replicas, and returns whether that
 // changed.
 func (r *sentReport) updateKnowsReplicas(knowsReplicas bool) bool {
@@ -261,6 +299,13 @@
 		if view.GetFence() > 0 && (len(view.GetReplicas()) > 0 || !f.knowsReplicas()) {
 			f.Leader.ObserveOrder(now)
 		}
+		if number := view.GetProbe(); number > 0 {
+			f.recordProbe(view.GetFence())
+			sent.mutex.Lock()
+			sent.probe = number
+			sent.mutex.Unlock()
+			f.reportSoon()
+		}
 		f.DaemonCount(int(view.GetDaemons()))
 		if directories := view.GetDirectories(); directories != nil && f.SetDirectories != nil {
 			f.SetDirectories(directories.GetServe(), directories.GetAddresses())
--- a/loader/leader.go
+++ b/loader/leader.go
@@ -11,10 +11,12 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/finchspoke/finchspoke/boottime"
 	"github.com/finchspoke/finchspoke/demand"
 	"github.com/finchspoke/finchspoke/election"
 	"github.com/finchspoke/finchspoke/fleet"
 	"github.com/finchspoke/finchspoke/loading"
+	"github.com/finchspoke/finchspoke/logging"
 	"github.com/finchspoke/finchspoke/origin"
 	"github.com/finchspoke/finchspoke/routing"
 	"github.com/finchspoke/finchspoke/rpc"
@@ -143,6 +145,9 @@
 	attachedStreams    int
 	maxAttachedStreams int // in this term
 	attachment         attachment
+	proof              followingProof
+	succession         succession
+	ordersPaused       string // why the leader gives no orders, for the log; empty if it does
 	directories        directories
 	keepers            originKeepers
 	version            uint64     // of the published views
@@ -157,11 +162,14 @@
 	lastOrderAt        time.Time                 // by any leader, as far as this daemon knows
 	orderTimes         recentOrders
 	handovers          handoverPlan
+	// now is the clock of proofs and successions, which counts suspensions; replaced by tests.
+	now func() time.Time
 }
 
 // Prepare initializes the leader; it must be called before any other method.
 func (l *Leader) Prepare() {
 	l.started = time.Now()
+	l.now = boottime.Now
 	l.wake = make(chan struct{}, 1)
 	l.changed = make(chan struct{})
 	l.daemons = map[string]*daemonState{}
@@ -178,6 +186,8 @@
 		l.earlierStates = l.statesWithOrders(time.Now())
 	}
 	l.fence, l.ordersFrom = fence, ordersFrom
+	l.proof.beginTerm()
+	l.succession = succession{}
 	l.states, l.ids = map[string]*loading.Replica{}, nil
 	l.changedReplicas.markAll()
 	l.inFlight = map[string]*loading.Order{}
@@ -276,7 +286,8 @@
 	}
 	l.refreshStates(now)
 	l.refreshRunning(now)
-	if !l.mayGiveOrders(status, now) {
+	l.probeDaemons(status, now)
+	if l.logPause(l.pauseReason(status)) {
 		return
 	}
 	if l.handovers.mayHandOver(now) && status == election.TermValid && l.hasStrongerDaemon(now) && l.Election.BeginHandover() {
@@ -320,6 +331,7 @@
 		ordersFrom = earliest
 	}
 	l.reset(fence, ordersFrom)
+	l.succession = succession{waits: !reclaimed && inherited == nil && !l.Limits.FencesChecked && !l.FirstTerm(), beganAt: l.now()}
 	if !reclaimed {
 		l.earlierStates = nil
 		l.storeWindow = loading.StoreWindow{Length: l.Limits.Window}
@@ -360,17 +372,72 @@
 	return l.FirstStart || !l.lastOrderAt.IsZero()
 }
 
+// Reasons for which a leader gives no orders, used in log fields.
+const (
+	pausedUncertain  = "term_uncertain"
+	pausedUnproven   = "not_followed"
+	pausedSuccession = "earlier_leader"
+)
+
 // mayGiveOrders reports whether the leader may give orders: its lease is valid, or the key-value service is
-// unreachable but most daemons are still attached, so that no other leader can be active. The caller holds
-// the mutex.
-func (l *Leader) mayGiveOrders(status election.TermStatus, now time.Time) bool {
+// unreachable but most daemons followed the term a short time ago; and no earlier leader may. The caller holds the mutex.
+func (l *Leader) mayGiveOrders(status election.TermStatus) bool {
+	return l.pauseReason(status) == ""
+}
+
+// pauseReason returns why the leader may give no orders; empty if it may. The caller holds the mutex.
+func (l *Leader) pauseReason(status election.TermStatus) string {
+	now := l.now()
 	switch status {
 	case election.TermValid:
-		return true
 	case election.TermStoreUnreachable:
-		return 2*l.attachedStreams > l.maxAttachedStreams
+		if now.Sub(l.followedAt()) > l.Limits.proofAge() {
+			return pausedUnproven
+		}
+	default:
+		return pausedUncertain
+	}
+	if !l.succession.mayOrder(now, l.isFollowedByMost(), l.Limits.successorWait()) {
+		return pausedSuccession
+	}
+	return ""
+}
+
+// followedAt returns when most daemons are known to have followed this term: of those that were attached in it or, lately,
+// to this leader or the one before. The caller holds the mutex.
+func (l *Leader) followedAt() time.Time {
+	unable := 0
+	for id := range l.attachment.streams {
+		if state := l.daemons[id]; state != nil && !state.acknowledgesProbes {
+			unable++
+		}
+	}
+	return l.proof.provenAt(max(l.maxAttachedStreams, l.attachment.maxDaemons)/2+1, unable)
+}
+
+// isFollowedByMost reports whether most of the daemons that are known are attached. The caller holds the mutex.
+func (l *Leader) isFollowedByMost() bool {
+	return 2*len(l.attachment.streams) > max(l.attachment.maxDaemons, len(l.attachment.streams))
+}
+
+// probeDaemons sends probes while the lease may soon be invalid. The caller holds the mutex.
+func (l *Leader) probeDaemons(status election.TermStatus, now time.Time) {
+	if status == election.TermValid && l.Election.ValidFor() >= time.Duration(probeBelowShare*float64(l.Election.TTL)) {
+		return
+	}
+	clockNow := l.now()
+	dueAt := l.proof.send(clockNow, l.Limits.proofAge()/probesPerProof)
+	l.scheduleRound(now.Add(dueAt.Sub(clockNow)))
+}
+
+// logPause logs when the leader begins to give no orders for a reason, or goes on, and reports whether it gives none.
+// The caller holds the mutex.
+func (l *Leader) logPause(reason string) (paused bool) {
+	if reason != l.ordersPaused {
+		l.ordersPaused = reason
+		l.Log.WithFields(logrus.Fields{logging.Fence: l.fence, logging.Reason: reason}).Info(logging.MessageOrdersPaused)
 	}
-	return false
+	return reason != ""
 }
 
 // Followed reports whether most of the daemons that were attached in this term still are.
--- a/loader/leaderhandover.go
+++ b/loader/leaderhandover.go
@@ -51,6 +51,7 @@
 		state.baseCampaignDelay, state.attachedAt = time.Duration(first.GetTermDelayMs())*time.Millisecond, time.Now()
 		state.address, state.zone = first.GetAddress(), first.GetZone()
 		state.originProcess = first.GetOriginProcess()
+		state.acknowledgesProbes = first.GetAcknowledgesProbes()
 	}
 }
 
--- a/loader/limits.go
+++ b/loader/limits.go
@@ -77,7 +77,10 @@
 
 // LimitReported makes the follower send its report at once, after a replica reported a request limit to this
 // daemon. Other daemons exceed the limit until they know it.
-func (f *Follower) LimitReported() {
+func (f *Follower) LimitReported() { f.reportSoon() }
+
+// reportSoon makes the follower send its report at once.
+func (f *Follower) reportSoon() {
 	select {
 	case f.urgent <- struct{}{}:
 	default:
--- a/loader/orders.go
+++ b/loader/orders.go
@@ -60,7 +60,7 @@
 	term, status := l.Election.Term()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return term == fence && l.fence == fence && l.mayGiveOrders(status, time.Now())
+	return term == fence && l.fence == fence && l.mayGiveOrders(status)
 }
 
 // handleResponse passes a response to its handler, unless the term has ended since, and logs it.
--- a/logging/messages.go
+++ b/logging/messages.go
@@ -16,6 +16,7 @@
 	MessageEntryRejected             = "registry entry not used"
 	MessageRegistrySummary           = "registry followed"
 	MessageLoadOrder                 = "load order"
+	MessageOrdersPaused              = "load orders paused or resumed"
 	MessageReplicaState              = "replica state heard"
 	MessageReplicaDraining           = "replica says that it leaves"
 	MessageRelayedDraining           = "replicas leave, by another daemon's word"
