--- a/frontend/conn.go
+++ b/frontend/conn.go
@@ -67,7 +67,16 @@
 func (c *callerConn) endRequest() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.busy, c.inHandler, c.headBytes = false, false, 0
+	c.busy, c.inHandler = false, false
+	c.headBytes = 0
+	c.head.Release()
+}
+
+// releaseHead discards what was read since the last request.
+func (c *callerConn) releaseHead() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.headBytes = 0
 	c.head.Release()
 }
 
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -85,6 +85,9 @@
 		delete(s.conns, caller)
 		return
 	}
+	if state == http.StateIdle {
+		caller.releaseHead() // net/http may have read the rest of a body after the handler
+	}
 	s.conns[caller] = connState{state: state, since: time.Now()}
 }
 
--- a/frontend/memory_test.go
+++ b/frontend/memory_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -60,3 +61,25 @@
 		require.Equal(t, padding, string(text))
 	}
 }
+
+// Guards against an idle connection that holds memory for a body that its handler did not read.
+func TestIdleConnectionHoldsNoMemory(t *testing.T) {
+	const body = 100 << 10 // net/http reads the rest of a body of this size
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	options := testOptions()
+	options.Memory = bytebudget.New(1<<20, nil)
+	server := New(listener, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusNoContent) }), options)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = server.Serve(ctx) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: "+strconv.Itoa(body)+"\r\n\r\n"+strings.Repeat("x", body))
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusNoContent, response.StatusCode)
+	require.Eventually(t, func() bool { return options.Memory.Used() == 0 }, 10*time.Second, time.Millisecond)
+}
--- a/logging/messages.go
+++ b/logging/messages.go
@@ -35,7 +35,7 @@
 	MessageStandbyAppointed          = "standby of tenants' limits appointed"
 	MessageShutdownPhase             = "planned stop goes on"
 	MessageReplicaProbed             = "replica asked whether it runs"
-	MessageSurplusResponse           = "surplus response of a replica"
+	MessageUnsolicitedResponse       = "unsolicited response of a replica"
 	MessageReplicaCrashed            = "replica ended under a request"
 	MessageSuspectCleared            = "request served whole after replicas had ended"
 	MessagePartQuarantined           = "part of prompts crashes replicas"
--- a/node/connections.go
+++ b/node/connections.go
@@ -9,23 +9,23 @@
 )
 
 // newReplicaPool returns the pool of connections to replicas. It counts the connections that it opens, and logs and
-// counts surplus responses.
+// counts unsolicited responses.
 func (n *Node) newReplicaPool() *upstream.Pool {
 	opened := prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "finchspoke_replica_connections_opened_total", Help: "Connections opened to replicas.",
 	})
-	surplus := prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "finchspoke_replica_surplus_responses_total",
+	unsolicited := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "finchspoke_replica_unsolicited_responses_total",
 		Help: "Responses of replicas that answered no waiting request, by where on their connection they were found.",
 	}, []string{"position"})
-	n.metrics.MustRegister(opened, surplus)
+	n.metrics.MustRegister(opened, unsolicited)
 	pool := upstream.NewPool(n.config.DialReplica, opened.Inc)
-	pool.OnSurplus(func(response upstream.SurplusResponse) {
-		surplus.WithLabelValues(response.Position.String()).Inc()
+	pool.OnUnsolicited(func(response upstream.UnsolicitedResponse) {
+		unsolicited.WithLabelValues(response.Position.String()).Inc()
 		n.log.WithFields(logrus.Fields{
 			logging.Address: response.Address, logging.Connection: response.Connection, logging.Position: response.Position.String(),
 			logging.Status: response.Status, logging.Cause: "the replica answered a request again",
-		}).Info(logging.MessageSurplusResponse)
+		}).Info(logging.MessageUnsolicitedResponse)
 	})
 	return pool
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -18,10 +18,10 @@
 	// maxInlineBodyBytes is the largest body that is written before the response is read. A longer one
 	// is written concurrently, since the replica may respond early.
 	maxInlineBodyBytes = 16 << 10
-	// maxSurplusResponses and maxSurplusBytes bound the responses to other requests, and their bodies, that are skipped
+	// maxUnsolicitedResponses and maxUnsolicitedBytes bound the responses to other requests, and their bodies, that are skipped
 	// before a response.
-	maxSurplusResponses = 16
-	maxSurplusBytes     = 1 << 20
+	maxUnsolicitedResponses = 16
+	maxUnsolicitedBytes     = 1 << 20
 )
 
 // exchange is one request and its response on a connection.
@@ -96,8 +96,8 @@
 
 // readHead reads response heads until one belongs to the request.
 func (e *exchange) readHead(request Request) (*Response, error) {
-	remaining := int64(maxSurplusBytes)
-	for range maxSurplusResponses + 1 {
+	remaining := int64(maxUnsolicitedBytes)
+	for range maxUnsolicitedResponses + 1 {
 		response, err := e.nextHead(request)
 		if err != nil {
 			return nil, err
@@ -106,7 +106,7 @@
 			return &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Chunked: chunked(response),
 				Via: e.conn.via, Connection: e.conn.String(), response: response, exchange: e}, nil
 		}
-		e.pool.reportSurplus(e.address, e.conn, SurplusBeforeResponse, response.StatusCode)
+		e.pool.reportUnsolicited(e.address, e.conn, UnsolicitedBeforeResponse, response.StatusCode)
 		if response.Close || response.ContentLength < 0 && !chunked(response) {
 			return nil, errors.New("received a response to another request, whose body has no known end")
 		}
@@ -115,7 +115,7 @@
 			return nil, errors.Wrap(err, "skip a response to another request")
 		}
 		if remaining -= skipped; remaining < 0 {
-			return nil, errors.Errorf("the responses to other requests exceed %d bytes", maxSurplusBytes)
+			return nil, errors.Errorf("the responses to other requests exceed %d bytes", maxUnsolicitedBytes)
 		}
 	}
 	return nil, errors.New("received only responses to other requests")
@@ -127,8 +127,8 @@
 
 // nextHead reads the head of a response, and skips interim responses before it.
 func (e *exchange) nextHead(request Request) (*http.Response, error) {
-	e.conn.inflow.limit(e.conn.reader.Buffered())
-	defer e.conn.inflow.unlimit()
+	e.conn.limiter.limit(e.conn.reader.Buffered())
+	defer e.conn.limiter.unlimit()
 	for {
 		response, err := http.ReadResponse(e.conn.reader, request.HTTP)
 		if err != nil {
--- a/upstream/fuzz_test.go
+++ b/upstream/fuzz_test.go
@@ -61,7 +61,7 @@
 		sent := request(t, "replica", http.MethodGet, "1", "")
 		response, err := pool.Do(t.Context(), sent)
 		if err != nil {
-			require.LessOrEqual(t, conn.data.Size()-int64(conn.data.Len()), int64((maxSurplusResponses+1)*(maxHeadBytes+readBufferBytes)+maxSurplusBytes+readBufferBytes))
+			require.LessOrEqual(t, conn.data.Size()-int64(conn.data.Len()), int64((maxUnsolicitedResponses+1)*(maxHeadBytes+readBufferBytes)+maxUnsolicitedBytes+readBufferBytes))
 			return
 		}
 		require.Equal(t, "1", response.Header.Get("Id"))
--- a/upstream/history.go
+++ b/upstream/history.go
@@ -2,7 +2,7 @@
 
 import "hash/maphash"
 
-// rememberedExchanges bounds the memory of a connection's history. A surplus response would have to be delayed by as
+// rememberedExchanges bounds the memory of a connection's history. An unsolicited response would have to be delayed by as
 // many others on its connection to be taken for the response to a repeat.
 const rememberedExchanges = 64
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -31,9 +31,9 @@
 	mutex  sync.Mutex
 	idle   map[string][]*connection
 	onDial func()
-	// onSurplus is called with each response that answers no request; it may be nil.
-	onSurplus func(SurplusResponse)
-	now       func() time.Time // replaced by tests
+	// onUnsolicited is called with each response that answers no request; it may be nil.
+	onUnsolicited func(UnsolicitedResponse)
+	now           func() time.Time // replaced by tests
 }
 
 // NewPool returns an empty pool, which opens connections with dial, nil meaning Dial, and calls onDial for each.
@@ -58,7 +58,7 @@
 // connection serves one request at a time.
 type connection struct {
 	net.Conn
-	inflow  *inflow // what reader reads from
+	limiter *readLimiter // what reader reads from
 	reader  *bufio.Reader
 	expires time.Time // end of its use as an idle connection
 	via     string    // id of the daemon that relays it; empty if it is direct
@@ -90,7 +90,7 @@
 			return conn, nil
 		}
 		if state == idleReceived {
-			p.reportSurplus(request.Address, conn, SurplusWhileIdle, 0)
+			p.reportUnsolicited(request.Address, conn, UnsolicitedWhileIdle, 0)
 		}
 		_ = conn.Close()
 	}
@@ -106,8 +106,8 @@
 	if p.onDial != nil {
 		p.onDial()
 	}
-	inflow := &inflow{Conn: opened}
-	return &connection{Conn: opened, inflow: inflow, reader: bufio.NewReaderSize(inflow, readBufferBytes), via: viaOf(opened), name: opened.LocalAddr().String()}
+	limiter := &readLimiter{Conn: opened}
+	return &connection{Conn: opened, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), via: viaOf(opened), name: opened.LocalAddr().String()}
 }
 
 // takeIdle takes a connection that may carry a request; nil if there is none. Of several it takes the one that was used
--- a/upstream/surplus_test.go
+++ b/upstream/unsolicited_test.go
@@ -11,9 +11,9 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against surplus responses that nobody notices, and against logs that do not tell on which exchange of a
+// Guards against unsolicited responses that nobody notices, and against logs that do not tell on which exchange of a
 // connection a request was sent.
-func TestSurplusResponsesAreReported(t *testing.T) {
+func TestUnsolicitedResponsesAreReported(t *testing.T) {
 	address := startServer(t, func(_, count int, read *http.Request) string {
 		own := reply(read.Header.Get("Id"), "own")
 		switch count {
@@ -25,8 +25,8 @@
 		return own
 	})
 	pool := NewPool(nil, nil)
-	var found []SurplusResponse
-	pool.OnSurplus(func(response SurplusResponse) { found = append(found, response) })
+	var found []UnsolicitedResponse
+	pool.OnUnsolicited(func(response UnsolicitedResponse) { found = append(found, response) })
 	for _, id := range []string{"1", "2", "3"} {
 		_, err := fetch(t, pool, request(t, address, http.MethodGet, id, ""))
 		require.NoError(t, err)
@@ -42,7 +42,7 @@
 
 	require.NotEmpty(t, found)
 	first := found[0]
-	require.Equal(t, SurplusResponse{Address: address, Connection: first.Connection, Position: SurplusBeforeResponse, Status: http.StatusOK}, first)
+	require.Equal(t, UnsolicitedResponse{Address: address, Connection: first.Connection, Position: UnsolicitedBeforeResponse, Status: http.StatusOK}, first)
 	require.Contains(t, first.Connection, "#2", "the second exchange on its connection")
 }
 
@@ -86,24 +86,26 @@
 	}
 }
 
-// Guards against a request whose own response is lost since several surplus responses come before it, and against
-// surplus responses that are read without end.
-func TestSurplusResponsesAreSkippedUpToABound(t *testing.T) {
+// Guards against a request whose own response is lost since several unsolicited responses come before it, and against
+// unsolicited responses that are read without end.
+func TestUnsolicitedResponsesAreSkippedUpToABound(t *testing.T) {
 	endless := "HTTP/1.1 200 OK\r\nId: 9\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("10000\r\n"+strings.Repeat("x", 0x10000)+"\r\n", 64)
 	for name, test := range map[string]struct {
-		surplus string
-		skipped bool
+		unsolicited string
+		skipped     bool
 	}{
-		"as many as the bound":                 {strings.Repeat(reply("9", "late"), maxSurplusResponses), true},
-		"more than the bound":                  {strings.Repeat(reply("9", "late"), maxSurplusResponses+1), false},
-		"a long body":                          {reply("9", strings.Repeat("x", maxSurplusBytes)), true},
-		"a longer body":                        {reply("9", strings.Repeat("x", maxSurplusBytes+1)), false},
-		"two bodies that exceed the bound":     {strings.Repeat(reply("9", strings.Repeat("x", maxSurplusBytes/2+1)), 2), false},
+		"as many as the bound":                 {strings.Repeat(reply("9", "late"), maxUnsolicitedResponses), true},
+		"more than the bound":                  {strings.Repeat(reply("9", "late"), maxUnsolicitedResponses+1), false},
+		"a long body":                          {reply("9", strings.Repeat("x", maxUnsolicitedBytes)), true},
+		"a longer body":                        {reply("9", strings.Repeat("x", maxUnsolicitedBytes+1)), false},
+		"two bodies that exceed the bound":     {strings.Repeat(reply("9", strings.Repeat("x", maxUnsolicitedBytes/2+1)), 2), false},
 		"a body without an end":                {endless, false},
 		"a body that ends with its connection": {"HTTP/1.1 200 OK\r\nId: 9\r\n\r\nlate", false},
 		"one that closes the connection":       {strings.Replace(reply("9", "late"), "\r\n", "\r\nConnection: close\r\n", 1), false},
 	} {
-		address := startServer(t, func(_, _ int, read *http.Request) string { return test.surplus + reply(read.Header.Get("Id"), "own") })
+		address := startServer(t, func(_, _ int, read *http.Request) string {
+			return test.unsolicited + reply(read.Header.Get("Id"), "own")
+		})
 		pool := NewPool(nil, nil)
 		text, err := fetch(t, pool, request(t, address, http.MethodGet, "1", ""))
 		if test.skipped {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -152,7 +152,7 @@
 	opened := 0
 	pool := NewPool(nil, func() { opened++ })
 	address := startServer(t, func(connection, count int, read *http.Request) string {
-		return reply(read.Header.Get("Id"), "own") + reply("9", "surplus")
+		return reply(read.Header.Get("Id"), "own") + reply("9", "unsolicited")
 	})
 	for _, id := range []string{"1", "2"} {
 		text, err := fetch(t, pool, request(t, address, http.MethodGet, id, ""))
