A record that was written while a list was read reaches peers that are further than the list

A peer that follows the leader from a revision between that of a list and that of a record on its later pages never got that record: a configuration, say, until its next change.

Cause: such records go into the log of changes at once, ahead of older changes that follow, and changeLog.since stops at the first change that is not newer than the peer's revision.

Fix: the log is kept in the order of revisions.

Test: TestRecordsWrittenDuringListReachPeersThatAreFurther, failing before (the record is missing).

--- a/records/changes.go
+++ b/records/changes.go
@@ -1,6 +1,7 @@
 package records
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/finchspoke/finchspoke/kv"
@@ -22,15 +23,20 @@
 	c.events, c.floor = nil, revision
 }
 
-// add appends changes that are newer than all others.
+// add adds changes. They may be older than some that a list contained before they were received.
 func (c *changeLog) add(events []kv.Event) {
 	c.events = append(c.events, events...)
+	if !slices.IsSortedFunc(c.events, compareRevisions) {
+		slices.SortStableFunc(c.events, compareRevisions)
+	}
 	if surplus := len(c.events) - maxRecentChanges; surplus > 0 {
 		c.floor = c.events[surplus-1].Pair.ModRevision
 		c.events = slices.Clone(c.events[surplus:])
 	}
 }
 
+func compareRevisions(a, b kv.Event) int { return cmp.Compare(a.Pair.ModRevision, b.Pair.ModRevision) }
+
 // since returns the changes after a revision; known is false if the log lacks some of them.
 func (c *changeLog) since(revision int64) (events []kv.Event, known bool) {
 	if revision < c.floor {
--- a/records/records.go
+++ b/records/records.go
@@ -5,9 +5,7 @@
 package records
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -304,7 +302,6 @@
 			events = append(events, kv.Event{Pair: kv.Pair{Key: key, ModRevision: revision}, Deleted: true})
 		}
 	}
-	slices.SortFunc(writtenDuringList, func(a, b kv.Event) int { return cmp.Compare(a.Pair.ModRevision, b.Pair.ModRevision) })
 	m.recentChanges.add(writtenDuringList)
 	m.recentOtherChanges.add(m.excludeReplicas(writtenDuringList))
 	m.checkReplicaCount()
--- a/records/records_test.go
+++ b/records/records_test.go
@@ -401,6 +401,21 @@
 	require.Equal(t, []kv.Event{put("config", "2", 12)}, update.Events)
 }
 
+// Guards against a record that was written while a list was read and that a peer never gets: a peer whose revision lies
+// between that of the list and that of the record, once older changes have followed.
+func TestRecordsWrittenDuringListReachPeersThatAreFurther(t *testing.T) {
+	mirror := newTestMirror(t, newFakeStore())
+	mirror.replaceAll([]kv.Pair{{Key: "servers/a", Value: []byte("1"), ModRevision: 3}, {Key: "config", Value: []byte("2"), ModRevision: 15}}, 10, true)
+	mirror.applyChanges([]kv.Event{put("servers/b", "1", 11), put("servers/c", "1", 12)}, 12)
+	update, _ := mirror.since(peerState{revision: 11})
+	require.Equal(t, []kv.Event{put("servers/c", "1", 12), put("config", "2", 15)}, update.Events)
+	mirror.applyChanges([]kv.Event{put("servers/d", "1", 14), put("config", "2", 15)}, 15)
+	update, _ = mirror.since(peerState{revision: 13})
+	require.Equal(t, []kv.Event{put("servers/d", "1", 14), put("config", "2", 15)}, update.Events)
+	update, _ = mirror.since(peerState{revision: 15})
+	require.Empty(t, update.Events)
+}
+
 // A daemon that becomes leader must not wait until its peer's confirmation has expired.
 func TestNewLeaderPollsTheStoreAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
