Requests served between crashes are cleared while the key-value service is down

Callers saw: equal requests of which three replicas crashed during an outage, some served in between, are refused for an hour.

Cause: reports that are not published had one revision, and a report holds crashes and served requests without their order, so that nothing cleared crashes of the same outage.

Fix: a request that is served after a crash of it in the pending report goes into the next one; pending reports are numbered, and published in order, at most 16 of them.

Test: TestRequestServedBetweenCrashesDuringStoreOutageIsNotQuarantined, failing before (refused after the third crash).

--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -86,9 +86,9 @@
 
 	mutex        sync.Mutex
 	ledger       *ledger
-	pendingKey   string        // record key of pending
-	pending      Report        // collects entries until it is published
-	pendingReady chan struct{} // holds an element while pending is not empty
+	pending      pendingReport   // collects entries until it is published
+	sealed       []pendingReport // complete and not being published yet, oldest first
+	pendingReady chan struct{}   // holds an element while there is one to publish
 	probes       map[fleet.Incarnation]*probe
 	// lostReports maps the keys of records that a restore of the key-value service removed to
 	// their revisions before it.
@@ -118,7 +118,7 @@
 	g.abandoned = abandonedRequests{}
 	g.suspectParts, g.partsChanged, g.unannounced = map[PartHash]*suspectPart{}, make(chan struct{}), map[PartHash][]string{}
 	g.lostReports, g.lostSignal = map[string]int64{}, make(chan struct{}, 1)
-	g.pendingKey = g.newKey()
+	g.pending = pendingReport{key: g.newKey(), revision: firstPending}
 }
 
 // newKey returns a unique record key, so that no other daemon writes the same record.
@@ -298,6 +298,9 @@
 	if len(g.ledger.crashHistory(request).Replicas) < CrashThreshold-1 || !g.hasRoom() {
 		return
 	}
+	if g.pending.namesCrashOf(request) {
+		g.sealPending() // within one report, a served request would not clear the crash
+	}
 	g.pending.Served = append(g.pending.Served, request[:])
 	g.queuePending()
 	g.Log.WithField(logging.Fingerprint, request.String()).Info(logging.MessageSuspectCleared)
@@ -316,7 +319,7 @@
 // queuePending applies the pending report to the local ledger and schedules its publication. The
 // caller holds the mutex.
 func (g *Guard) queuePending() {
-	g.ledger.put(g.pendingKey, g.pending.clone(), unpublished, g.Now())
+	g.ledger.put(g.pending.key, g.pending.clone(), g.pending.revision, g.Now())
 	select {
 	case g.pendingReady <- struct{}{}:
 	default:
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -263,6 +263,35 @@
 	})
 }
 
+// Guards against a request that is quarantined in an outage of the key-value service although it was served between the
+// crashes.
+func TestRequestServedBetweenCrashesDuringStoreOutageIsNotQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		results := map[string]Liveness{}
+		for number := range 20 {
+			results[fmt.Sprintf("r%d", number)] = NotRunning
+		}
+		store, guards := startGuards(t, 2, &fakeProber{results: results})
+		for range 200 {
+			store.failNext(kv.ErrUnavailable)
+		}
+		for number := range 10 {
+			guards[0].ConnectionBroken(t.Context(), fleet.Incarnation{ID: fmt.Sprintf("r%d", number)}, "address", testSuspect(1))
+			time.Sleep(100 * time.Millisecond)
+			if number%2 == 1 {
+				guards[0].Served(testFingerprint(1))
+			}
+			require.Nil(t, guards[0].Check(testSuspect(1)).Refused, "after crash %d", number)
+		}
+		time.Sleep(10 * time.Minute) // the store has answered again
+		require.Nil(t, guards[1].Check(testSuspect(1)).Refused, "the reports arrive in their order")
+		for number := range CrashThreshold {
+			guards[0].ConnectionBroken(t.Context(), fleet.Incarnation{ID: fmt.Sprintf("r%d", 10+number)}, "address", testSuspect(1))
+		}
+		require.NotNil(t, guards[0].Check(testSuspect(1)).Refused, "crashes after it was served count")
+	})
+}
+
 // While the key-value service is unavailable, neither memory nor the number of writes may grow without
 // bound.
 func TestMemoryAndCallsAreBoundedDuringStoreOutage(t *testing.T) {
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -20,10 +20,14 @@
 	maxReports = 1024
 )
 
-// unpublished is the revision of a report that the key-value service does not have yet. It is higher
+// unpublished is the revision of a report that the key-value service does not have any more. It is higher
 // than the revision of any published report.
 const unpublished = math.MaxInt64
 
+// firstPending is the revision of the first report of this daemon that the key-value service does not have yet. Each
+// later one has the next revision. They are higher than those of all published reports.
+const firstPending = unpublished - 1<<32
+
 // ledger holds the reports of all daemons. It does no I/O and takes the time as an argument.
 type ledger struct {
 	reports map[string]*ledgerEntry // by record key
@@ -36,7 +40,7 @@
 // ledgerEntry is a report with the metadata of its record.
 type ledgerEntry struct {
 	Report
-	revision   int64     // modification revision, or unpublished
+	revision   int64     // modification revision, unpublished, or that of a pending report
 	observedAt time.Time // when this daemon first observed the record
 }
 
--- a/quarantine/publish.go
+++ b/quarantine/publish.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -46,17 +47,50 @@
 	}
 }
 
-// takePending returns the pending report with its key, and starts a new one.
+// pendingReport is a report that is not published yet.
+type pendingReport struct {
+	Report
+	key      string // of its record
+	revision int64  // until it is published; orders this daemon's reports
+}
+
+// maxSealed bounds the reports that wait while the key-value service is unavailable. Beyond it, a request that is served
+// clears no crash of the same report.
+const maxSealed = 16
+
+// sealPending starts a new pending report and keeps the one so far to be published before it. The caller holds the mutex.
+func (g *Guard) sealPending() {
+	if len(g.sealed) < maxSealed {
+		g.sealed = append(g.sealed, g.pending)
+		g.startPending()
+	}
+}
+
+// startPending starts a new pending report. The caller holds the mutex.
+func (g *Guard) startPending() {
+	g.pending = pendingReport{key: g.newKey(), revision: g.pending.revision + 1}
+}
+
+// takePending returns the oldest report to publish, with its key.
 func (g *Guard) takePending() (pendingKey string, report Report) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	pendingKey, report = g.pendingKey, g.pending
-	g.pendingKey, g.pending = g.newKey(), Report{}
+	if len(g.sealed) > 0 {
+		oldest := g.sealed[0]
+		g.sealed = slices.Delete(g.sealed, 0, 1)
+		select {
+		case g.pendingReady <- struct{}{}: // for the next one
+		default:
+		}
+		return oldest.key, oldest.Report
+	}
+	taken := g.pending
+	g.startPending()
 	select {
 	case <-g.pendingReady: // entries added during gatherDelay are part of the report
 	default:
 	}
-	return pendingKey, report
+	return taken.key, taken.Report
 }
 
 // publish writes a report, with retries until the key-value service confirms it. Retries are safe
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -152,6 +152,11 @@
 	crash.Parts = append(crash.Parts, encodeParts(parts))
 }
 
+// namesCrashOf reports whether the report names a crash of a replica that had a request.
+func (r *Report) namesCrashOf(request Fingerprint) bool {
+	return slices.ContainsFunc(r.Crashes, func(crash Crash) bool { return containsFingerprint(crash.Requests, request) })
+}
+
 // addClearance adds a crash that a part did not cause.
 func (r *Report) addClearance(part PartHash, replica string) {
 	index := slices.IndexFunc(r.Cleared, func(clearance Clearance) bool { return PartHash(clearance.Part) == part })
