--- a/core/interruption_test.go
+++ b/core/interruption_test.go
@@ -165,7 +165,7 @@
 // before it and are lost.
 func TestEventBeyondTheMemoryBudgetInterruptsItsStream(t *testing.T) {
 	const first = "id: 1\ndata: first\n\n"
-	s := newSetup(t, routing.Stream, 1, framed(FramedByChunks, first+"id: 2\ndata: "+strings.Repeat("x", maxEventBytes/2), false))
+	s := newSetup(t, routing.Stream, 1, framed(FramedByChunks, first+"id: 2\ndata: "+strings.Repeat("x", maxEventBytes/2)+"\n\n", false))
 	s.core.Memory = bytebudget.New(bytebudget.SmallBytes, nil)
 	failed, responseStarted := s.serve(t)
 	require.NotNil(t, failed)
--- a/frontend/memory_test.go
+++ b/frontend/memory_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -41,7 +42,8 @@
 		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\nPadding: "+strings.Repeat("x", limit)) // the server closes
 	}()
 	require.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
-	answer, _ := io.ReadAll(conn)
+	answer, err := io.ReadAll(conn)
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the server closes the connection")
 	require.NotContains(t, string(answer), " 200 ")
 	require.Eventually(t, func() bool { return options.Memory.Used() == limit/2 }, 10*time.Second, time.Millisecond, "the head is released")
 	held.Release()
