Stand-ins: links between daemons of one process can be cut

A test could cut a daemon off from the key-value service and from the replicas, not from the other daemons.

No logic changes.

--- a/node/node.go
+++ b/node/node.go
@@ -79,6 +79,8 @@
 	FullMirrorLimit int
 	// DialReplica opens connections to replicas; nil: upstream.Dial.
 	DialReplica upstream.DialFunc
+	// DialPeer opens connections to other daemons; nil: over TCP.
+	DialPeer transport.DialFunc
 	// CrashPrefix is the key prefix of the records of replicas that ended while they served requests.
 	CrashPrefix string
 	// VersionsKey is the key of the record of services with several software versions.
@@ -380,6 +382,9 @@
 func (n *Node) Run(ctx context.Context) error {
 	serveCtx, stop := context.WithCancel(context.Background())
 	defer stop()
+	if n.config.DialPeer != nil {
+		serveCtx = transport.WithDialer(serveCtx, n.config.DialPeer)
+	}
 	ended := n.supervisor.ServeBackground(serveCtx)
 	n.log.WithFields(logrus.Fields{logging.Address: n.listeners.callers.Addr().String(), logging.Zone: n.config.Zone}).Info("daemon started")
 	var err error
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -21,11 +21,30 @@
 	keepAliveInterval = 15 * time.Second
 )
 
+// DialFunc opens a connection to a daemon's address.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+type dialerKey struct{}
+
+// WithDialer returns a context under which Dial opens connections with dial, so that tests can cut the links between daemons
+// of one process.
+func WithDialer(ctx context.Context, dial DialFunc) context.Context {
+	return context.WithValue(ctx, dialerKey{}, dial)
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // Dial opens a connection to a daemon's rpc address. A connection carries one
 // stream or call at a time; the caller closes it.
 func Dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
-	connection, err := dialer.DialContext(ctx, "tcp", address)
+	dial, replaced := ctx.Value(dialerKey{}).(DialFunc)
+	if !replaced {
+		dial = dialTCP
+	}
+	connection, err := dial(ctx, address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to daemon at %s", address)
 	}
