--- a/election/campaign.go
+++ b/election/campaign.go
@@ -62,7 +62,7 @@
 
 // campaign tries to take the term.
 func (e *Election) campaign(ctx context.Context) {
-	if target, _, _ := e.campaignTarget(); !target.reclaimed && !sleep.For(ctx, e.campaignDelay()+e.stagger()+e.historyDelay()) {
+	if target, _, _ := e.campaignTarget(); !target.way.isOwn() && !sleep.For(ctx, e.campaignDelay()+e.stagger()+e.historyDelay()) {
 		return
 	}
 	campaignTarget, _, open := e.campaignTarget()
@@ -87,7 +87,7 @@
 		e.revokeLease(ctx, lease)
 		return
 	}
-	term := Leader{Daemon: e.Daemon, Address: e.Address, Nonce: uuid.NewString(), Era: &lease.Era}
+	term := Leader{Daemon: e.Daemon, Address: e.Address, Nonce: uuid.NewString(), Era: &lease.Era, OrderValidityMs: e.OrderValidity.Milliseconds()}
 	result, err := kv.CommitResolved(ctx, store, e.replaceTxn(campaignTarget.replaces, term, lease))
 	if err == nil && result.Succeeded && kv.EraOf(result.Revision) != lease.Era {
 		// The condition may have matched a different record that got the same revision after the
@@ -143,17 +143,21 @@
 
 // campaignTarget describes the term that a campaign tries to take.
 type campaignTarget struct {
-	era       int64        // of the store, in which the term was open
-	replaces  int64        // revision of the record to be replaced; zero: none
-	reclaimed bool         // the previous term was this daemon's
-	inherited *Inheritance // nil unless the previous leader handed the term over
-	opensAt   time.Time    // when the term may be taken at the earliest; zero: at once
+	way        Way
+	era        int64        // of the store, in which the term was open
+	replaces   int64        // revision of the record to be replaced; zero: none
+	fence      int64        // see openTerm
+	nonce      string       // see openTerm
+	recordedBy time.Time    // see openTerm
+	inherited  *Inheritance // nil unless the previous leader handed the term over
+	opensAt    time.Time    // when the term may be taken at the earliest; zero: at once
 	// previousActive is when the leader of the term before was last active, at the latest; zero if its lease has expired.
 	previousActive time.Time
 }
 
 // openTerm is a term that a daemon may take.
 type openTerm struct {
+	way      Way
 	era      int64     // of the store, in which the term is open
 	replaces int64     // revision of the record to be replaced; zero: none
 	opensAt  time.Time // when the term may be taken at the earliest; zero: at once
@@ -161,6 +165,11 @@
 	// lastActive is when this daemon was last active in its earlier term, at the latest; zero unless the term is
 	// reclaimable.
 	lastActive time.Time
+	// fence is the fencing token of this process's term that a restore ended.
+	fence int64
+	// nonce is that of this daemon's record that is in effect, and recordedBy when it had been written at the latest.
+	nonce      string
+	recordedBy time.Time
 }
 
 // campaignTarget returns the term that a campaign may take if open is set, and otherwise when to
@@ -170,9 +179,9 @@
 	defer e.mutex.Unlock()
 	switch {
 	case e.reclaimable != nil && (e.reclaimable.closesAt.IsZero() || e.now().Before(e.reclaimable.closesAt)):
-		return campaignTarget{era: e.reclaimable.era, replaces: e.reclaimable.replaces, reclaimed: true, previousActive: e.reclaimable.lastActive}, 0, true
+		return campaignTarget{way: e.reclaimable.way, era: e.reclaimable.era, replaces: e.reclaimable.replaces, fence: e.reclaimable.fence, nonce: e.reclaimable.nonce, recordedBy: e.reclaimable.recordedBy, previousActive: e.reclaimable.lastActive}, 0, true
 	case e.offer.Fence > 0:
-		return campaignTarget{era: kv.EraOf(e.offer.Fence), replaces: e.offer.Fence, inherited: e.offer.Handover.inheritance(e.offeredAt), previousActive: e.offeredAt}, 0, true
+		return campaignTarget{way: HandedOver, era: kv.EraOf(e.offer.Fence), replaces: e.offer.Fence, inherited: e.offer.Handover.inheritance(e.offeredAt), previousActive: e.offeredAt}, 0, true
 	case e.openTerm == nil:
 		return campaignTarget{}, e.TTL, false
 	}
@@ -189,11 +198,13 @@
 		e.recordCampaignFailure(kv.ErrRestored) // the record is gone, and its absence was observed already
 		return
 	}
-	e.reclaimed, e.inherited, e.othersUntil, e.previousActive = target.reclaimed, target.inherited, target.opensAt, target.previousActive
+	e.beginning = e.beginningOf(term, target)
+	e.othersUntil, e.previousActive = target.opensAt, target.previousActive
+	e.rememberRecord(term)
 	e.term, e.lease, e.renewedAt, e.renewalFailedAt, e.current = term, lease, sent, time.Time{}, term
 	e.openTerm, e.reclaimable, e.offer = nil, nil, Leader{}
 	e.mutex.Unlock()
-	e.log.WithFields(logrus.Fields{logging.Leader: e.Daemon, logging.Fence: term.Fence, logging.Reclaimed: target.reclaimed, logging.HandedOver: target.inherited != nil}).
+	e.log.WithFields(logrus.Fields{logging.Leader: e.Daemon, logging.Fence: term.Fence, logging.Reclaimed: target.way.isOwn(), logging.HandedOver: target.inherited != nil, logging.Began: target.way.String()}).
 		Info(logging.MessageTermStarted)
 	for _, listener := range e.listeners {
 		listener(term)
--- a/election/election.go
+++ b/election/election.go
@@ -32,6 +32,9 @@
 	// an earlier one than its revision. Nil in records that earlier versions of this program wrote,
 	// which never count as restored.
 	Era *int64 `json:"era,omitempty"`
+	// OrderValidityMs is how long after it sent a renewal of its lease the leader may send load orders under it. Zero in
+	// records of leaders that do not bound this.
+	OrderValidityMs int64 `json:"order_validity_ms,omitempty"`
 	// Fence is the revision of the record, which is not part of its value. It serves as the fencing
 	// token, by which replicas recognize the load orders of earlier leaders.
 	Fence int64 `json:"-"`
@@ -77,6 +80,12 @@
 	Daemon  string
 	Address string
 	TTL     time.Duration
+	// RenewInterval is the time between renewals of the lease; zero: a third of the TTL.
+	RenewInterval time.Duration
+	// OrderValidity is stated in this daemon's records, see Leader.OrderValidityMs.
+	OrderValidity time.Duration
+	// SettledKey is the key of the record that MarkSettled writes and ReadSettled reads.
+	SettledKey string
 	// FirstStart is whether the system starts for the first time, so that there was no earlier leader.
 	FirstStart bool
 	// HasLeaderHistory reports whether this daemon knows when a leader was last active, which lets it
@@ -107,8 +116,11 @@
 	// reclaimable is the term that this daemon may take without waiting for a lease to expire: the
 	// record of its own earlier process, or the state that a restore left of its own record. Nil:
 	// none.
-	reclaimable *openTerm
-	reclaimed   bool // the previous term was this daemon's
+	reclaimable     *openTerm
+	beginning       Beginning // of this daemon's term
+	settledRevision int64     // of the record under SettledKey, as last read or written; zero: none
+	// records are the records of the two latest terms that were observed, or were this daemon's own, the later one last.
+	records []Leader
 	// offer is a record whose leader has given up the term, and offeredAt when this daemon received
 	// it. Its fence is zero if there is none.
 	offer     Leader
@@ -118,12 +130,11 @@
 	era             int64
 	startedAt       time.Time // of this process's election
 	opensAt         time.Time
-	observed        bool         // a record or its absence was observed
-	inherited       *Inheritance // of this daemon's term; nil if the term was not handed over
-	othersUntil     time.Time    // see UnknownLeaderUntil
-	previousActive  time.Time    // see PreviousLeaderActive
-	current         Leader       // that the last observed record names
-	term            Leader       // of this daemon; its nonce is empty without a term
+	observed        bool      // a record or its absence was observed
+	othersUntil     time.Time // see UnknownLeaderUntil
+	previousActive  time.Time // see PreviousLeaderActive
+	current         Leader    // that the last observed record names
+	term            Leader    // of this daemon; its nonce is empty without a term
 	lease           kv.LeaseID
 	renewedAt       time.Time // when the last successful renewal was sent
 	renewalFailedAt time.Time // when the last failed renewal ended
@@ -135,6 +146,7 @@
 }
 
 const (
+	// renewalsPerTTL is the default number of renewals in the TTL of a lease.
 	renewalsPerTTL = 3
 	// validShare is the share of the lease's TTL for which a renewal keeps the term valid.
 	validShare = 0.8
@@ -144,6 +156,9 @@
 	callTimeout      = 800 * time.Millisecond
 )
 
+// MaxRenewalDelay is how long after a renewal of a lease was sent the next one has ended, at the default interval.
+const MaxRenewalDelay = 2 * time.Second
+
 // New returns an election that has not observed any record yet.
 func New(config Config, store kv.LeaseStore, log logrus.FieldLogger) *Election {
 	now := config.Now
@@ -195,6 +210,7 @@
 	if leader.writtenInEra(e.era) {
 		e.opensAt = time.Time{}
 	}
+	e.rememberRecord(leader)
 	e.current, e.openTerm, e.reclaimable, e.offer = leader, nil, nil, Leader{}
 	e.checkTerm(leader, event, followed)
 	switch {
@@ -203,7 +219,7 @@
 	case leader.Handover != nil:
 		e.offer, e.offeredAt = leader, e.now()
 	case leader.Daemon == e.Daemon && e.term.Nonce == "":
-		e.reclaimable = &openTerm{era: e.era, replaces: leader.Fence, lastActive: e.startedAt}
+		e.reclaimable = &openTerm{way: Restarted, era: e.era, replaces: leader.Fence, lastActive: e.startedAt, nonce: leader.Nonce, recordedBy: e.now()}
 	}
 	if leader.fromBackup() {
 		e.current = Leader{Fence: leader.Fence}
@@ -257,6 +273,16 @@
 	return time.Duration(validShare*float64(e.TTL)) - e.now().Sub(e.renewedAt)
 }
 
+// RenewedAt returns when the latest successful renewal of the term's lease was sent; zero without a term.
+func (e *Election) RenewedAt() time.Time {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.term.Nonce == "" {
+		return time.Time{}
+	}
+	return e.renewedAt
+}
+
 // PreviousLeaderActive returns when the leader of the term before this daemon's was last active, at the latest, by this
 // election's clock. It is set if that term was handed over or was this daemon's, so that its lease may not have expired;
 // otherwise zero.
@@ -295,7 +321,7 @@
 		switch {
 		case holding && !resigned:
 			e.renew(ctx)
-			e.waitOrWake(ctx, e.TTL/renewalsPerTTL)
+			e.waitOrWake(ctx, cmp.Or(e.RenewInterval, e.TTL/renewalsPerTTL))
 		case open && !resigned:
 			e.campaign(ctx)
 			e.waitOrWake(ctx, campaignInterval)
@@ -306,14 +332,6 @@
 	return ctx.Err()
 }
 
-// Reclaimed reports whether the previous term was this daemon's, under an earlier process or before a
-// restore of the store, so that no other leader can have sent load orders recently.
-func (e *Election) Reclaimed() bool {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	return e.reclaimed
-}
-
 func (e *Election) renew(ctx context.Context) {
 	e.mutex.Lock()
 	lease := e.lease
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -342,7 +342,7 @@
 		time.Sleep(testTTL)
 		fence, status := first.Term()
 		require.Equal(t, TermValid, status)
-		require.False(t, first.Reclaimed())
+		require.False(t, first.Beginning().ResumesOwn())
 		other, stop := start("b")
 		defer stop()
 		time.Sleep(testTTL)
@@ -357,7 +357,7 @@
 		higher, status := restarted.Term()
 		require.Equal(t, TermValid, status)
 		require.Greater(t, higher, fence)
-		require.True(t, restarted.Reclaimed())
+		require.True(t, restarted.Beginning().ResumesOwn())
 		time.Sleep(3 * testTTL)
 		_, status = restarted.Term()
 		require.Equal(t, TermValid, status)
@@ -404,8 +404,8 @@
 		require.NotEqual(t, "c", next[0])
 		after, _ := elections[next[0]].Term()
 		require.Greater(t, after, before)
-		require.False(t, elections[next[0]].Reclaimed())
-		inherited := elections[next[0]].Inherited()
+		require.False(t, elections[next[0]].Beginning().ResumesOwn())
+		inherited := elections[next[0]].Beginning().Inherited
 		require.NotNil(t, inherited)
 		require.Equal(t, map[string]time.Time{"r1": stopped.Add(-400 * time.Millisecond)}, inherited.LastOrders)
 		require.Equal(t, stopped.Add(100*time.Millisecond), inherited.NotBefore)
@@ -421,7 +421,7 @@
 		elections["a"].Resign(t.Context(), func() Handover { return Handover{} })
 		time.Sleep(time.Second)
 		require.Equal(t, []string{"b"}, leaders(elections))
-		require.Nil(t, elections["b"].Inherited(), "the times of earlier orders are unknown")
+		require.Nil(t, elections["b"].Beginning().Inherited, "the times of earlier orders are unknown")
 	})
 }
 
@@ -446,7 +446,7 @@
 		renewed, status := weak.Term()
 		require.Equal(t, TermValid, status, "no other daemon campaigned")
 		require.Greater(t, renewed, before)
-		require.NotNil(t, weak.Inherited())
+		require.NotNil(t, weak.Beginning().Inherited)
 
 		strong := New(Config{Key: testKey, Daemon: "strong", Address: "strong:1", TTL: testTTL}, storeView{store, "strong"}, discardLog())
 		store.mutex.Lock()
@@ -458,7 +458,7 @@
 		time.Sleep(time.Second)
 		_, status = strong.Term()
 		require.Equal(t, TermValid, status)
-		require.Contains(t, strong.Inherited().LastOrders, "r1")
+		require.Contains(t, strong.Beginning().Inherited.LastOrders, "r1")
 		_, status = weak.Term()
 		require.Equal(t, NoTerm, status)
 		require.False(t, weak.BeginHandover(), "there is nothing to hand over")
@@ -495,14 +495,49 @@
 		store, elections := startElections(t, map[string]bool{"a": true}, "a", "b")
 		time.Sleep(time.Second)
 		store.failNextHandover()
-		validFor := elections["a"].ValidFor()
+		remaining := testTTL - time.Since(elections["a"].RenewedAt())
+		require.Greater(t, remaining, elections["a"].ValidFor())
 		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 		defer cancel()
 		go elections["a"].Resign(ctx, func() Handover { return Handover{} })
-		time.Sleep(validFor - time.Millisecond)
+		time.Sleep(remaining - time.Millisecond)
 		require.True(t, store.hasRecord())
 		time.Sleep(2 * time.Millisecond)
 		synctest.Wait()
 		require.False(t, store.hasRecord())
 	})
 }
+
+// Guards against a daemon that takes its own record, observed before the response to its write, for that of the leader before,
+// and so does not learn that this one stated no bound of its orders.
+func TestOwnRecordIsNotTakenForTheEarlierLeaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &recordStore{unreachable: map[string]bool{}}
+		start := func(daemon string, validity time.Duration) (*Election, context.CancelFunc) {
+			candidate := New(Config{Key: testKey, Daemon: daemon, Address: daemon + ":1", TTL: testTTL, OrderValidity: validity}, storeView{store, daemon}, discardLog())
+			store.mutex.Lock()
+			store.observers = append(store.observers, candidate)
+			store.mutex.Unlock()
+			ctx, kill := context.WithCancel(t.Context())
+			go func() { _ = candidate.Serve(ctx) }()
+			return candidate, kill
+		}
+		earlier, kill := start("earlier", 0)
+		earlier.ObserveAbsent(0)
+		time.Sleep(testTTL)
+		_, status := earlier.Term()
+		require.Equal(t, TermValid, status)
+		later, stop := start("later", time.Second)
+		defer stop()
+		store.mutex.Lock()
+		pair := store.pair
+		store.loseNextResponse = true // the record is observed first
+		store.mutex.Unlock()
+		later.Observe(kv.Event{Pair: pair})
+		kill()
+		time.Sleep(2 * testTTL)
+		_, status = later.Term()
+		require.Equal(t, TermValid, status)
+		require.True(t, later.Beginning().UnboundedValidity)
+	})
+}
--- a/election/handover.go
+++ b/election/handover.go
@@ -19,32 +19,31 @@
 	LastOrderMs map[string]int64 `json:"last_order_ms,omitempty"`
 	// WaitMs is how long the next leader must wait before it sends any load order.
 	WaitMs int64 `json:"wait_ms,omitempty"`
+	// UnfollowedWaitMs is the same while most daemons do not follow the next leader. Zero: it makes no difference.
+	UnfollowedWaitMs int64 `json:"unfollowed_wait_ms,omitempty"`
 }
 
 // Inheritance is a handover converted to the next leader's clock.
 type Inheritance struct {
 	LastOrders map[string]time.Time // by replica
 	NotBefore  time.Time            // when the next leader may send load orders at the earliest
+	// UnfollowedNotBefore is the same while most daemons do not follow the next leader; zero: it makes no difference.
+	UnfollowedNotBefore time.Time
 }
 
 // inheritance converts the handover to times relative to when this daemon received its record, which
 // is later than when it was written.
 func (h *Handover) inheritance(receivedAt time.Time) *Inheritance {
 	inherited := &Inheritance{LastOrders: make(map[string]time.Time, len(h.LastOrderMs)), NotBefore: receivedAt.Add(time.Duration(h.WaitMs) * time.Millisecond)}
+	if h.UnfollowedWaitMs > 0 {
+		inherited.UnfollowedNotBefore = receivedAt.Add(time.Duration(h.UnfollowedWaitMs) * time.Millisecond)
+	}
 	for replica, age := range h.LastOrderMs {
 		inherited.LastOrders[replica] = receivedAt.Add(-time.Duration(age) * time.Millisecond)
 	}
 	return inherited
 }
 
-// Inherited returns what the previous leader handed over; nil if this daemon's term was not handed
-// over.
-func (e *Election) Inherited() *Inheritance {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	return e.inherited
-}
-
 // Resign ends this daemon's term, if it has one, and its campaigns. It calls handover once this
 // daemon sends no more load orders.
 func (e *Election) Resign(ctx context.Context, handover func() Handover) {
@@ -93,11 +92,12 @@
 		e.notifyWritten()
 		return
 	}
-	// Others rely on the lease as long as it was certain to be in effect; see ValidFor.
+	// Others rely on the lease as long as it was certain to be in effect (see ValidFor), and the next leader on its whole
+	// TTL having passed since the last renewal.
 	e.mutex.Lock()
-	validFor := e.validFor()
+	remaining := e.TTL - e.now().Sub(e.renewedAt)
 	e.mutex.Unlock()
-	sleep.For(context.WithoutCancel(ctx), validFor)
+	sleep.For(context.WithoutCancel(ctx), remaining)
 	// If the write is only delayed, it fails: without the lease there is no record to replace.
 	e.log.WithFields(logrus.Fields{logging.Fence: term.Fence, logging.Cause: err.Error()}).Warn("cannot hand over the term; revoking its lease")
 	e.revokeLease(ctx, lease)
--- a/election/restore_test.go
+++ b/election/restore_test.go
@@ -62,7 +62,7 @@
 		after, status := elections[leading[0]].Term()
 		require.Equal(t, TermValid, status)
 		require.Greater(t, after, before)
-		require.True(t, elections[leading[0]].Reclaimed(), "no other leader can have sent load orders recently")
+		require.Equal(t, Restored, elections[leading[0]].Beginning().Way, "no other leader can have sent load orders recently")
 		time.Sleep(3 * testTTL)
 		require.Equal(t, leading, leaders(elections))
 	})
--- a/election/restored.go
+++ b/election/restored.go
@@ -38,8 +38,9 @@
 	if followed {
 		closesAt = e.now().Add(e.TTL)
 	}
+	fence := e.term.Fence
 	e.endTerm(reasonRestored)
-	e.reclaimable = &openTerm{era: e.era, replaces: replaces, closesAt: closesAt, lastActive: e.now()}
+	e.reclaimable = &openTerm{way: Restored, fence: fence, era: e.era, replaces: replaces, closesAt: closesAt, lastActive: e.now()}
 	e.openTerm = &openTerm{era: e.era, replaces: replaces, opensAt: e.opensAt}
 }
 
--- a/loader/attach.go
+++ b/loader/attach.go
@@ -54,7 +54,7 @@
 		return err
 	}
 	daemonID := first.GetDaemonId()
-	l.observeEarlierProbe(first)
+	l.observeFollower(first)
 	removeStream := l.addStream(daemonID)
 	defer removeStream()
 	l.clearReported(daemonID)
@@ -81,15 +81,15 @@
 
 var errTermEnded = errors.New("the leader's term has ended")
 
-// observeEarlierProbe records when a daemon that attaches last received a probe of an earlier leader. It must be called
-// before its stream counts.
-func (l *Leader) observeEarlierProbe(first *rpc.LoadsDemand) {
-	if first.GetEarlierProbeMs() <= 0 {
-		return
-	}
+// observeFollower records that a daemon follows this term, and when it last received a probe of an earlier leader.
+func (l *Leader) observeFollower(first *rpc.LoadsDemand) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.succession.observe(l.now().Add(-time.Duration(first.GetEarlierProbeMs()) * time.Millisecond))
+	probedAt := time.Time{}
+	if first.GetEarlierProbeMs() > 0 {
+		probedAt = l.now().Add(-time.Duration(first.GetEarlierProbeMs()) * time.Millisecond)
+	}
+	l.succession.observe(first.GetDaemonId(), probedAt)
 }
 
 // addStream counts a daemon's stream; the returned function removes it.
--- a/loader/draining_test.go
+++ b/loader/draining_test.go
@@ -45,7 +45,7 @@
 	require.Empty(t, leader.view(sentVersion, now).GetLeaving())
 	require.Equal(t, []string{"r1"}, drainingIDs(leader.view(0, now)), "a new stream receives all draining replicas")
 
-	leader.reset(7, now)
+	leader.reset(7)
 	require.Equal(t, []string{"r1"}, drainingIDs(leader.view(0, now)), "also in the next term")
 }
 
--- a/loader/follower.go
+++ b/loader/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,10 +58,12 @@
 	changed           chan struct{}   // closed when current changes
 	urgent            chan struct{}   // holds an element while a report should be sent at once
 	attached          atomic.Bool
-	// probedAt is when the last probe of a term with a fencing token was received, by a clock that counts suspensions.
-	// A process that has received none may have forgotten one from before it started.
-	probedAt    time.Time
-	probedFence int64
+	// probedAt is when the last probe of each leader was received, by a clock that counts suspensions. A process may have
+	// forgotten one from before it started, of an unknown leader.
+	probedAt  map[string]time.Time
+	startedAt time.Time
+	// now is the clock of probedAt and startedAt; replaced by tests.
+	now func() time.Time
 }
 
 // Attached reports whether a leader receives this daemon's demand.
@@ -69,24 +72,48 @@
 // Prepare initializes the follower; it must be called before any other method.
 func (f *Follower) Prepare() {
 	f.changed, f.urgent = make(chan struct{}), make(chan struct{}, 1)
-	f.probedAt = boottime.Now()
+	f.now = boottime.Now
+	f.startedAt = f.now()
+	f.probedAt = map[string]time.Time{unknownLeader: f.now()}
 }
 
+// unknownLeader stands for leaders that this process cannot know.
+const unknownLeader = ""
+
+// probeMemory is how long a probe is remembered; leaders give no orders for it by then.
+const probeMemory = time.Minute
+
 // recordProbe records a probe of a leader.
-func (f *Follower) recordProbe(fence int64) {
+func (f *Follower) recordProbe(leader string) {
+	now := f.now()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.probedAt, f.probedFence = boottime.Now(), fence
+	f.probedAt[leader] = now
+	maps.DeleteFunc(f.probedAt, func(_ string, at time.Time) bool { return now.Sub(at) > probeMemory })
+}
+
+// mayAcknowledge reports whether this daemon may acknowledge probes. A process that has just started may have forgotten that
+// it followed a later leader than the one that probes it.
+func (f *Follower) mayAcknowledge() bool {
+	limits := f.Leader.Limits
+	return !limits.spacesLeaders() || f.now().Sub(f.startedAt) >= withDrift(limits.unleasedTime())
 }
 
-// earlierProbeMs returns how long ago the last probe was received, for the leader of a term; zero if it was of that term.
-func (f *Follower) earlierProbeMs(fence int64) int64 {
+// earlierProbeMs returns how long ago the last probe of another leader than the given one was received; zero if there was
+// none lately.
+func (f *Follower) earlierProbeMs(leader string) int64 {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.probedFence == fence {
+	var newest time.Time
+	for prober, at := range f.probedAt {
+		if prober != leader {
+			newest = later(newest, at)
+		}
+	}
+	if newest.IsZero() {
 		return 0
 	}
-	return max(1, boottime.Now().Sub(f.probedAt).Milliseconds())
+	return max(1, f.now().Sub(newest).Milliseconds())
 }
 
 // LeaderChanged makes the follower attach to a newly elected leader.
@@ -152,7 +179,7 @@
 	first := f.report(sent, time.Now())
 	first.TermDelayMs, first.Address, first.Zone = f.BaseCampaignDelay.Milliseconds(), f.Address, f.Zone
 	first.OriginProcess = f.OriginProcess
-	first.AcknowledgesProbes, first.EarlierProbeMs = true, f.earlierProbeMs(leader.Fence)
+	first.AcknowledgesProbes, first.EarlierProbeMs = true, f.earlierProbeMs(leader.Daemon)
 	if err := stream.Send(first); err != nil {
 		return err
 	}
@@ -163,7 +190,7 @@
 	failed := make(chan error, 2)
 	silence := newWatchdog(failed)
 	defer silence.stop()
-	go func() { failed <- f.receiveViews(stream, sent, silence) }()
+	go func() { failed <- f.receiveViews(stream, leader.Daemon, sent, silence) }()
 	heartbeat := time.NewTicker(heartbeatInterval)
 	defer heartbeat.Stop()
 	reportTicker := time.NewTicker(reportInterval)
@@ -282,7 +309,7 @@
 }
 
 // receiveViews applies the leader's messages until the stream fails.
-func (f *Follower) receiveViews(stream rpc.DRPCLoads_AttachClient, sent *sentReport, silence watchdog) error {
+func (f *Follower) receiveViews(stream rpc.DRPCLoads_AttachClient, leader string, sent *sentReport, silence watchdog) error {
 	for {
 		message, err := stream.Recv()
 		if err != nil {
@@ -297,14 +324,16 @@
 		// A daemon that does not receive the replicas' loads cannot tell when the leader gave its last order, so it
 		// assumes one before each message.
 		if view.GetFence() > 0 && (len(view.GetReplicas()) > 0 || !f.knowsReplicas()) {
-			f.Leader.ObserveOrder(now)
+			f.Leader.ObserveOrder()
 		}
 		if number := view.GetProbe(); number > 0 {
-			f.recordProbe(view.GetFence())
-			sent.mutex.Lock()
-			sent.probe = number
-			sent.mutex.Unlock()
-			f.reportSoon()
+			f.recordProbe(leader)
+			if f.mayAcknowledge() {
+				sent.mutex.Lock()
+				sent.probe = number
+				sent.mutex.Unlock()
+				f.reportSoon()
+			}
 		}
 		f.DaemonCount(int(view.GetDaemons()))
 		if directories := view.GetDirectories(); directories != nil && f.SetDirectories != nil {
--- a/loader/handover_test.go
+++ b/loader/handover_test.go
@@ -24,11 +24,11 @@
 	orders := recentOrders{inherited: map[string]time.Time{
 		"inherited": now.Add(-2 * time.Second), "expired": now.Add(-termGap), "both": now.Add(-2 * time.Second),
 	}}
-	orders.record("both", now.Add(-time.Second))
-	orders.record("own", now.Add(-2500*time.Millisecond))
-	orders.record("own expired", now.Add(-4*time.Second))
-	orders.record("in flight", now.Add(-orderTimeout/2))
-	require.Equal(t, map[string]int64{"inherited": 2000, "both": 1000, "own": 2500, "in flight": 0}, orders.ages(now, termGap))
+	orders.record("both", now.Add(-time.Second), now.Add(-4*time.Second), termGap)
+	orders.record("own", now.Add(-2500*time.Millisecond), now.Add(-4*time.Second), termGap)
+	orders.record("own expired", now.Add(-4*time.Second), now.Add(-4*time.Second), termGap)
+	orders.record("in flight", now.Add(orderTimeout/2), now.Add(-4*time.Second), termGap)
+	require.Equal(t, map[string]int64{"inherited": 2000, "both": 1000, "own": 2500, "in flight": -orderTimeout.Milliseconds() / 2}, orders.ages(now, termGap))
 
 	require.Equal(t, now.Add(time.Second), orders.termGapUntil("inherited", termGap))
 	require.Zero(t, orders.termGapUntil("own", termGap), "no term gap after this daemon's own orders")
@@ -36,12 +36,15 @@
 
 // A leader whose own term gap has not passed must hand over the remaining wait.
 func TestHandoverIncludesRemainingWait(t *testing.T) {
-	leader := &Leader{Fleet: emptyFleet(), Limits: Limits{TermGap: 3 * time.Second}}
+	leader := &Leader{Fleet: emptyFleet(), Limits: Limits{TermGap: 3 * time.Second}, Election: electedLeader(t, discardLog())}
 	leader.Prepare()
-	leader.reset(5, time.Now().Add(2*time.Second))
+	fence, _ := leader.Election.Term()
+	leader.reset(fence)
+	leader.succession = succession{fence: fence, followedFrom: leader.now().Add(2 * time.Second), unfollowedFrom: leader.now().Add(4 * time.Second)}
 	leader.beginTerm(0, time.Now()) // ends the term
 	handover := leader.Handover()
 	require.InDelta(t, 2000, handover.WaitMs, 200)
+	require.InDelta(t, 4000, handover.UnfollowedWaitMs, 200)
 	require.Empty(t, handover.LastOrderMs)
 }
 
@@ -66,16 +69,17 @@
 		const termGap = 3 * time.Second
 		store := revisingStore{revision: &atomic.Int64{}}
 		campaign := election.New(election.Config{Key: "term", Daemon: "d1", TTL: termGap}, store, discardLog())
-		leader := &Leader{Fleet: emptyFleet(), Table: &routing.Store{}, Limits: Limits{TermGap: termGap}, Election: campaign, Log: discardLog()}
+		leader := &Leader{Fleet: emptyFleet(), Table: &routing.Store{}, Limits: Limits{TermGap: termGap, FencesChecked: true}, Election: campaign, Log: discardLog()}
 		leader.Prepare()
+		leader.now = time.Now
 		lastOrder := time.Now()
-		leader.ObserveOrder(lastOrder)
+		leader.ObserveOrder()
 		campaign.ObserveAbsent(0)
 		go func() { _ = campaign.Serve(t.Context()) }()
 		time.Sleep(termGap / 3)
 		leader.runRound(t.Context(), time.Now())
 		first := leader.fence
-		require.Equal(t, lastOrder.Add(termGap), leader.ordersFrom)
+		require.Equal(t, lastOrder.Add(termGap), leader.succession.followedFrom)
 		leader.orderTimes.inherited = map[string]time.Time{"r1": lastOrder}
 
 		store.revision.Store(kv.MakeRevision(1, 1))
@@ -84,8 +88,8 @@
 		synctest.Wait()
 		leader.runRound(t.Context(), time.Now())
 		require.Greater(t, leader.fence, first)
-		require.True(t, campaign.Reclaimed())
-		require.Equal(t, lastOrder.Add(termGap), leader.ordersFrom)
+		require.Equal(t, election.Restored, campaign.Beginning().Way)
+		require.Equal(t, lastOrder.Add(termGap), leader.succession.followedFrom)
 		require.NotEmpty(t, leader.orderTimes.inherited)
 
 		time.Sleep(termGap)
@@ -93,7 +97,7 @@
 		campaign.Observe(kv.Event{Pair: kv.Pair{Key: "term", ModRevision: kv.MakeRevision(2, 1)}, Deleted: true, AfterRestore: true})
 		synctest.Wait()
 		leader.runRound(t.Context(), time.Now())
-		require.False(t, leader.ordersFrom.After(time.Now()), "the term gap has passed")
+		require.False(t, leader.succession.followedFrom.After(time.Now()), "the term gap has passed")
 	})
 }
 
@@ -103,9 +107,10 @@
 		const lease, termGap = 2 * time.Second, 3 * time.Second
 		store := revisingStore{revision: &atomic.Int64{}}
 		campaign := election.New(election.Config{Key: "term", Daemon: "d1", TTL: lease}, store, discardLog())
-		leader := &Leader{Fleet: emptyFleet(), Table: &routing.Store{}, Limits: Limits{TermGap: termGap}, Election: campaign, Log: discardLog()}
+		leader := &Leader{Fleet: emptyFleet(), Table: &routing.Store{}, Limits: Limits{TermGap: termGap, FencesChecked: true}, Election: campaign, Log: discardLog()}
 		leader.Prepare()
-		leader.ObserveOrder(time.Now())
+		leader.now = time.Now
+		leader.ObserveOrder()
 		time.Sleep(termGap)
 		store.revision.Store(kv.MakeRevision(1, 1))
 		restored := time.Now()
@@ -114,7 +119,7 @@
 		time.Sleep(2 * lease)
 		leader.runRound(t.Context(), time.Now())
 		require.NotZero(t, leader.fence)
-		require.Equal(t, restored.Add(lease+termGap), leader.ordersFrom)
+		require.Equal(t, restored.Add(lease+termGap), leader.succession.followedFrom)
 	})
 }
 
@@ -132,11 +137,13 @@
 		"at the age limit":         {true, termGap / 2, true},
 		"just below the age limit": {true, termGap/2 - time.Millisecond, false},
 	} {
-		leader := &Leader{Fleet: emptyFleet(), Limits: Limits{TermGap: termGap, FencesChecked: example.checked}, Election: election.New(election.Config{}, nil, nil)}
+		leader := &Leader{Fleet: emptyFleet(), Limits: Limits{TermGap: termGap, FencesChecked: example.checked}}
 		leader.Prepare()
 		now := leader.started.Add(example.age)
+		leader.now = func() time.Time { return now }
+		leader.Election = electedLeaderByClock(t, discardLog(), leader.now)
 		leader.beginTerm(7, now)
-		require.Equal(t, example.waits, leader.ordersFrom.After(now), name)
+		require.Equal(t, example.waits, leader.succession.followedFrom.After(now), name)
 	}
 }
 
@@ -181,7 +188,7 @@
 		leader.runRound(t.Context(), time.Now())
 		synctest.Wait()
 		require.Greater(t, leader.fence, first)
-		require.True(t, campaign.Reclaimed())
+		require.Equal(t, election.Restored, campaign.Beginning().Way)
 		require.Len(t, leader.states["r1"].Pending, 1)
 		require.Len(t, leader.states["r2"].Pending, 1)
 		require.Empty(t, leader.states["r3"].Pending)
--- a/loader/leader.go
+++ b/loader/leader.go
@@ -59,7 +59,7 @@
 	Window time.Duration
 	Slack  float64
 	Extra  int
-	// TermGap is the least time between the last order of one leader and the first order of the next.
+	// TermGap is the least time between the last order of one leader and the first order of the next, at each replica.
 	TermGap time.Duration
 	// FencesChecked is whether replicas refuse orders with an outdated fencing token.
 	FencesChecked bool
@@ -124,11 +124,10 @@
 	started             time.Time
 	otherLeaderObserved atomic.Bool // another daemon has held the term
 
-	mutex      sync.Mutex
-	fence      int64 // fencing token of the current term; zero while not leading
-	ordersFrom time.Time
-	states     map[string]*loading.Replica
-	ids        []string // sorted keys of states; nil: to be sorted again
+	mutex  sync.Mutex
+	fence  int64 // fencing token of the current term; zero while not leading
+	states map[string]*loading.Replica
+	ids    []string // sorted keys of states; nil: to be sorted again
 	// earlierStates are the replicas that carried out orders when this daemon's last term ended.
 	earlierStates map[string]*loading.Replica
 	// changedReplicas are the registry changes since the last round.
@@ -146,6 +145,7 @@
 	attachment         attachment
 	proof              followingProof
 	succession         succession
+	electorate         electorate
 	ordersPaused       string // why the leader gives no orders, for the log; empty if it does
 	directories        directories
 	keepers            originKeepers
@@ -158,7 +158,7 @@
 	changed            chan struct{}             // closed when version increases
 	wake               chan struct{}             // holds an element while a round should start soon
 	nextRoundAt        time.Time                 // time of the next scheduled round; zero: none
-	lastOrderAt        time.Time                 // by any leader, as far as this daemon knows
+	lastOrderAt        time.Time                 // by any leader, as far as this daemon knows; by the clock now
 	orderTimes         recentOrders
 	handovers          handoverPlan
 	// now is the clock of proofs and successions, which counts suspensions; replaced by tests.
@@ -175,18 +175,17 @@
 	l.rates = map[demand.Key]*arrivalRate{}
 	l.directories = newDirectories(0)
 	l.storeWindow = loading.StoreWindow{Length: l.Limits.Window}
-	l.reset(0, time.Time{})
+	l.reset(0)
 }
 
 // reset discards the state of an earlier term, except what counts if this daemon takes the term up again. The caller
 // holds the mutex, except during initialization.
-func (l *Leader) reset(fence int64, ordersFrom time.Time) {
+func (l *Leader) reset(fence int64) {
 	if l.fence != 0 {
 		l.earlierStates = l.statesWithOrders(time.Now())
 	}
-	l.fence, l.ordersFrom = fence, ordersFrom
+	l.fence = fence
 	l.proof.beginTerm()
-	l.succession = succession{}
 	l.states, l.ids = map[string]*loading.Replica{}, nil
 	l.changedReplicas.markAll()
 	l.inFlight = map[string]*loading.Order{}
@@ -265,18 +264,20 @@
 
 // runRound runs one round of decisions.
 func (l *Leader) runRound(ctx context.Context, now time.Time) {
-	fence, status := l.Election.Term()
+	lease := l.leaseState()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.nextRoundAt = time.Time{}
-	if fence != l.fence {
-		l.beginTerm(fence, now)
+	if lease.fence != l.fence {
+		l.beginTerm(lease.fence, now)
+		l.learnElectorate(ctx)
 	}
+	l.electorate.observeAttached(l.attachment.streams, now)
 	l.attachment.updateShare(now)
-	if fence == 0 || l.Table.Current() == nil {
+	if lease.fence == 0 || l.Table.Current() == nil {
 		return
 	}
-	if status == election.TermValid {
+	if lease.status == election.TermValid {
 		l.refreshDirectories(now)
 		l.refreshKeepers(now)
 	}
@@ -285,18 +286,20 @@
 	}
 	l.refreshStates(now)
 	l.refreshRunning(now)
-	l.probeDaemons(status, now)
-	if l.logPause(l.pauseReason(status)) {
+	l.probeDaemons(lease, now)
+	if reason := l.pauseReason(lease); l.logPause(reason) {
+		if reason == pausedSuccession {
+			l.checkReplicas(ctx, now, reportsOnly)
+			l.scheduleFirstOrder(now)
+		}
 		return
 	}
-	if l.handovers.mayHandOver(now) && status == election.TermValid && l.hasStrongerDaemon(now) && l.Election.BeginHandover() {
+	l.updateElectorate(ctx)
+	if l.handovers.mayHandOver(now) && lease.status == election.TermValid && l.hasStrongerDaemon(now) && l.Election.BeginHandover() {
 		l.handOver(ctx, now)
 		return
 	}
-	l.checkReplicas(ctx, now)
-	if now.Before(l.ordersFrom) {
-		return
-	}
+	l.checkReplicas(ctx, now, reportsAndProbes)
 	for _, order := range loading.Decide(l.snapshot(now)) {
 		l.giveOrder(ctx, order, now)
 	}
@@ -305,33 +308,22 @@
 // beginTerm begins a term, or ends it if fence is zero. The caller holds the mutex.
 func (l *Leader) beginTerm(fence int64, now time.Time) {
 	if fence == 0 {
-		l.reset(fence, l.ordersFrom) // Handover still needs ordersFrom
+		l.reset(fence) // Handover still needs the succession
 		return
 	}
-	ordersFrom := now
 	l.handovers.termBegan(now)
-	reclaimed, inherited := l.Election.Reclaimed(), l.Election.Inherited()
-	if !reclaimed {
+	beginning := l.Election.Beginning()
+	continues := beginning.Way == election.Restored || beginning.Way == election.Restarted
+	if !continues {
 		l.orderTimes.inherited = nil
 	}
-	switch {
-	case reclaimed && l.ordersFrom.After(now):
-		ordersFrom = l.ordersFrom // the term gap that this daemon's earlier term had to keep
-	case reclaimed:
-	case inherited != nil:
-		ordersFrom = inherited.NotBefore
-		l.orderTimes.inherited = inherited.LastOrders
-	case !l.lastOrderAt.IsZero():
-		ordersFrom = l.lastOrderAt.Add(l.Limits.TermGap)
-	case !l.FirstStart && !l.justStarted(now):
-		ordersFrom = now.Add(l.Limits.TermGap)
-	}
-	if earliest := l.Election.UnknownLeaderUntil().Add(l.Limits.TermGap); ordersFrom.Before(earliest) {
-		ordersFrom = earliest
+	if beginning.Inherited != nil {
+		l.inherit(beginning)
 	}
-	l.reset(fence, ordersFrom)
-	l.succession = succession{waits: !reclaimed && inherited == nil && !l.Limits.FencesChecked && !l.FirstTerm(), beganAt: l.now()}
-	if !reclaimed {
+	l.reset(fence)
+	l.succession = l.newSuccession(fence, beginning, l.now())
+	l.electorate = electorate{nextWriteAt: l.now().Add(l.Limits.termGap())}
+	if !continues {
 		l.earlierStates = nil
 		l.storeWindow = loading.StoreWindow{Length: l.Limits.Window}
 	}
@@ -349,12 +341,12 @@
 	return l.Limits.FencesChecked && now.Sub(l.started) < time.Duration(freshShareOfTermGap*float64(l.Limits.TermGap))
 }
 
-// ObserveOrder records that a leader may have given orders just now; a later leader must keep the term gap
-// from that time.
-func (l *Leader) ObserveOrder(now time.Time) {
+// ObserveOrder records that a leader may have given orders just now. Where replicas check fencing tokens, a later leader
+// keeps the term gap from that time.
+func (l *Leader) ObserveOrder() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.lastOrderAt = now
+	l.lastOrderAt = l.now()
 }
 
 // FirstTerm reports whether no other daemon can have led before: the system starts for the first time, and
@@ -398,7 +390,6 @@
 			delete(l.states, id)
 			l.ids = nil
 			l.fetches.Forget(id)
-			l.orderTimes.forget(id)
 		}
 		return
 	}
@@ -406,7 +397,7 @@
 	if state == nil {
 		// The leader relies on the registry record until the replica's first report.
 		state = &loading.Replica{ID: entry.ID, Born: entry.Born, Service: entry.Service, Zone: entry.Zone, Slots: entry.Slots, Holdings: entry.Holdings, InMemory: entry.InMemory, OnDisk: entry.OnDisk,
-			TermGapUntil: l.orderTimes.termGapUntil(entry.ID, l.Limits.TermGap)}
+			TermGapUntil: l.orderTimes.termGapUntil(entry.ID, l.Limits.termGap())}
 		if earlier := l.earlierStates[id]; earlier != nil && earlier.Born == entry.Born {
 			state.ResumeOrders(earlier)
 			delete(l.earlierStates, id)
--- a/loader/leader_test.go
+++ b/loader/leader_test.go
@@ -57,7 +57,13 @@
 // electedLeader returns an election in which this daemon has just won the term.
 func electedLeader(t *testing.T, log logrus.FieldLogger) *election.Election {
 	t.Helper()
-	campaign := election.New(election.Config{Key: "term", Daemon: "d1", Address: "a:1", TTL: 3 * time.Second}, grantingStore{}, log)
+	return electedLeaderByClock(t, log, time.Now)
+}
+
+// electedLeaderByClock is electedLeader for an election with another clock.
+func electedLeaderByClock(t *testing.T, log logrus.FieldLogger, now func() time.Time) *election.Election {
+	t.Helper()
+	campaign := election.New(election.Config{Key: "term", Daemon: "d1", Address: "a:1", TTL: 3 * time.Second, Now: now}, grantingStore{}, log)
 	began := make(chan struct{})
 	campaign.Subscribe(func(leader election.Leader) {
 		if leader.Nonce != "" {
--- a/loader/limits_test.go
+++ b/loader/limits_test.go
@@ -43,7 +43,7 @@
 
 	require.InDelta(t, 60_000, leader.view(0, now.Add(time.Minute)).GetLimits()[0].GetAgeMs(), 5_000, "the age is computed when it is sent")
 
-	leader.reset(7, now)
+	leader.reset(7)
 	require.Equal(t, map[string]float64{"r1": 2}, limitsByReplica(leader.view(0, now).GetLimits()), "also in the next term")
 
 	receiver, sent := limitFollower(leaderOfTwoReplicas(now).Fleet)
--- a/loader/orders.go
+++ b/loader/orders.go
@@ -26,8 +26,6 @@
 		return
 	}
 	l.inFlight[order.ReplicaID] = &order
-	l.lastOrderAt = now
-	l.orderTimes.record(order.ReplicaID, now)
 	if order.LoadsFromStore() {
 		l.storeWindow.RecordStart(now)
 	}
@@ -42,32 +40,37 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		if !l.mayStillOrder(fence) {
-			l.handleResponse(order, fence, 0, errTermUncertain, handle)
+		sentAt := time.Now()
+		if !l.beginOrder(order.ReplicaID, fence, sentAt) {
+			l.handleResponse(order, fence, 0, errTermUncertain, sentAt, handle)
 			return
 		}
 		response, err := l.ReplicaClient.Order(ctx, entry, order, l.Daemon, fence)
-		l.handleResponse(order, fence, response, err, handle)
+		l.handleResponse(order, fence, response, err, sentAt, handle)
 	}()
 }
 
 // errTermUncertain is why an order is not sent although its round decided on it.
 var errTermUncertain = errors.New("the term may have ended since the order was decided")
 
-// mayStillOrder reports whether an order of a term may still be sent. The process may have been suspended
-// since the round that decided on it.
-func (l *Leader) mayStillOrder(fence int64) bool {
-	term, status := l.Election.Term()
+// beginOrder reports whether an order of a term may still be sent, and records it if so. The process may have been
+// suspended since the round that decided on it.
+func (l *Leader) beginOrder(replica string, fence int64, now time.Time) bool {
+	lease := l.leaseState()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return term == fence && l.fence == fence && l.mayGiveOrders(status)
+	if lease.fence != fence || l.fence != fence || !l.mayGiveOrders(lease) {
+		return false
+	}
+	l.lastOrderAt = l.now()
+	l.orderTimes.record(replica, now.Add(orderTimeout), now, l.Limits.termGap())
+	return true
 }
 
 // handleResponse passes a response to its handler, unless the term has ended since, and logs it.
-func (l *Leader) handleResponse(order loading.Order, fence int64, response OrderResponse, err error, handle responseHandler) {
+func (l *Leader) handleResponse(order loading.Order, fence int64, response OrderResponse, err error, sentAt time.Time, handle responseHandler) {
 	now := time.Now()
 	l.mutex.Lock()
-	l.orderTimes.record(order.ReplicaID, now) // the order may have reached the replica as late as now
 	if fence == l.fence {
 		delete(l.inFlight, order.ReplicaID)
 		if state := l.states[order.ReplicaID]; state != nil {
@@ -76,7 +79,7 @@
 		}
 	}
 	l.mutex.Unlock()
-	l.logOrder(order, fence, response, err)
+	l.logOrder(order, fence, response, err, now.Sub(sentAt))
 	if err == nil && response == Fenced {
 		l.Election.StepDown("a replica has received a higher fencing token")
 	}
@@ -107,12 +110,12 @@
 	l.loadChanges.mark(id, l.version)
 }
 
-func (l *Leader) logOrder(order loading.Order, fence int64, response OrderResponse, err error) {
+func (l *Leader) logOrder(order loading.Order, fence int64, response OrderResponse, err error, took time.Duration) {
 	outcome := response.String()
 	entry := l.Log.WithFields(logrus.Fields{
 		logging.Replica: order.ReplicaID, logging.Order: order.Verb.String(), logging.Model: order.Target.Model, logging.Adapter: order.Target.Adapter,
 		logging.Sequence: order.Sequence, logging.Fence: fence, logging.Reason: order.Reason, logging.Source: order.Origin.String(),
-		logging.ReadyInMs: order.ExpectedDuration.Milliseconds(),
+		logging.ReadyInMs: order.ExpectedDuration.Milliseconds(), logging.TookMs: took.Milliseconds(),
 	})
 	if err != nil {
 		outcome = "unanswered"
@@ -122,9 +125,17 @@
 	entry.WithField(logging.Outcome, outcome).Info(logging.MessageLoadOrder)
 }
 
+// checkMode is how the leader may check replicas.
+type checkMode uint8
+
+const (
+	reportsAndProbes checkMode = iota
+	reportsOnly                // a probe is an order
+)
+
 // checkReplicas requests reports of, or sends probes to, the replicas whose next check is due. The caller
 // holds the mutex.
-func (l *Leader) checkReplicas(ctx context.Context, now time.Time) {
+func (l *Leader) checkReplicas(ctx context.Context, now time.Time, mode checkMode) {
 	for id, state := range l.states {
 		dueAt := state.NextCheck(now)
 		if _, inFlight := l.inFlight[id]; inFlight || state.Draining && state.Verified || (state.Verified || state.Assumed) && dueAt.IsZero() {
@@ -139,7 +150,7 @@
 			l.scheduleRound(dueAt)
 			continue
 		}
-		if probe, possible := state.ProbeOrder(now); possible {
+		if probe, possible := state.ProbeOrder(now); possible && mode == reportsAndProbes {
 			l.sendProbe(ctx, probe, now)
 			continue
 		}
@@ -155,8 +166,6 @@
 		return
 	}
 	l.inFlight[order.ReplicaID] = nil
-	l.lastOrderAt = now
-	l.orderTimes.record(order.ReplicaID, now)
 	l.sendOrder(ctx, entry, order, l.fence, l.applyProbeResponse)
 }
 
--- a/loader/proof.go
+++ b/loader/proof.go
@@ -5,37 +5,24 @@
 	"time"
 )
 
-// While the lease cannot be renewed, a leader gives orders only with a proof that most daemons followed it a short time
-// ago: a probe that they acknowledged. Where replicas check no fencing tokens, its successor waits until no such proof can
-// be valid any more. With the times of one term and the next, by clocks that count suspensions:
-//
-//	last order of the leader arrives <= newest acknowledged probe was sent + proofAge + orderTimeout
-//	newest acknowledged probe was sent <= probe was received by a daemon that follows the successor now
-//	first order of the successor     >= that daemon received it + successorWait
-//	proofAge + orderTimeout          <= successorWait
-//
-// Most daemons acknowledged the probe and most follow the successor, so one did both. A lease alone ends earlier: the
-// election counts it as valid for a share of its TTL that leaves orderTimeout.
 const (
-	// proofShare is proofAge as a share of the term gap.
-	proofShare = 0.2
-	// probesPerProof is how many probes are sent in proofAge, so that a lost one does not interrupt the orders.
+	// probesPerProof is how many probes are sent in the time that a proof is valid, so that a lost one does not interrupt
+	// the orders.
 	probesPerProof = 4
 	// probeBelowShare is the share of the lease's TTL below whose remaining validity probes begin, so that the first ones
 	// are acknowledged before it ends. Renewals that succeed keep the validity above it.
 	probeBelowShare = 0.4
+	// probeAfterShare is the same where orders need a recent renewal: the share of orderValidity that has passed since it.
+	probeAfterShare = 0.6
 	// maxProbes is how many of the latest probes are remembered.
 	maxProbes = 2 * probesPerProof
 )
 
 // proofAge returns how long a proof is valid from when its probe was sent.
 func (l Limits) proofAge() time.Duration {
-	return time.Duration(proofShare * float64(l.TermGap))
+	return time.Duration(orderValidityShare * float64(l.TermGap))
 }
 
-// successorWait returns how long after a probe a successor gives no orders.
-func (l Limits) successorWait() time.Duration { return l.proofAge() + orderTimeout }
-
 // probe is a question to all daemons whether they still follow the term.
 type probe struct {
 	number uint64
@@ -98,6 +85,22 @@
 	for range unable {
 		numbers = append(numbers, p.newest())
 	}
+	return p.sentAt(numbers, daemons)
+}
+
+// provenBy returns when the newest probe was sent that most of some daemons have acknowledged; zero if there is none.
+func (p *followingProof) provenBy(daemons []string) time.Time {
+	var numbers []uint64
+	for _, daemon := range daemons {
+		if number := p.acknowledged[daemon]; number > 0 {
+			numbers = append(numbers, number)
+		}
+	}
+	return p.sentAt(numbers, len(daemons)/2+1)
+}
+
+// sentAt returns when the newest probe was sent that a number of daemons have acknowledged, given the newest one of each.
+func (p *followingProof) sentAt(numbers []uint64, daemons int) time.Time {
 	if daemons <= 0 || len(numbers) < daemons {
 		return time.Time{}
 	}
@@ -110,36 +113,3 @@
 	}
 	return time.Time{}
 }
-
-// succession is the beginning of a term, in which an earlier leader may still give orders.
-type succession struct {
-	waits bool // the earlier leader may
-	// beganAt is when this term began, and earlierProbeAt when a daemon that follows it last received a probe of an
-	// earlier term, at the latest.
-	beganAt, earlierProbeAt time.Time
-}
-
-// observe records that a daemon that now follows this term received a probe of an earlier one.
-func (s *succession) observe(at time.Time) {
-	if at.After(s.earlierProbeAt) {
-		s.earlierProbeAt = at
-	}
-}
-
-// mayOrder reports whether no earlier leader gives orders any more. followed means that most daemons follow this term, and
-// so no earlier one. Otherwise the others may have ended with the earlier leader: then this one waits as if a probe had been
-// received when its term began, which is no proof if most daemons follow the earlier leader and cannot be reached.
-func (s *succession) mayOrder(now time.Time, followed bool, wait time.Duration) bool {
-	if !s.waits {
-		return true
-	}
-	from := s.earlierProbeAt
-	if !followed && s.beganAt.After(from) {
-		from = s.beganAt
-	}
-	if now.Before(from.Add(wait)) {
-		return false
-	}
-	s.waits = !followed
-	return true
-}
--- a/loader/proof_test.go
+++ b/loader/proof_test.go
@@ -35,22 +35,3 @@
 	proof.acknowledge("a", 3)
 	require.Zero(t, proof.provenAt(1, 0), "an acknowledgement of the earlier term")
 }
-
-// Guards against a successor that gives orders while an earlier leader may, or that waits longer than that.
-func TestSuccessorWaitsForTheEarlierLeadersProof(t *testing.T) {
-	const wait = time.Second
-	began := time.Unix(1000, 0)
-	at := func(offset time.Duration) time.Time { return began.Add(offset) }
-	require.True(t, (&succession{}).mayOrder(began, false, wait), "there was no earlier leader")
-
-	s := succession{waits: true, beganAt: began}
-	require.True(t, s.mayOrder(began, true, wait), "most follow, and none has received a probe")
-	s = succession{waits: true, beganAt: began}
-	require.False(t, s.mayOrder(at(wait-1), false, wait), "the others may follow the earlier leader")
-	require.True(t, s.mayOrder(at(wait), false, wait))
-	s.observe(at(wait / 2))
-	require.False(t, s.mayOrder(at(wait), true, wait), "a daemon attached late")
-	require.True(t, s.mayOrder(at(wait+wait/2), true, wait))
-	s.observe(at(2 * wait))
-	require.True(t, s.mayOrder(at(2*wait), true, wait), "most follow: no earlier leader gets a proof again")
-}
--- a/logging/messages.go
+++ b/logging/messages.go
@@ -17,6 +17,8 @@
 	MessageRegistrySummary           = "registry followed"
 	MessageLoadOrder                 = "load order"
 	MessageOrdersPaused              = "load orders paused or resumed"
+	MessageElectorate                = "electorate recorded or read"
+	MessageElectorateFailed          = "electorate not recorded or read"
 	MessageReplicaState              = "replica state heard"
 	MessageReplicaDraining           = "replica says that it leaves"
 	MessageRelayedDraining           = "replicas leave, by another daemon's word"
--- a/node/node.go
+++ b/node/node.go
@@ -72,6 +72,8 @@
 	// CompetingTenants states that tenants compete for limited capacity, so that it is shared among them.
 	CompetingTenants bool
 	RecordsPrefix    string // key prefix of the records that are mirrored
+	// SettledKey is the key of the record of the electorate (election.MarkSettled).
+	SettledKey string
 	// FleetSizeKey is the key of the record that states whether the fleet is larger than FullMirrorLimit.
 	FleetSizeKey string
 	// FullMirrorLimit is the size of the fleet up to which every daemon knows all replicas; zero: the
@@ -232,6 +234,7 @@
 	n.registryLog = &registryLog{log: n.log, isLeading: n.mirror.Leading, now: time.Now}
 	n.election = election.New(election.Config{
 		Key: n.config.TermKey, Daemon: n.config.ID, Address: n.config.PeerAddress, TTL: n.config.LeaseTTL, FirstStart: n.config.FirstStart,
+		RenewInterval: n.config.LoadLimits.RenewInterval(), OrderValidity: n.config.LoadLimits.OrderValidity(), SettledKey: n.config.SettledKey,
 		HasLeaderHistory: func() bool { return n.leader.HasLeaderHistory() }, Followed: func() bool { return n.leader.Followed() }, CampaignDelay: n.campaignDelay,
 		Now: boottime.Now, OnWritten: n.mirror.PollNow, // the mirror forwards the record to the other daemons
 	}, adapters.Store, n.log)
