A machine at another address does not take up the term of one that has its name

What could happen: a machine that is withdrawn for good while it leads, and a new one with its name at another address. The new one found its name in the record and took the term up at once, as a restarted process does, without the term gap after the orders of the first machine, which may still be cut off. Not seen in a play; found by reading each way a term begins.

Cause: the record was compared by the daemon's name only. Now the address has to be the same, too.

TestMachineAtAnotherAddressDoesNotTakeUpTheTerm fails without the comparison (the record is overwritten).

--- a/election/election.go
+++ b/election/election.go
@@ -218,7 +218,8 @@
 		e.openTerm = &openTerm{era: e.era, replaces: leader.Fence, opensAt: e.opensAt}
 	case leader.Handover != nil:
 		e.offer, e.offeredAt = leader, e.now()
-	case leader.Daemon == e.Daemon && e.term.Nonce == "":
+	case leader.Daemon == e.Daemon && leader.Address == e.Address && e.term.Nonce == "":
+		// A machine at another address that has the name of a removed one waits like any other daemon.
 		e.reclaimable = &openTerm{way: Restarted, era: e.era, replaces: leader.Fence, lastActive: e.startedAt, nonce: leader.Nonce, recordedBy: e.now()}
 	}
 	if leader.fromBackup() {
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -508,6 +508,26 @@
 	})
 }
 
+// Guards against a machine that has the name of a removed one and takes over its term without a gap between their orders.
+func TestMachineAtAnotherAddressDoesNotTakeUpTheTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, _ := startElections(t, map[string]bool{}, "a")
+		time.Sleep(testTTL)
+		replacement := New(Config{Key: testKey, Daemon: "a", Address: "elsewhere:1", TTL: testTTL}, storeView{store, "a"}, discardLog())
+		store.mutex.Lock()
+		pair := store.pair
+		store.mutex.Unlock()
+		replacement.Observe(kv.Event{Pair: pair})
+		go func() { _ = replacement.Serve(t.Context()) }()
+		time.Sleep(3 * testTTL)
+		_, status := replacement.Term()
+		require.Equal(t, NoTerm, status)
+		store.mutex.Lock()
+		defer store.mutex.Unlock()
+		require.False(t, store.overwritten)
+	})
+}
+
 // Guards against a daemon that takes its own record, observed before the response to its write, for that of the leader before,
 // and so does not learn that this one stated no bound of its orders.
 func TestOwnRecordIsNotTakenForTheEarlierLeaders(t *testing.T) {
