Suspensions of a machine do not delay its orders after a handover

What could happen: a machine that was suspended once, for an hour, takes over a term and gives no orders to the replicas of the handover for an hour. The times of a handover are by the clock of leases, which counts suspensions; they were compared with Go's monotonic clock, which does not. Found by reading each time that crosses between the two.

Now they are converted when they are inherited. TestSuspensionsDoNotDelayOrdersAfterAHandover fails without the conversion.

--- a/loader/handover.go
+++ b/loader/handover.go
@@ -50,16 +50,16 @@
 	return ages
 }
 
-// inherit records the orders that an earlier leader handed over. Leaders that state no validity of their orders count those
-// in flight as received.
+// inherit records the orders that an earlier leader handed over, whose times are by the clock of the election. Leaders that
+// state no validity of their orders count those in flight as received.
 func (l *Leader) inherit(beginning election.Beginning) {
-	inFlight := time.Duration(0)
+	steadyNow, now, inFlight := time.Now(), l.now(), time.Duration(0)
 	if beginning.UnboundedValidity {
 		inFlight = orderTimeout
 	}
 	l.orderTimes.inherited = map[string]time.Time{}
 	for replica, at := range beginning.Inherited.LastOrders {
-		l.orderTimes.inherited[replica] = at.Add(inFlight)
+		l.orderTimes.inherited[replica] = steadyNow.Add(at.Sub(now) + inFlight)
 	}
 }
 
--- a/loader/succession_test.go
+++ b/loader/succession_test.go
@@ -256,6 +256,22 @@
 	})
 }
 
+// Guards against a machine that was suspended once and, after a handover, gives the replicas no orders for as long as it was
+// suspended.
+func TestSuspensionsDoNotDelayOrdersAfterAHandover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const suspended = time.Hour
+		now := func() time.Time { return time.Now().Add(suspended) }
+		leader := newSpacedLeader(t, newRecordingStore(), "d1", now)
+		leader.Election.Observe(recordOf(t, election.Leader{Daemon: "d0", Nonce: "n0", OrderValidityMs: 600, Handover: &election.Handover{LastOrderMs: map[string]int64{"r1": 1000}}}, 1))
+		time.Sleep(campaignTime)
+		require.True(t, mayOrder(t, leader))
+		until := leader.orderTimes.termGapUntil("r1", leader.Limits.termGap())
+		require.GreaterOrEqual(t, time.Until(until), testTermGap-time.Second-campaignTime)
+		require.Less(t, time.Until(until), testTermGap)
+	})
+}
+
 // Guards against an acknowledgement by a process that has forgotten that it followed a later leader.
 func TestProcessThatHasJustStartedAcknowledgesNoProbe(t *testing.T) {
 	now := time.Unix(1000, 0)
