--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -31,6 +31,7 @@
 	address     string
 	cancelWatch func() bool
 	exclusive   bool       // the connection carries no other exchange, so it is not kept
+	dropUnsent  bool       // see Request
 	bodyErr     chan error // result of a body that is written concurrently; nil otherwise
 	releaseOnce sync.Once
 }
@@ -163,6 +164,9 @@
 			e.pool.putIdle(e.address, e.conn, idleTimeout)
 			return
 		}
+		if resetter, able := e.conn.Conn.(interface{ SetLinger(seconds int) error }); able && e.dropUnsent && !contextActive {
+			_ = resetter.SetLinger(0) // fails only if the connection is closed
+		}
 		_ = e.conn.Close()
 	})
 }
--- a/upstream/interruption_test.go
+++ b/upstream/interruption_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -50,3 +53,34 @@
 		}
 	}
 }
+
+// Guards against a request whose sender has given up and that the kernel goes on sending.
+func TestAnEndedContextResetsTheConnectionOfARequestThatMustNotArriveLate(t *testing.T) {
+	for _, drop := range []bool{true, false} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer func() { _ = listener.Close() }()
+		ended := make(chan error, 1)
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				ended <- err
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			_, err = io.Copy(io.Discard, conn)
+			ended <- err
+		}()
+		sent := request(t, listener.Addr().String(), http.MethodPost, "1", "body")
+		sent.DropUnsent = drop
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		_, err = NewPool(nil, nil).Do(ctx, sent)
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		if drop {
+			require.ErrorIs(t, <-ended, syscall.ECONNRESET)
+		} else {
+			require.NoError(t, <-ended)
+		}
+	}
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -52,6 +52,9 @@
 	// Versioned means that the response states the version of what it describes, so that the sender recognizes an older
 	// one. Such a request may follow another one of its class.
 	Versioned bool
+	// DropUnsent means that nothing of the request reaches the replica once its context has ended: the connection is reset, so
+	// that data that was lost on the way is not sent again.
+	DropUnsent bool
 	// Matches reports whether a response, whose body must not be read, may be the one to this request. Others that
 	// arrive first are skipped. If nil, any response matches.
 	Matches func(*http.Response) bool
@@ -78,7 +81,7 @@
 		}
 	}
 	conn.history.record(request)
-	exchange := &exchange{pool: p, conn: conn, address: request.Address, exclusive: request.isExclusive()}
+	exchange := &exchange{pool: p, conn: conn, address: request.Address, exclusive: request.isExclusive(), dropUnsent: request.DropUnsent}
 	exchange.cancelWatch = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if err := exchange.write(request); err != nil {
 		exchange.release(false)
