Probes count for ten term gaps after the last renewal, of processes that remember their leaders

Now a daemon tells how old its process is, and a leader counts only those that started before its last renewal: when that was sent there was no later leader, so they cannot have forgotten one. The electorate is recorded a second after the term began in place of a term gap, with whether the term is settled for each replica.

--- a/election/settled.go
+++ b/election/settled.go
@@ -17,11 +17,13 @@
 	Era int64 `json:"era"`
 	// Electorate names the daemons of which most must follow a leader that gives orders without its lease.
 	Electorate []string `json:"electorate"`
+	// Complete is whether the time after the orders of earlier leaders has passed for each replica.
+	Complete bool `json:"complete"`
 }
 
 // Settled is what a leader learns about earlier ones from the record that the latest settled one wrote.
 type Settled struct {
-	// Own is whether this term resumes one that was settled: no earlier leader gives orders any more.
+	// Own is whether this term resumes one that was settled, for each replica: no earlier leader gives orders any more.
 	Own bool
 	// Electorate names the daemons of which most followed any earlier leader that gave orders without its lease; empty if no
 	// earlier leader can have done so.
@@ -30,16 +32,16 @@
 	Known bool
 }
 
-// MarkSettled records that no earlier leader than this daemon gives orders any more, and that the time after their orders
-// has passed; and the electorate of this term. A write that takes effect late cannot replace a later one.
-func (e *Election) MarkSettled(ctx context.Context, fence int64, electorate []string) error {
+// MarkSettled records that no earlier leader than this daemon gives orders any more, the electorate of this term, and whether
+// the time after the orders of earlier leaders has passed for each replica. A write that takes effect late cannot replace a later one.
+func (e *Election) MarkSettled(ctx context.Context, fence int64, electorate []string, complete bool) error {
 	e.mutex.Lock()
 	term, replaces := e.term, e.settledRevision
 	e.mutex.Unlock()
 	if term.Nonce == "" || term.Fence != fence {
 		return errors.Errorf("the term with fencing token %d has ended", fence)
 	}
-	value, err := json.Marshal(settledRecord{Nonce: term.Nonce, Era: kv.EraOf(term.Fence), Electorate: electorate})
+	value, err := json.Marshal(settledRecord{Nonce: term.Nonce, Era: kv.EraOf(term.Fence), Electorate: electorate, Complete: complete})
 	if err != nil {
 		panic(err) // cannot fail for these types
 	}
@@ -87,7 +89,7 @@
 		return Settled{}, errors.Wrapf(err, "decode the record %s", e.SettledKey)
 	}
 	return Settled{
-		Own:        record.Nonce == e.beginning.earlierNonce,
+		Own:        record.Nonce == e.beginning.earlierNonce && record.Complete,
 		Electorate: record.Electorate,
 		Known:      record.Era == kv.EraOf(pair.ModRevision) && record.Era == kv.EraOf(e.term.Fence),
 	}, nil
--- a/loader/authority.go
+++ b/loader/authority.go
@@ -49,7 +49,7 @@
 // leadsAlone reports whether a recent renewal of the lease, or a probe that most daemons acknowledged, shows that no other
 // daemon leads. The caller holds the mutex.
 func (l *Leader) leadsAlone(lease leaseState, now time.Time) bool {
-	isFollowed := now.Sub(l.followedAt()) <= l.Limits.proofAge()
+	isFollowed := now.Sub(l.followedAt(lease)) <= l.Limits.proofAge()
 	if !l.Limits.spacesLeaders() {
 		return lease.status == election.TermValid || isFollowed
 	}
@@ -60,9 +60,9 @@
 // followedAt returns when most daemons are known to have followed this term: of the electorate or, where replicas refuse
 // orders of an earlier leader, of those that were attached in this term or, lately, to this leader or the one before. There
 // daemons that cannot acknowledge probes count while they are attached. The caller holds the mutex.
-func (l *Leader) followedAt() time.Time {
+func (l *Leader) followedAt(lease leaseState) time.Time {
 	if l.Limits.spacesLeaders() {
-		return l.electorate.provenAt(&l.proof)
+		return l.electorate.provenAt(&l.proof, func(daemon string) bool { return l.remembersSuccessors(daemon, lease) })
 	}
 	unable := 0
 	for id := range l.attachment.streams {
@@ -73,6 +73,13 @@
 	return l.proof.provenAt(max(l.maxAttachedStreams, l.attachment.maxDaemons)/2+1, unable)
 }
 
+// remembersSuccessors reports whether a daemon would know of a later leader that it has followed: its process started before
+// this leader's last renewal, when there was no later leader. The caller holds the mutex.
+func (l *Leader) remembersSuccessors(daemon string, lease leaseState) bool {
+	state := l.daemons[daemon]
+	return state != nil && !state.processStartedAt.IsZero() && !state.processStartedAt.After(lease.renewedAt)
+}
+
 // probeDaemons sends probes while the lease may soon not suffice for orders. The caller holds the mutex.
 func (l *Leader) probeDaemons(lease leaseState, now time.Time) {
 	if !l.needsProbes(lease) {
--- a/loader/demand.go
+++ b/loader/demand.go
@@ -20,6 +20,9 @@
 	address           string                                       // address for connections from other daemons
 	zone              string
 	knowsReplicas     bool // whether it has the records of all replicas
+	// processStartedAt is when the daemon's process had started at the latest, by this leader's clock that counts suspensions;
+	// zero: unknown.
+	processStartedAt time.Time
 	// acknowledgesProbes is whether the daemon acknowledges probes; earlier versions do not.
 	acknowledgesProbes bool
 	originProcess      uint64 // unique for each start of a daemon that can keep stream origins; zero: it cannot
--- a/loader/electorate.go
+++ b/loader/electorate.go
@@ -14,7 +14,9 @@
 )
 
 const (
-	// electorateRetryInterval is the time between attempts to write the electorate.
+	// attachTime is how long after a term began most daemons have attached.
+	attachTime = time.Second
+	// electorateRetryInterval is the least time between two writes of the electorate.
 	electorateRetryInterval = 2 * time.Second
 	// electorateReadInterval is the time between attempts to read what earlier leaders recorded.
 	electorateReadInterval = 200 * time.Millisecond
@@ -27,7 +29,9 @@
 	// Empty: none is recorded for this term, and no probe counts.
 	possible    [][]string
 	recorded    bool // the first of possible was acknowledged
+	isComplete  bool // so was that the term gap has passed for each replica
 	nextWriteAt time.Time
+	completeAt  time.Time // when the term gap has passed for each replica
 	isWriting   bool
 	attachedAt  map[string]time.Time // when each daemon was last attached in this term, unless it is long ago
 }
@@ -47,14 +51,14 @@
 func (e *electorate) members() []string { return slices.Sorted(maps.Keys(e.attachedAt)) }
 
 // provenAt returns when the newest probe was sent that most daemons of each possible set have acknowledged; zero if there is
-// none.
-func (e *electorate) provenAt(proof *followingProof) time.Time {
+// none. Only the acknowledgements of some daemons count.
+func (e *electorate) provenAt(proof *followingProof, counts func(daemon string) bool) time.Time {
 	if !e.recorded {
 		return time.Time{}
 	}
 	var oldest time.Time
 	for index, daemons := range e.possible {
-		at := proof.provenBy(daemons)
+		at := proof.provenBy(daemons, counts)
 		if index == 0 || at.Before(oldest) {
 			oldest = at
 		}
@@ -71,33 +75,38 @@
 }
 
 // end records the outcome of a write. Without an acknowledgement, it may take effect until another one is acknowledged.
-func (e *electorate) end(daemons []string, acknowledged bool) {
+func (e *electorate) end(daemons []string, complete, acknowledged bool) {
 	e.isWriting = false
 	if acknowledged {
-		e.possible, e.recorded = [][]string{daemons}, true
+		e.possible, e.recorded, e.isComplete = [][]string{daemons}, true, complete
 	}
 }
 
-// updateElectorate writes the electorate when the term is settled, the term gap has passed for each replica, and the set of
-// daemons has changed. The caller holds the mutex.
+// isRecorded reports whether a set, and whether the term gap has passed, need not be written.
+func (e *electorate) isRecorded(daemons []string, complete bool) bool {
+	return e.recorded && len(e.possible) == 1 && slices.Equal(daemons, e.possible[0]) && e.isComplete == complete
+}
+
+// updateElectorate writes the electorate once the term is settled and daemons have had time to attach, again when the term gap
+// has passed for each replica, and when the set of daemons has changed. The caller holds the mutex.
 func (l *Leader) updateElectorate(ctx context.Context) {
 	now := l.now()
 	if !l.Limits.spacesLeaders() || l.electorate.isWriting || now.Before(l.electorate.nextWriteAt) {
 		return
 	}
-	daemons := l.electorate.members()
-	if l.electorate.recorded && len(l.electorate.possible) == 1 && slices.Equal(daemons, l.electorate.possible[0]) {
+	daemons, complete := l.electorate.members(), !now.Before(l.electorate.completeAt)
+	if l.electorate.isRecorded(daemons, complete) {
 		return
 	}
 	l.electorate.nextWriteAt = now.Add(electorateRetryInterval)
 	l.electorate.begin(daemons)
 	fence := l.fence
 	go func() {
-		err := l.Election.MarkSettled(ctx, fence, daemons)
+		err := l.Election.MarkSettled(ctx, fence, daemons, complete)
 		l.mutex.Lock()
 		defer l.mutex.Unlock()
 		if l.fence == fence {
-			l.electorate.end(daemons, err == nil)
+			l.electorate.end(daemons, complete, err == nil)
 		}
 		l.logElectorate(fence, daemons, err)
 	}()
--- a/loader/follower.go
+++ b/loader/follower.go
@@ -92,12 +92,8 @@
 	maps.DeleteFunc(f.probedAt, func(_ string, at time.Time) bool { return now.Sub(at) > probeMemory })
 }
 
-// mayAcknowledge reports whether this daemon may acknowledge probes. A process that has just started may have forgotten that
-// it followed a later leader than the one that probes it.
-func (f *Follower) mayAcknowledge() bool {
-	limits := f.Leader.Limits
-	return !limits.spacesLeaders() || f.now().Sub(f.startedAt) >= withDrift(limits.unleasedTime())
-}
+// processAgeMs returns how long ago this process started.
+func (f *Follower) processAgeMs() int64 { return max(1, f.now().Sub(f.startedAt).Milliseconds()) }
 
 // earlierProbeMs returns how long ago the last probe of another leader than the given one was received; zero if there was
 // none lately.
@@ -180,6 +176,7 @@
 	first.TermDelayMs, first.Address, first.Zone = f.BaseCampaignDelay.Milliseconds(), f.Address, f.Zone
 	first.OriginProcess = f.OriginProcess
 	first.AcknowledgesProbes, first.EarlierProbeMs = true, f.earlierProbeMs(leader.Daemon)
+	first.ProcessAgeMs = f.processAgeMs()
 	if err := stream.Send(first); err != nil {
 		return err
 	}
@@ -328,12 +325,10 @@
 		}
 		if number := view.GetProbe(); number > 0 {
 			f.recordProbe(leader)
-			if f.mayAcknowledge() {
-				sent.mutex.Lock()
-				sent.probe = number
-				sent.mutex.Unlock()
-				f.reportSoon()
-			}
+			sent.mutex.Lock()
+			sent.probe = number
+			sent.mutex.Unlock()
+			f.reportSoon()
 		}
 		f.DaemonCount(int(view.GetDaemons()))
 		if directories := view.GetDirectories(); directories != nil && f.SetDirectories != nil {
--- a/loader/leader.go
+++ b/loader/leader.go
@@ -322,7 +322,7 @@
 	}
 	l.reset(fence)
 	l.succession = l.newSuccession(fence, beginning, l.now())
-	l.electorate = electorate{nextWriteAt: l.now().Add(l.Limits.termGap())}
+	l.electorate = electorate{nextWriteAt: l.now().Add(min(attachTime, l.Limits.termGap())), completeAt: l.now().Add(l.Limits.termGap())}
 	if !continues {
 		l.earlierStates = nil
 		l.storeWindow = loading.StoreWindow{Length: l.Limits.Window}
--- a/loader/leaderhandover.go
+++ b/loader/leaderhandover.go
@@ -51,7 +51,10 @@
 		state.baseCampaignDelay, state.attachedAt = time.Duration(first.GetTermDelayMs())*time.Millisecond, time.Now()
 		state.address, state.zone = first.GetAddress(), first.GetZone()
 		state.originProcess = first.GetOriginProcess()
-		state.acknowledgesProbes = first.GetAcknowledgesProbes()
+		state.acknowledgesProbes, state.processStartedAt = first.GetAcknowledgesProbes(), time.Time{}
+		if age := first.GetProcessAgeMs(); age > 0 {
+			state.processStartedAt = l.now().Add(-time.Duration(age) * time.Millisecond)
+		}
 	}
 }
 
--- a/loader/succession.go
+++ b/loader/succession.go
@@ -25,7 +25,7 @@
 	// orderValidityShare is orderValidity as a share of the term gap.
 	orderValidityShare = 0.2
 	// unleasedShare is unleasedTime as a share of the term gap.
-	unleasedShare = 2.0
+	unleasedShare = 10.0
 	// renewalsPerOrderValidity is how often a lease is renewed in orderValidity, so that a lost renewal does not interrupt
 	// the orders.
 	renewalsPerOrderValidity = 3
