--- a/loader/succession_test.go
+++ b/loader/succession_test.go
@@ -324,7 +324,9 @@
 // Guards against waits that end too early by a fast clock, or validities that end too late by a slow one.
 func TestWaitsAllowForClocksThatRunApart(t *testing.T) {
 	limits := Limits{TermGap: testTermGap}
-	by := func(duration time.Duration, drift float64) time.Duration { return time.Duration(drift * float64(duration)) }
+	by := func(duration time.Duration, drift float64) time.Duration {
+		return time.Duration(drift * float64(duration))
+	}
 	const fast, slow = 1 + maxClockDrift, 1 - maxClockDrift
 	validity := limits.OrderValidity()
 	require.GreaterOrEqual(t, limits.waitAfter(validity), by(validity+orderTimeout+testTermGap, fast))
