Tests: a daemon's own record, and a late first term

TestOwnRecordIsNotTakenForTheEarlierLeaders passed without its fix, since the response to the write came before the record was observed; its store now responds later, and it fails without the line. That a first start which takes its term late waits had no test; TestLateFirstTermWaitsForALeaderThatWasNotObserved fails without the condition.

--- a/election/election_test.go
+++ b/election/election_test.go
@@ -528,13 +528,22 @@
 	})
 }
 
+// slowResponses is a storeView whose writes are observed before their responses arrive.
+type slowResponses struct{ storeView }
+
+func (s slowResponses) Commit(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
+	result, err := s.storeView.Commit(ctx, txn)
+	time.Sleep(10 * time.Millisecond)
+	return result, err
+}
+
 // Guards against a daemon that takes its own record, observed before the response to its write, for that of the leader before,
 // and so does not learn that this one stated no bound of its orders.
 func TestOwnRecordIsNotTakenForTheEarlierLeaders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &recordStore{unreachable: map[string]bool{}}
 		start := func(daemon string, validity time.Duration) (*Election, context.CancelFunc) {
-			candidate := New(Config{Key: testKey, Daemon: daemon, Address: daemon + ":1", TTL: testTTL, OrderValidity: validity}, storeView{store, daemon}, discardLog())
+			candidate := New(Config{Key: testKey, Daemon: daemon, Address: daemon + ":1", TTL: testTTL, OrderValidity: validity}, slowResponses{storeView{store, daemon}}, discardLog())
 			store.mutex.Lock()
 			store.observers = append(store.observers, candidate)
 			store.mutex.Unlock()
@@ -551,7 +560,6 @@
 		defer stop()
 		store.mutex.Lock()
 		pair := store.pair
-		store.loseNextResponse = true // the record is observed first
 		store.mutex.Unlock()
 		later.Observe(kv.Event{Pair: pair})
 		kill()
--- a/loader/succession_test.go
+++ b/loader/succession_test.go
@@ -333,3 +333,24 @@
 	require.GreaterOrEqual(t, limits.waitAfterLease(validity, testLeaseTTL), by(validity+orderTimeout+testTermGap, fast)-by(testLeaseTTL, slow))
 	require.GreaterOrEqual(t, limits.termGap(), by(testTermGap, fast))
 }
+
+// Guards against a daemon of the first start that could not reach the key-value service at first, and that gives orders at once
+// when it takes a term after a leader that it has not observed.
+func TestLateFirstTermWaitsForALeaderThatWasNotObserved(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			leader := newSpacedLeader(t, newRecordingStore(), "d1", time.Now)
+			leader.FirstStart = true
+			if late {
+				time.Sleep(testLeaseTTL)
+			}
+			leader.Election.ObserveAbsent(0)
+			waited := ordersAfter(t, leader, time.Minute)
+			if late {
+				require.GreaterOrEqual(t, waited, leader.Limits.OrderValidity()+orderTimeout+testTermGap-testLeaseTTL)
+			} else {
+				require.Less(t, waited, campaignTime)
+			}
+		})
+	}
+}
