Logs and metrics tell by which evidence a request counts as not run

Cause: a request's last line said execution not_run without saying why, and a dispatch that failed to connect looked like one whose connection failed before it took a byte; so the hypotheses of the incident could not be told apart by request id.

No decision changes: the results are those of before.

--- a/core/core.go
+++ b/core/core.go
@@ -120,6 +120,7 @@
 	origin          origin.Resolution // of the stream that the caller resumes
 	via             string            // id of the daemon that relayed its reply; empty if it came directly
 	connection      string            // of its exchange with the replica, as in Reply; empty if there was none
+	evidence        []Evidence        // of each dispatch, oldest first
 	streamEnd       streamEnd         // of the latest dispatch
 	answerBegun     bool              // the latest dispatch has brought a whole event or response
 	suspect         quarantine.Suspect
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -38,8 +38,10 @@
 type dispatchOutcome struct {
 	result Result
 	cause  error
-	status int // of the replica's response; zero without one
-	health fleet.Result
+	// evidence is that of the execution.
+	evidence Evidence
+	status   int // of the replica's response; zero without one
+	health   fleet.Result
 	// answerBegun means that a whole event of a stream, or a whole response, was received.
 	answerBegun bool
 	errorReply  *bufferedReply // to relay if the call is not retried; nil if there is none
@@ -54,6 +56,8 @@
 	attemptCtx, cancel := c.attemptContext(ctx, state)
 	defer cancel()
 	outcome := c.exchange(attemptCtx, state, pick)
+	state.evidence = append(state.evidence, outcome.evidence)
+	c.Metrics.evidence.WithLabelValues(outcome.evidence.String()).Inc()
 	if ctx.Err() != nil && outcome.health == fleet.Unreachable {
 		outcome.health = fleet.Answered // not a failure of the replica: the caller disconnected or time ran out
 	}
@@ -76,7 +80,7 @@
 
 func (c *Core) exchange(ctx context.Context, state *callState, pick *fleet.Pick) dispatchOutcome {
 	if err := c.confirmVersion(ctx, state, pick); err != nil {
-		return dispatchOutcome{result: NotWritten, cause: err, health: fleet.Unsent}
+		return unansweredDispatch(NotAdmitted, err)
 	}
 	reply, err := c.Driver.Send(ctx, Dispatch{
 		Call: state.Call, ReplicaID: pick.ID, Address: pick.Address, Remaining: time.Until(state.Deadline), ResumeAfter: state.lastEventID, Permit: state.permit,
@@ -84,36 +88,38 @@
 	})
 	if err != nil {
 		var failed *SendError
-		var notAdmitted fleet.AdmissionError
 		if errors.As(err, &failed) {
 			state.connection = failed.Connection
 		}
-		if errors.As(err, &notAdmitted) {
-			return dispatchOutcome{result: NotWritten, cause: err, health: fleet.Unsent}
-		}
-		if errors.As(err, &failed) && !failed.RequestWritten {
-			return dispatchOutcome{result: NotWritten, cause: err, health: fleet.Unreachable}
-		}
-		return dispatchOutcome{result: Lost, cause: err, health: fleet.Unreachable}
+		return unansweredDispatch(evidenceOfError(err), err)
 	}
 	defer func() { _ = reply.Body.Close() }()
 	state.via, state.connection = reply.Via, reply.Connection
 	state.answerBegun = false
 	outcome := c.relayReply(state, reply)
-	outcome.status = reply.Status
+	outcome.status, outcome.evidence = reply.Status, evidenceOfReply(reply.Disposition)
 	outcome.answerBegun = state.answerBegun
 	return outcome
 }
 
+// unansweredDispatch returns the outcome of a dispatch without a response.
+func unansweredDispatch(evidence Evidence, cause error) dispatchOutcome {
+	health := fleet.Unreachable
+	if evidence == NotAdmitted {
+		health = fleet.Unsent
+	}
+	return dispatchOutcome{result: evidence.result(), cause: cause, evidence: evidence, health: health}
+}
+
 // relayReply relays a replica's response or returns why it cannot.
 func (c *Core) relayReply(state *callState, reply *Reply) dispatchOutcome {
 	switch reply.Disposition {
 	case Rejected:
 		discard(reply.Body)
-		return dispatchOutcome{result: NotStarted, cause: errors.Errorf("replica rejected the request with status %d", reply.Status), health: fleet.Refused}
+		return dispatchOutcome{result: RejectedByReplica.result(), cause: errors.Errorf("replica rejected the request with status %d", reply.Status), health: fleet.Refused}
 	case WrongReplica:
 		discard(reply.Body)
-		return dispatchOutcome{result: NotStarted, cause: errors.Errorf("wrong replica or target not loaded: status %d", reply.Status), health: fleet.TargetMissing}
+		return dispatchOutcome{result: AddressedToAnother.result(), cause: errors.Errorf("wrong replica or target not loaded: status %d", reply.Status), health: fleet.TargetMissing}
 	case InvalidResponse:
 		return dispatchOutcome{result: Lost, cause: errors.Errorf("invalid response with status %d", reply.Status), health: fleet.Failed}
 	}
--- a/core/log.go
+++ b/core/log.go
@@ -66,7 +66,7 @@
 	}
 	c.entry(state).WithFields(c.paymentFields(state.payment)).WithFields(state.streamEnd.fields()).WithFields(logrus.Fields{
 		logging.Replica: pick.ID, logging.SoftwareVersion: pick.Version, logging.Address: pick.Address, logging.Connection: state.connection, logging.Inflight: pick.Inflight, logging.Status: outcome.status,
-		logging.Outcome: outcome.result.String(), logging.Retry: verdict.Retry, logging.LastEvent: state.lastEventID, logging.AnswerBegun: outcome.answerBegun,
+		logging.Outcome: outcome.result.String(), logging.Retry: verdict.Retry, logging.LastEvent: state.lastEventID, logging.AnswerBegun: outcome.answerBegun, logging.Evidence: outcome.evidence.String(),
 		logging.AgeMs: time.Since(state.Arrived).Milliseconds(), logging.Cause: errorText(outcome.cause),
 	}).Warn("dispatch failed")
 }
@@ -95,7 +95,7 @@
 		logging.FirstByteMs: state.firstByte.Milliseconds(), logging.LongestPauseMs: state.longestPause.Milliseconds(),
 		logging.DurationMs: time.Since(state.Arrived).Milliseconds(), logging.ConfigVersion: state.Version,
 		logging.ObjectiveMs: state.Route.Objective.Milliseconds(), logging.GapTargetMs: state.Route.MaxGap.Milliseconds(),
-		logging.Priority: state.Priority(), logging.PromptTokens: state.PromptTokens, logging.WaitReason: state.waitReason(), logging.FailedStatus: state.failedStatus,
+		logging.Priority: state.Priority(), logging.PromptTokens: state.PromptTokens, logging.WaitReason: state.waitReason(), logging.FailedStatus: state.failedStatus, logging.Evidence: evidenceText(state.evidence),
 	})
 	if state.via != "" {
 		entry = entry.WithField(logging.Via, state.via)
--- a/core/metrics.go
+++ b/core/metrics.go
@@ -16,6 +16,7 @@
 	waitTime        *prometheus.HistogramVec
 	duration        *prometheus.HistogramVec
 	dispatches      *prometheus.CounterVec
+	evidence        *prometheus.CounterVec
 	retries         *prometheus.CounterVec
 	overrun         prometheus.Histogram
 	tenantRequests  *prometheus.CounterVec
@@ -47,6 +48,9 @@
 	metrics.duration = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "finchspoke_core_answer_seconds", Help: "Time from the arrival of a request to the end of its complete response.", Buckets: buckets,
 	}, []string{"kind", "priority"})
+	metrics.evidence = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "finchspoke_core_dispatch_evidence_total", Help: "Dispatches to replicas, by what shows that the replica did not run the request.",
+	}, []string{"evidence"})
 	metrics.retries = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "finchspoke_core_retries_total", Help: "Retries requested from the retry budget, by service and outcome.",
 	}, []string{"service", "outcome"})
@@ -75,7 +79,7 @@
 	metrics.versionChecks = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "finchspoke_core_version_checks_total", Help: "Checks of a replica's software version in the registry before a stream goes on there, by outcome.",
 	}, []string{"outcome"})
-	registerer.MustRegister(metrics.versionChecks, metrics.streamEnds, metrics.bodyEnds, metrics.choices, metrics.delays, metrics.tenantRequests, metrics.tenantUsage, metrics.overrun, metrics.ended, metrics.timeToFirstByte, metrics.waitTime, metrics.dispatches, metrics.retries, metrics.duration)
+	registerer.MustRegister(metrics.evidence, metrics.versionChecks, metrics.streamEnds, metrics.bodyEnds, metrics.choices, metrics.delays, metrics.tenantRequests, metrics.tenantUsage, metrics.overrun, metrics.ended, metrics.timeToFirstByte, metrics.waitTime, metrics.dispatches, metrics.retries, metrics.duration)
 	return metrics
 }
 
--- a/logging/fields.go
+++ b/logging/fields.go
@@ -21,6 +21,7 @@
 	Reason              = "reason"
 	Outcome             = "outcome"
 	Execution           = "execution"
+	Evidence            = "evidence"
 	Cause               = "cause"
 	Source              = "source"
 	Retry               = "retry"
