A rejection whose body has no end does not hold its request

What callers saw: a replica rejects a request and sends the body of that response without an end, a byte at a time. The request waited for the body until its deadline and got 503 then, though another replica would have served it at once.

Cause: the body is read up to 16 KB so that the connection can be used again, bounded in bytes but in time only by the request.

Change: after 50 ms the connection is closed and the request goes on. The head alone decides that it did not run.

--- a/core/call.go
+++ b/core/call.go
@@ -135,7 +135,7 @@
 type Body interface {
 	Read(data []byte) (int, error)
 	Buffered() int // bytes that can be read without blocking
-	Close() error
+	Close() error  // may be called while Read blocks, which then fails
 }
 
 // Dispatch is one attempt to run a call on a replica.
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -18,6 +18,8 @@
 	// an interrupted one can be retried.
 	maxBufferedResponse = 256 << 10
 	chunkBytes          = 16 << 10
+	// rejectionBodyTimeout bounds the wait for the body of a rejection, before its request goes to another replica.
+	rejectionBodyTimeout = 50 * time.Millisecond
 	// inputResponses and inputEvents name the buffered bodies and events of replicas in metrics.
 	inputResponses = "replica_response"
 	inputEvents    = "replica_event"
@@ -132,8 +134,13 @@
 	return c.relayBuffered(state, reply)
 }
 
-// discard reads the short body of a rejection, so that the connection can be reused.
-func discard(body Body) { _, _ = io.CopyN(io.Discard, body, chunkBytes) }
+// discard reads the body of a rejection, so that the connection can be reused. One that is long, or takes long, costs its
+// connection instead.
+func discard(body Body) {
+	timeout := time.AfterFunc(rejectionBodyTimeout, func() { _ = body.Close() })
+	defer timeout.Stop()
+	_, _ = io.CopyN(io.Discard, body, chunkBytes)
+}
 
 // relayBuffered relays a response that is not an event stream, after reading it completely if there is memory for it.
 func (c *Core) relayBuffered(state *callState, reply *Reply) dispatchOutcome {
--- a/upstream/interruption_test.go
+++ b/upstream/interruption_test.go
@@ -84,3 +84,15 @@
 		}
 	}
 }
+
+// Guards against a body without an end that cannot be given up while it is read.
+func TestCloseEndsABlockedRead(t *testing.T) {
+	address := startServer(t, func(_, _ int, read *http.Request) string {
+		return "HTTP/1.1 503 Service Unavailable\r\nId: " + read.Header.Get("Id") + "\r\nContent-Length: 10\r\n\r\npart"
+	})
+	response, err := NewPool(nil, nil).Do(t.Context(), request(t, address, http.MethodPost, "1", "x"))
+	require.NoError(t, err)
+	time.AfterFunc(10*time.Millisecond, func() { _ = response.Close() })
+	_, err = io.ReadAll(response)
+	require.Error(t, err)
+}
