An error response without an end is not passed on

What callers saw: a replica answers with an error status and a body without an end. The caller got the beginning of that response and bytes until its deadline, when the connection was closed; a request that may be repeated was not.

Cause: a body beyond 256 KB is passed on as it comes, whatever its status, though of an error response nothing is lost by a retry.

Change: an error response beyond that bound, or without room in the memory budget, ends its dispatch as failed: a request that may be repeated goes to another replica, others get 502 at once.

--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -154,11 +154,16 @@
 	if reply.Status < http.StatusMultipleChoices {
 		c.recordAnswerBegun(state)
 	}
-	if len(body) > maxBufferedResponse || exhausted {
+	whole := len(body) <= maxBufferedResponse && !exhausted
+	isError := reply.Status >= http.StatusInternalServerError
+	if !whole && isError {
+		return dispatchOutcome{result: Failed, cause: errors.Errorf("replica responded with status %d and a body of more than %d bytes", reply.Status, len(body)), health: fleet.Failed}
+	}
+	if !whole {
 		return c.relayUnbuffered(state, reply, body)
 	}
 	c.Metrics.bodyEnds.WithLabelValues(reply.Framing.String()).Inc()
-	if reply.Status >= http.StatusInternalServerError {
+	if isError {
 		return dispatchOutcome{result: Failed, cause: errors.Errorf("replica responded with status %d", reply.Status), health: fleet.Failed,
 			errorReply: &bufferedReply{reply.Status, reply.Header, body}}
 	}
