Idle connections on which a replica sends are closed within seconds

What was seen: a replica that sends without an end on a connection where no request waits keeps the connection, and what the kernel holds of it, until the connection is used or expires (up to 60 s), since only the look before its next use finds the data. By the platform's rule bytes that have arrived and are not read count as the daemon's memory.

Evidence: TestSweepClosesIdleConnectionsThatHaveReceivedData failed before (the replica went on sending), and holds.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -85,13 +85,9 @@
 		if conn == nil {
 			break
 		}
-		state := stateOf(conn.Conn)
-		if p.now().Before(conn.expires) && state == idleSilent {
+		if silent := p.isSilent(request.Address, conn); silent && p.now().Before(conn.expires) {
 			return conn, nil
 		}
-		if state == idleReceived {
-			p.reportUnsolicited(request.Address, conn, UnsolicitedWhileIdle, 0)
-		}
 		_ = conn.Close()
 	}
 	opened, err := p.open(ctx, request)
@@ -170,7 +166,8 @@
 	p.idle[address] = append(p.idle[address], conn)
 }
 
-// Sweep closes idle connections that have expired, and those to addresses that are not in use.
+// Sweep closes idle connections that have expired, that have ended or received data, and those to addresses that are not
+// in use.
 func (p *Pool) Sweep(inUse func(address string) bool) {
 	p.paths.retain(inUse)
 	p.mutex.Lock()
@@ -179,7 +176,7 @@
 	for address, list := range p.idle {
 		remaining := list[:0]
 		for _, conn := range list {
-			if now.Before(conn.expires) && inUse(address) {
+			if now.Before(conn.expires) && inUse(address) && p.isSilent(address, conn) {
 				remaining = append(remaining, conn)
 			} else {
 				_ = conn.Close()
@@ -194,5 +191,14 @@
 	}
 }
 
+// isSilent reports whether an idle connection is open and has received nothing.
+func (p *Pool) isSilent(address string, conn *connection) bool {
+	state := stateOf(conn.Conn)
+	if state == idleReceived {
+		p.reportUnsolicited(address, conn, UnsolicitedWhileIdle, 0)
+	}
+	return state == idleSilent
+}
+
 // Close closes all idle connections.
 func (p *Pool) Close() { p.Sweep(func(string) bool { return false }) }
--- a/upstream/unsolicited_test.go
+++ b/upstream/unsolicited_test.go
@@ -1,6 +1,9 @@
 package upstream
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -166,3 +169,45 @@
 		require.Equal(t, test.want, text)
 	}
 }
+
+// Guards against an idle connection on which a replica sends without an end, and which holds what has arrived until it is used
+// or expires.
+func TestSweepClosesIdleConnectionsThatHaveReceivedData(t *testing.T) {
+	closed := make(chan struct{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		_, err = io.WriteString(conn, reply("1", "own"))
+		for err == nil {
+			time.Sleep(time.Millisecond)
+			_, err = io.WriteString(conn, "bytes without an end")
+		}
+		close(closed)
+	}()
+	pool := NewPool(nil, nil)
+	unsolicited := 0
+	pool.OnUnsolicited(func(UnsolicitedResponse) { unsolicited++ })
+	text, err := fetch(t, pool, request(t, listener.Addr().String(), http.MethodPost, "1", "x"))
+	require.NoError(t, err)
+	require.Equal(t, "own", text)
+	require.Eventually(t, func() bool {
+		pool.Sweep(func(string) bool { return true })
+		select {
+		case <-closed:
+			return true
+		default:
+			return false
+		}
+	}, time.Second, 5*time.Millisecond)
+	require.Equal(t, 1, unsolicited)
+	require.False(t, pool.HasIdle(listener.Addr().String()))
+}
