finchspoke serve: a rejection whose body has no end is a rejection at once

What callers saw: an engine rejects a request and sends the body of that response without an end. The request waited for it until its deadline and was then reported as perhaps run, though the head says that it was not started.

Cause: the body, which is only shown, was read whole (up to 64 KB) before the head was judged, and an error of that counted as a lost response.

Change: the body is read for 50 ms; the head alone decides.

Evidence: TestRejectionWithoutEndIsARejectionAtOnce failed before (lost in place of not started, after 2 s), and holds.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -233,14 +233,13 @@
 	return resumed, err
 }
 
+// errorBodyTimeout bounds the wait for the body of an engine's error response, which is only shown.
+const errorBodyTimeout = 50 * time.Millisecond
+
 // parseEngineError maps a response other than 200. The result is NotStarted only if the engine
 // reports so itself.
 func parseEngineError(response *upstream.Response) dispatchOutcome {
-	text, err := io.ReadAll(io.LimitReader(response, maxErrorBodyBytes))
-	if err != nil {
-		return dispatchOutcome{result: core.Lost, cause: err}
-	}
-	message := strings.TrimSpace(string(text))
+	message := readErrorBody(response)
 	cause := errors.Errorf("engine responded with status %d: %s", response.Status, message)
 	if response.Header.Get(engine.HeaderExecution) != engine.ExecutionNotStarted {
 		return dispatchOutcome{result: core.Lost, cause: cause}
@@ -252,6 +251,17 @@
 	return dispatchOutcome{result: core.NotStarted, cause: cause}
 }
 
+// readErrorBody returns what arrives in time of the body of an error response. The connection is closed if it is not whole.
+func readErrorBody(response *upstream.Response) string {
+	timeout := time.AfterFunc(errorBodyTimeout, func() { _ = response.Close() })
+	defer timeout.Stop()
+	text, err := io.ReadAll(io.LimitReader(response, maxErrorBodyBytes))
+	if err != nil {
+		return strings.TrimSpace(string(text)) + " (incomplete: " + err.Error() + ")"
+	}
+	return strings.TrimSpace(string(text))
+}
+
 func (s *Server) firstByte(incoming *call) {
 	incoming.log.firstByte = time.Since(incoming.arrived)
 	s.metrics.firstByte.WithLabelValues(incoming.class.String()).Observe(incoming.log.firstByte.Seconds())
--- a/gateway/run_test.go
+++ b/gateway/run_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -69,3 +70,33 @@
 		require.Equal(t, body, recorder.Body.String())
 	}
 }
+
+// Guards against a request that waits for the end of its rejection's body, or counts as run without it, in place of going to
+// another engine.
+func TestRejectionWithoutEndIsARejectionAtOnce(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: 1\r\nX-Execution: not_started\r\nContent-Length: 100000\r\n\r\n")
+		for err == nil {
+			time.Sleep(time.Millisecond)
+			_, err = io.WriteString(conn, "x")
+		}
+	}()
+	client := engine.NewClient()
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	response, err := client.Dispatch(ctx, engine.Dispatch{Address: listener.Addr().String(), Path: engine.PathCompletion, RequestID: "1"})
+	require.NoError(t, err)
+	defer func() { _ = response.Close() }()
+	outcome := (&Server{}).relayResponse(ctx, &call{id: "1", arrived: time.Now()}, &home.Slot{}, response, nil)
+	require.Equal(t, core.NotStarted, outcome.result)
+	require.NoError(t, ctx.Err())
+}
