--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -99,7 +99,7 @@
 	state.via, state.connection = reply.Via, reply.Connection
 	state.answerBegun = false
 	outcome := c.relayReply(state, reply)
-	outcome.status, outcome.evidence = reply.Status, evidenceOfReply(reply.Disposition)
+	outcome.status = reply.Status
 	outcome.answerBegun = state.answerBegun
 	return outcome
 }
@@ -115,14 +115,15 @@
 
 // relayReply relays a replica's response or returns why it cannot.
 func (c *Core) relayReply(state *callState, reply *Reply) dispatchOutcome {
-	switch reply.Disposition {
-	case Rejected:
+	switch evidence := evidenceOfReply(reply.Disposition); evidence {
+	case RejectedByReplica:
 		discard(reply.Body)
-		return dispatchOutcome{result: RejectedByReplica.result(), cause: errors.Errorf("replica rejected the request with status %d", reply.Status), health: fleet.Refused}
-	case WrongReplica:
+		return dispatchOutcome{result: evidence.result(), evidence: evidence, cause: errors.Errorf("replica rejected the request with status %d", reply.Status), health: fleet.Refused}
+	case AddressedToAnother:
 		discard(reply.Body)
-		return dispatchOutcome{result: AddressedToAnother.result(), cause: errors.Errorf("wrong replica or target not loaded: status %d", reply.Status), health: fleet.TargetMissing}
-	case InvalidResponse:
+		return dispatchOutcome{result: evidence.result(), evidence: evidence, cause: errors.Errorf("wrong replica or target not loaded: status %d", reply.Status), health: fleet.TargetMissing}
+	}
+	if reply.Disposition == InvalidResponse {
 		return dispatchOutcome{result: Lost, cause: errors.Errorf("invalid response with status %d", reply.Status), health: fleet.Failed}
 	}
 	if state.Route.Kind == routing.Stream && reply.Status == http.StatusOK {
