A test of limits counts newcomers in more than a byte

Traced: its reservation was taken by the test itself. Newcomers are numbered in a byte, which wraps after 255 of them, and the caller who returns is number 1; where the machine asks more than 255 times in the 10 ms until the time told (256 to 369 in the traced failures), a 'newcomer' is that caller and redeems its reservation.

--- a/limiter/returns_test.go
+++ b/limiter/returns_test.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"encoding/binary"
 	"testing"
 	"time"
 
@@ -16,9 +17,12 @@
 	"github.com/finchspoke/finchspoke/rpc"
 )
 
-func bidOf(number byte) *core.Bid {
+// bidOf returns the bid of a request; different numbers are different requests.
+func bidOf(number uint32) *core.Bid {
+	var fingerprint quota.Fingerprint
+	binary.LittleEndian.PutUint32(fingerprint[:], number)
 	return &core.Bid{RequestID: "request", Claim: quota.Claim{
-		Fingerprint: quota.Fingerprint{number}, Class: "route", Priority: 1, ObjectiveLeft: time.Second, Patience: 5 * time.Second,
+		Fingerprint: fingerprint, Class: "route", Priority: 1, ObjectiveLeft: time.Second, Patience: 5 * time.Second,
 	}}
 }
 
@@ -35,7 +39,7 @@
 	}
 	require.Equal(t, failure.LimitExceeded, refused.Kind)
 	deadline := time.Now().Add(refused.RetryAfter)
-	for number := byte(2); time.Now().Before(deadline); number++ {
+	for number := uint32(2); time.Now().Before(deadline); number++ {
 		_, _ = second.Admit(t.Context(), tenant, 0, 0, bidOf(number))
 	}
 	_, failed := second.Admit(t.Context(), tenant, 0, 0, bidOf(1))
