A replica that failed is chosen again while others serve

What was seen: after one failed request a replica gets none of 300 requests, one a second, while another serves (TestReplicaThatFailedOnceIsChosenAgain, listed as red).

Cause: the failure share is a moving average over the replica's own requests. At 0.15 it costs 1.8, which sends all requests to others, so that nothing reduces it.

Change: the share halves in 30 s without requests.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -274,7 +274,7 @@
 
 // cost returns the cost of a candidate; lower is better.
 func (d *Directory) cost(candidate *Replica, requirements Query, owner *Replica, now time.Time) float64 {
-	cost := float64(d.load(candidate, now)) + costPerPromptToken*float64(candidate.unreadTokens) + costFailureShare*candidate.health.failureShare + costTieBreak*d.random()
+	cost := float64(d.load(candidate, now)) + costPerPromptToken*float64(candidate.unreadTokens) + costFailureShare*candidate.health.failureShareAt(now) + costTieBreak*d.random()
 	if candidate.Zone != d.zone {
 		cost += costOtherZone
 	}
@@ -327,12 +327,12 @@
 	switch result {
 	case Answered:
 		p.replica.fullness.recordAccepted(max(p.Inflight, p.replica.inflight)+1, now)
-		p.replica.health.recordAnswer(false)
+		p.replica.health.recordAnswer(false, now)
 		p.directory.recordRunTime(p.replica.Service, now.Sub(p.startedAt))
 	case Failed:
-		p.replica.health.recordAnswer(true)
+		p.replica.health.recordAnswer(true, now)
 	case Refused:
-		p.replica.health.recordAnswer(true)
+		p.replica.health.recordAnswer(true, now)
 		p.replica.fullness.recordRejection(p.replica.inflight, now)
 		if target.Model != "" {
 			// A load order for the target may be in progress.
--- a/fleet/offer.go
+++ b/fleet/offer.go
@@ -57,7 +57,7 @@
 	all = all[:min(len(all), maxOffered)]
 	offered := make([]Candidate, len(all))
 	for index, candidate := range all {
-		penalty := time.Duration(d.penalty(candidate.replica, owner) * float64(penaltyPerCost))
+		penalty := time.Duration(d.penalty(candidate.replica, owner, now) * float64(penaltyPerCost))
 		offered[index] = Candidate{candidate.replica.Incarnation(), candidate.replica.Slots, penalty}
 	}
 	return offered
@@ -65,8 +65,8 @@
 
 // penalty returns the part of a candidate's cost that does not depend on its work; the caller holds the
 // mutex.
-func (d *Directory) penalty(candidate, owner *Replica) float64 {
-	penalty := costFailureShare * candidate.health.failureShare
+func (d *Directory) penalty(candidate, owner *Replica, now time.Time) float64 {
+	penalty := costFailureShare * candidate.health.failureShareAt(now)
 	if candidate.Zone != d.zone {
 		penalty += costOtherZone
 	}
