--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 
 # -count=1: tests with real processes depend on programs that the test cache does not
 # see. Package platform takes longest by far and mostly waits, so it starts first, beside few others.
-TEST_ARGUMENTS ?= -count=1 -p 3 ./platform ./...
+TEST_ARGUMENTS ?= -count=1 -p 3 -parallel 12 ./platform ./...
 
 test:
 	$(GO) test $(TEST_ARGUMENTS)
