--- /dev/null
+++ b/review/standins-2/parts.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/finchspoke/finchspoke/platform/standin"
+)
+
+// The case "parts": all model replicas crash at once and come back. All prompts of one kind of request begin with the same
+// part, as those of one assistant do. A plain service goes on beside them.
+const (
+	promptsPerSecond = 30
+	plainPerSecond   = 60
+	partsCrashAt     = 6 * time.Second
+	partsDownFor     = 4500 * time.Millisecond
+	partsLength      = 62 * time.Second
+	promptDeadline   = 15 * time.Second
+	engineReplicas   = 3
+	engineSlots      = 64
+	firstEventAfter  = 300 * time.Millisecond
+	modelName        = "m0"
+)
+
+func runParts(r *rig) int {
+	engine := &standin.Engine{MemoryMB: 230, AdapterSlots: 8, LoadsPerSecond: 3.1, Models: []standin.Model{{Name: modelName, MemoryMB: 70, LoadTime: 2500 * time.Millisecond}}}
+	if err := standin.Configure(r.store, 3, engine, itemPath); err != nil {
+		r.summary("cannot configure: %s", err)
+		return exitNotRun
+	}
+	var replicas []*standin.Replica
+	var endBeats []func()
+	for number := range engineReplicas {
+		replica, err := standin.StartReplica(fmt.Sprintf("i-press-%d", number), standin.EngineService, engine, r.store, r.history, modelName)
+		if err != nil {
+			r.summary("cannot start a replica: %s", err)
+			return exitNotRun
+		}
+		replica.SetFaults(standin.ReplicaFaults{Slots: engineSlots, Room: engineSlots, ProcessingTime: firstEventAfter})
+		replica.Register()
+		replicas, endBeats = append(replicas, replica), append(endBeats, r.beat(replica))
+	}
+	for number := range deskReplicas {
+		replica, err := standin.StartReplica(fmt.Sprintf("i-desk-%d", number), standin.DeskService, nil, r.store, r.history)
+		if err != nil {
+			r.summary("cannot start a replica: %s", err)
+			return exitNotRun
+		}
+		replica.SetFaults(deskFaults())
+		replica.Register()
+		r.beat(replica)
+	}
+	if err := r.startDaemons(3, false, r.store.AddressFor); err != nil {
+		r.summary("cannot start: %s", err)
+		return exitNotRun
+	}
+	time.Sleep(4 * time.Second)
+	began := time.Now()
+	prompts, items := &tally{}, &tally{}
+	var sequence atomic.Int64
+	var group sync.WaitGroup
+	send := func(kind string, counts *tally) {
+		defer group.Done()
+		number := sequence.Add(1)
+		sentAt := time.Now()
+		patience := identicalDeadline
+		if kind == "prompt" {
+			patience = promptDeadline
+		}
+		var got answer
+		for try := 0; ; try++ {
+			id, daemon := fmt.Sprintf("%012x%04x", number, try), r.daemons[rand.IntN(len(r.daemons))]
+			a := attempt{method: http.MethodGet, path: fmt.Sprintf("%s%d", itemPath, number), id: id, deadline: patience - time.Since(sentAt)}
+			if kind == "prompt" {
+				a = attempt{method: http.MethodPost, path: fmt.Sprintf("%s%d", standin.LivePath, number), id: id, deadline: patience - time.Since(sentAt), body: "prompt " + id,
+					header: map[string]string{"Model": modelName, "Token-Count": "360,24", "Prefix-Hash": fmt.Sprintf("5c1e07a2:350,%x:10", number)}}
+			}
+			sent := time.Now()
+			got = r.send(daemon, a)
+			r.note("%s %s %s %s at %.3f s to %s: status %d, retry-after %.1f s, ran on %v", kind, a.method, id, a.path, sent.Sub(r.started).Seconds(), daemon.name, got.status, got.retryAfter.Seconds(), r.history.Runs(id))
+			left := patience - time.Since(sentAt)
+			if got.served() || try == clientRetries || left <= 0 {
+				break
+			}
+			time.Sleep(min(got.retryAfter, left/3))
+		}
+		counts.add(sentAt.Sub(began), got.served())
+	}
+	stop := make(chan struct{})
+	generate := func(kind string, perSecond int, counts *tally) {
+		ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+		defer ticker.Stop()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-ticker.C:
+				group.Add(1)
+				go send(kind, counts)
+			}
+		}
+	}
+	var generators sync.WaitGroup
+	generators.Go(func() { generate("prompt", promptsPerSecond, prompts) })
+	generators.Go(func() { generate("item", plainPerSecond, items) })
+	if r.trouble {
+		time.Sleep(partsCrashAt)
+		for number, replica := range replicas {
+			replica.Crash()
+			endBeats[number]()
+		}
+		r.summary("all %d model replicas crashed at %.1f s", engineReplicas, time.Since(began).Seconds())
+		time.Sleep(partsDownFor)
+		for number, replica := range replicas {
+			restarted, err := replica.Restart(fmt.Sprintf("i-press-%d-again", number))
+			if err != nil {
+				r.summary("cannot start a replica again: %s", err)
+				return exitNotRun
+			}
+			r.beat(restarted)
+		}
+		r.summary("all model replicas are back at %.1f s", time.Since(began).Seconds())
+	}
+	time.Sleep(partsLength - time.Since(began))
+	close(stop)
+	generators.Wait()
+	group.Wait()
+	return r.judgeStarved("prompt", prompts, "item", items)
+}
