--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -16,6 +16,7 @@
 
 // cases are the cases by name. Each returns an exit code.
 var cases = map[string]func(*rig) int{
+	"cut":       runCut,
 	"identical": runIdentical,
 	"parts":     runParts,
 }
--- a/review/standins-2/parts.go
+++ b/review/standins-2/parts.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -24,16 +25,30 @@
 	engineSlots      = 64
 	firstEventAfter  = 300 * time.Millisecond
 	modelName        = "m0"
+	linksDownFor     = 5 * time.Second        // the default of the bench
+	promptObjective  = 400 * time.Millisecond // as draft-wording of the site
 )
 
-func runParts(r *rig) int {
+// runParts crashes all model replicas, and runCut cuts the links to them instead.
+func runParts(r *rig) int { return runPrompts(r, false) }
+
+func runCut(r *rig) int { return runPrompts(r, true) }
+
+func runPrompts(r *rig, cutsLinks bool) int {
 	engine := &standin.Engine{MemoryMB: 230, AdapterSlots: 8, LoadsPerSecond: 3.1, Models: []standin.Model{{Name: modelName, MemoryMB: 70, LoadTime: 2500 * time.Millisecond}}}
 	if err := standin.Configure(r.store, 3, engine, itemPath); err != nil {
 		r.summary("cannot configure: %s", err)
 		return exitNotRun
 	}
+	if cutsLinks {
+		if err := setObjective(r.store, "live", promptObjective); err != nil {
+			r.summary("cannot configure: %s", err)
+			return exitNotRun
+		}
+	}
 	var replicas []*standin.Replica
 	var endBeats []func()
+	var links []*link
 	for number := range engineReplicas {
 		replica, err := standin.StartReplica(fmt.Sprintf("i-press-%d", number), standin.EngineService, engine, r.store, r.history, modelName)
 		if err != nil {
@@ -41,6 +56,15 @@
 			return exitNotRun
 		}
 		replica.SetFaults(standin.ReplicaFaults{Slots: engineSlots, Room: engineSlots, ProcessingTime: firstEventAfter})
+		if cutsLinks {
+			opened, err := newLink(replica.Address)
+			if err != nil {
+				r.summary("cannot open a link: %s", err)
+				return exitNotRun
+			}
+			links = append(links, opened)
+			replica.SetEntryField("address", opened.address)
+		}
 		replica.Register()
 		replicas, endBeats = append(replicas, replica), append(endBeats, r.beat(replica))
 	}
@@ -107,7 +131,22 @@
 	var generators sync.WaitGroup
 	generators.Go(func() { generate("prompt", promptsPerSecond, prompts) })
 	generators.Go(func() { generate("item", plainPerSecond, items) })
-	if r.trouble {
+	if r.trouble && cutsLinks {
+		time.Sleep(partsCrashAt)
+		for _, l := range links {
+			l.cut()
+		}
+		r.summary("the links to all %d model replicas were cut at %.1f s; the replicas run on", engineReplicas, time.Since(began).Seconds())
+		time.Sleep(linksDownFor)
+		for _, l := range links {
+			if err := l.heal(); err != nil {
+				r.summary("cannot heal a link: %s", err)
+				return exitNotRun
+			}
+		}
+		r.summary("the links have healed at %.1f s", time.Since(began).Seconds())
+	}
+	if r.trouble && !cutsLinks {
 		time.Sleep(partsCrashAt)
 		for number, replica := range replicas {
 			replica.Crash()
@@ -131,3 +170,26 @@
 	group.Wait()
 	return r.judgeStarved("prompt", prompts, "item", items)
 }
+
+// setObjective writes a newer configuration in which a route has another objective.
+func setObjective(store *standin.Store, name string, objective time.Duration) error {
+	item, _ := store.Get("op/config")
+	var config map[string]any
+	if err := json.Unmarshal(item.Value, &config); err != nil {
+		return err
+	}
+	routes, _ := config["routes"].([]any)
+	for _, entry := range routes {
+		if route, ok := entry.(map[string]any); ok && route["name"] == name {
+			route["targetMs"] = objective.Milliseconds()
+		}
+	}
+	version, _ := config["version"].(float64)
+	config["version"] = version + 1
+	value, err := json.Marshal(config)
+	if err != nil {
+		return err
+	}
+	store.Put("op/config", value)
+	return nil
+}
