Quarantine: lines that tell a trial that a replica saw from one that none did

Four hypotheses could not be told apart by the lines: the trial is counted before any replica has seen it; none is due once the model is loaded; the model is never loaded; daemons hold the part at different times.

Change: "trial dispatched to a replica" with the outcome and the evidence of each dispatch on trial; trial_in_ms and trials where a part is quarantined. No logic changes.

--- a/core/log.go
+++ b/core/log.go
@@ -71,6 +71,15 @@
 	}).Warn("dispatch failed")
 }
 
+// logTrialDispatch logs how a dispatch of a request on trial ended, which tells a trial that a replica saw from one that
+// none did.
+func (c *Core) logTrialDispatch(state *callState, pick *fleet.Pick, outcome dispatchOutcome) {
+	c.entry(state).WithFields(logrus.Fields{
+		logging.Replica: pick.ID, logging.Outcome: outcome.result.String(), logging.Evidence: outcome.evidence.String(), logging.AnswerBegun: outcome.answerBegun,
+		logging.Cause: errorText(outcome.cause),
+	}).Info(logging.MessageTrialDispatched)
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/core/quarantine.go
+++ b/core/quarantine.go
@@ -125,6 +125,9 @@
 	if outcome.answerBegun {
 		suspect.Parts = nil
 	}
+	if state.onTrial {
+		c.logTrialDispatch(state, pick, outcome)
+	}
 	if outcome.result != NotWritten && outcome.result != NotStarted {
 		state.onTrial = false
 	}
--- a/logging/fields.go
+++ b/logging/fields.go
@@ -38,6 +38,8 @@
 	FirstByteMs         = "first_byte_ms"
 	LongestPauseMs      = "longest_pause_ms"
 	AgeMs               = "age_ms"
+	TrialInMs           = "trial_in_ms"
+	Trials              = "trials"
 	ReadyInMs           = "ready_in_ms"
 	Cost                = "cost"
 	PatienceMs          = "patience_ms"
--- a/logging/messages.go
+++ b/logging/messages.go
@@ -43,6 +43,7 @@
 	MessagePartQuarantined           = "part of prompts crashes replicas"
 	MessagePartCleared               = "part of prompts cleared"
 	MessagePartTrial                 = "trial of a quarantined part of prompts"
+	MessageTrialDispatched           = "trial dispatched to a replica"
 	MessageDependencyLost            = "dependency lost"
 	MessageStoreRestored             = "records of a restored key-value service taken"
 	MessageDependencyRegained        = "dependency regained"
--- a/quarantine/suspectparts.go
+++ b/quarantine/suspectparts.go
@@ -244,6 +244,10 @@
 		logging.PartHash: part.String(), logging.Crashes: state.replicas, logging.Outcome: outcome, logging.AgeMs: g.Now().Sub(state.since).Milliseconds(),
 	})
 	if state.isQuarantined() {
+		entry = entry.WithField(logging.TrialInMs, g.nextTrial(part).Sub(g.Now()).Milliseconds())
+		if trial := g.ledger.trials[part]; trial != nil {
+			entry = entry.WithField(logging.Trials, trial.Trial.Number)
+		}
 		entry.Warn(logging.MessagePartQuarantined)
 	} else {
 		entry.Debug(logging.MessagePartQuarantined)
