Quarantine: a trial counts only once a replica has seen its request

Cause: the one trial that could free the part was counted as it was due, a second after the crash, while no replica could be reached; nothing gave it back, and the next one came by the clock. Refused requests were no demand for their model either.

The daemons quarantined the part within 0.4 s of each other, and loads were ordered.

Change: a trial begins right before its request is written on an open connection; until then requests with the part wait for a replica like others. One that a replica rejected, or that was not written, is withdrawn, and its request may go on with it. The record names the replica: if no daemon reports an outcome, the next trial first probes that replica. Trials count by the crashes of their replicas, so those of an earlier quarantine of the part do not count for the next. A part without answers that is at five crashes gets its next trial one delay later.

Why it works: nothing but a replica that saw the request spends a trial, so the first replica that can serve it decides; and a trial still ends one replica at most, since of all daemons one begins it, by a conditional write.

--- a/core/constraint.go
+++ b/core/constraint.go
@@ -54,21 +54,6 @@
 	return nil, c.finalFailure(ctx, state, failure.DeadlineExceeded, errors.New(fleet.RateLimited.String()))
 }
 
-// checkTrial returns the chosen replica, or the failure of a call that needed a trial to be dispatched and got none, or
-// that ended while it waited.
-func (c *Core) checkTrial(ctx context.Context, state *callState, pick *fleet.Pick, needsTrial bool) (*fleet.Pick, *failure.Error) {
-	pick, failed := c.checkCallActive(ctx, state, pick)
-	if failed != nil || !needsTrial {
-		return pick, failed
-	}
-	if failed := c.beginTrial(ctx, state); failed != nil {
-		pick.Cancel()
-		state.returnPermit()
-		return nil, failed
-	}
-	return pick, nil
-}
-
 // waitConstraint describes why no replica can take a call now.
 type waitConstraint struct {
 	miss fleet.Miss
--- a/core/core.go
+++ b/core/core.go
@@ -124,7 +124,10 @@
 	streamEnd       streamEnd         // of the latest dispatch
 	answerBegun     bool              // the latest dispatch has brought a whole event or response
 	suspect         quarantine.Suspect
-	onTrial         bool // the next dispatch is a trial of a quarantined part of the prompt
+	needsTrial      bool // the next dispatch may be written only as a trial
+	trialDenied     bool // a dispatch was not written since it could not be a trial
+	// trial is the trial that the current dispatch is, or that the next one goes on with; nil if there is none.
+	trial *quarantine.BegunTrial
 	// failedStatus is the status of a replica's error response relayed to the caller; zero without
 	// one.
 	failedStatus int
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -44,7 +44,13 @@
 	dispatches []Dispatch
 }
 
+// Send asks for admission first, as drivers do once a connection is open.
 func (d *scriptedDriver) Send(ctx context.Context, dispatch Dispatch) (*Reply, error) {
+	if dispatch.Admit != nil {
+		if err := dispatch.Admit(); err != nil {
+			return nil, &SendError{Cause: err}
+		}
+	}
 	d.dispatches = append(d.dispatches, dispatch)
 	if len(d.dispatches) > len(d.script) {
 		return nil, &SendError{Cause: errors.New("no more scripted replies")}
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -86,7 +86,7 @@
 	}
 	reply, err := c.Driver.Send(ctx, Dispatch{
 		Call: state.Call, ReplicaID: pick.ID, Address: pick.Address, Remaining: time.Until(state.Deadline), ResumeAfter: state.lastEventID, Permit: state.permit,
-		TransferFrom: c.transferSource(state), Admit: c.admitDispatch(state, pick),
+		TransferFrom: c.transferSource(state), Admit: c.admitDispatch(ctx, state, pick),
 	})
 	if err != nil {
 		var failed *SendError
--- a/core/quarantine.go
+++ b/core/quarantine.go
@@ -14,9 +14,13 @@
 type Quarantine interface {
 	// Check returns whether a request may be dispatched now.
 	Check(suspect quarantine.Suspect) quarantine.Verdict
-	// BeginTrial reports whether a refused request may be dispatched once, to find out whether a part of its prompt still
-	// crashes replicas. It blocks for a short, bounded time.
-	BeginTrial(ctx context.Context, suspect quarantine.Suspect) bool
+	// BeginTrial begins a trial for a refused request that is about to be written to a replica, to find out whether it, or
+	// a part of its prompt, still crashes replicas; nil if there may be none. earlier is a withdrawn trial of the request;
+	// nil if there is none. It blocks for a short, bounded time.
+	BeginTrial(ctx context.Context, suspect quarantine.Suspect, to quarantine.Destination, earlier *quarantine.BegunTrial) *quarantine.BegunTrial
+	// WithdrawTrial undoes a trial whose request no replica saw, and reports whether the request may go on with it. It
+	// blocks for a short, bounded time.
+	WithdrawTrial(trial *quarantine.BegunTrial) bool
 	// ConnectionBroken reports that the connection to a replica broke while it had a request. If
 	// that puts the request into quarantine, it returns once the quarantine is in effect.
 	ConnectionBroken(ctx context.Context, replica fleet.Incarnation, address string, suspect quarantine.Suspect)
@@ -37,38 +41,32 @@
 	return quarantine.Suspect{Request: call.Fingerprint, Parts: quarantine.HashParts(call.Service.Name, ids)}
 }
 
-// checkedSuspect returns what of a call must not be quarantined for its next dispatch.
-func (s *callState) checkedSuspect() quarantine.Suspect {
-	if s.onTrial {
-		return quarantine.Suspect{Request: s.suspect.Request}
-	}
-	return s.suspect
-}
-
-// checkQuarantine returns whether a call may be dispatched. A trial of a part ends with the first dispatch that may have run.
+// checkQuarantine returns whether a call may be dispatched.
 func (c *Core) checkQuarantine(state *callState) quarantine.Verdict {
 	if c.Quarantine == nil {
 		return quarantine.Verdict{}
 	}
-	verdict := c.Quarantine.Check(state.checkedSuspect())
+	verdict := c.Quarantine.Check(state.suspect)
 	if verdict.Refused != nil && state.lifecycle.MayHaveRun() {
 		verdict.Refused = c.finalFailure(context.Background(), state, failure.OutcomeUnknown, verdict.Refused)
 	}
 	return verdict
 }
 
-// awaitQuarantine waits while a call is held. It returns the failure of one that must not be dispatched, and whether it
-// needs a trial to be dispatched. It runs before each dispatch, because a retry could crash the next replica.
-func (c *Core) awaitQuarantine(ctx context.Context, state *callState) (needsTrial bool, failed *failure.Error) {
-	for {
+// awaitQuarantine waits while a call is held. It returns the failure of one that must not be dispatched. It runs before
+// each dispatch, because a retry could crash the next replica.
+func (c *Core) awaitQuarantine(ctx context.Context, state *callState) *failure.Error {
+	state.needsTrial = state.trial != nil
+	for !state.needsTrial {
 		verdict := c.checkQuarantine(state)
 		switch {
-		case verdict.TrialDue:
-			return true, nil
+		case verdict.TrialDue && !state.trialDenied:
+			state.needsTrial = true
+			return nil
 		case verdict.Refused != nil:
-			return false, verdict.Refused
+			return verdict.Refused
 		case verdict.HoldUntil.IsZero():
-			return false, nil
+			return nil
 		}
 		timer := time.NewTimer(time.Until(verdict.HoldUntil))
 		select {
@@ -76,35 +74,56 @@
 		case <-verdict.Changed:
 		case <-ctx.Done():
 			timer.Stop()
-			return false, c.finalFailure(ctx, state, failure.DeadlineExceeded, errHeld)
+			return c.finalFailure(ctx, state, failure.DeadlineExceeded, errHeld)
 		}
 		timer.Stop()
 	}
+	return nil
 }
 
-// beginTrial makes the next dispatch of a call a trial. It returns the failure of the call if it may not be one.
-func (c *Core) beginTrial(ctx context.Context, state *callState) *failure.Error {
-	if c.Quarantine.BeginTrial(ctx, state.suspect) {
-		state.onTrial = true
-		return nil
+// beginTrial makes the current dispatch of a call a trial. It runs once a connection to the replica is open, so that a
+// trial is not spent on a replica that cannot be reached.
+func (c *Core) beginTrial(ctx context.Context, state *callState, pick *fleet.Pick) error {
+	state.trial = c.Quarantine.BeginTrial(ctx, state.suspect, quarantine.Destination{Replica: pick.Incarnation, Address: pick.Address}, state.trial)
+	if state.trial == nil {
+		state.trialDenied = true
+		return fleet.ErrQuarantined
+	}
+	return nil
+}
+
+// recordTrial ends the trial that a dispatch was. One that no replica saw tells nothing, so it is withdrawn, and the next
+// dispatch goes on with it.
+func (c *Core) recordTrial(state *callState, pick *fleet.Pick, outcome dispatchOutcome) {
+	if state.trial == nil {
+		return
+	}
+	c.logTrialDispatch(state, pick, outcome)
+	unseen := outcome.result == NotWritten || outcome.result == NotStarted
+	if !unseen || !c.Quarantine.WithdrawTrial(state.trial) {
+		state.trial = nil
 	}
-	return c.checkQuarantine(state).Refused
 }
 
 // admitDispatch returns the check that a request may still be sent to its replica, right before it is written.
-func (c *Core) admitDispatch(state *callState, pick *fleet.Pick) func() error {
-	checkVersion, suspect := c.versionCheck(state, pick), state.checkedSuspect()
+func (c *Core) admitDispatch(ctx context.Context, state *callState, pick *fleet.Pick) func() error {
+	checkVersion := c.versionCheck(state, pick)
 	if c.Quarantine == nil {
 		return checkVersion
 	}
 	return func() error {
-		if verdict := c.Quarantine.Check(suspect); verdict.Refused != nil || !verdict.HoldUntil.IsZero() {
-			return fleet.ErrQuarantined
+		if checkVersion != nil {
+			if err := checkVersion(); err != nil {
+				return err
+			}
 		}
-		if checkVersion == nil {
-			return nil
+		if state.needsTrial {
+			return c.beginTrial(ctx, state, pick)
 		}
-		return checkVersion()
+		if verdict := c.Quarantine.Check(state.suspect); verdict.Refused != nil || !verdict.HoldUntil.IsZero() {
+			return fleet.ErrQuarantined
+		}
+		return nil
 	}
 }
 
@@ -125,12 +144,7 @@
 	if outcome.answerBegun {
 		suspect.Parts = nil
 	}
-	if state.onTrial {
-		c.logTrialDispatch(state, pick, outcome)
-	}
-	if outcome.result != NotWritten && outcome.result != NotStarted {
-		state.onTrial = false
-	}
+	c.recordTrial(state, pick, outcome)
 	switch {
 	case c.Quarantine == nil:
 	case outcome.result == Answered && outcome.status < http.StatusMultipleChoices:
--- a/core/quarantine_test.go
+++ b/core/quarantine_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/finchspoke/finchspoke/failure"
@@ -23,6 +24,7 @@
 	heldChecks                int                     // how many checks say that the request is to wait
 	trialDue                  bool                    // a refused request may be dispatched as a trial
 	trials                    int                     // that may begin
+	withdrawn                 int                     // trials
 }
 
 func (q *fakeQuarantine) Check(suspect quarantine.Suspect) quarantine.Verdict {
@@ -30,8 +32,7 @@
 		q.heldChecks--
 		return quarantine.Verdict{HoldUntil: time.Now().Add(holdStep)}
 	}
-	isTrial := q.trialDue && len(suspect.Parts) == 0
-	if q.broken < q.allowed || isTrial {
+	if q.broken < q.allowed {
 		return quarantine.Verdict{}
 	}
 	refused := failure.New(failure.Quarantined, "send another request", "the request is suspected of crashing replicas").WithRetryAfter(time.Hour)
@@ -41,9 +42,19 @@
 // holdStep is how long fakeQuarantine holds a request at each check.
 const holdStep = 10 * time.Millisecond
 
-func (q *fakeQuarantine) BeginTrial(context.Context, quarantine.Suspect) bool {
-	q.trials--
-	return q.trials >= 0
+func (q *fakeQuarantine) BeginTrial(_ context.Context, _ quarantine.Suspect, _ quarantine.Destination, earlier *quarantine.BegunTrial) *quarantine.BegunTrial {
+	if earlier != nil {
+		return earlier
+	}
+	if q.trials--; q.trials < 0 {
+		return nil
+	}
+	return &quarantine.BegunTrial{}
+}
+
+func (q *fakeQuarantine) WithdrawTrial(*quarantine.BegunTrial) bool {
+	q.withdrawn++
+	return true
 }
 
 func (q *fakeQuarantine) ConnectionBroken(_ context.Context, _ fleet.Incarnation, _ string, suspect quarantine.Suspect) {
@@ -239,16 +250,19 @@
 		trials     int
 		script     []func(context.Context, Dispatch) (*Reply, error)
 		dispatches int
+		withdrawn  int
 		kind       failure.Kind
 	}{
-		"answered":              {1, []func(context.Context, Dispatch) (*Reply, error){whole}, 1, ""},
-		"crashes its replica":   {1, []func(context.Context, Dispatch) (*Reply, error){sendError(true), whole}, 1, failure.OutcomeUnknown},
-		"rejected, so not run":  {1, []func(context.Context, Dispatch) (*Reply, error){replyAs(Rejected), whole}, 2, ""},
-		"of another daemon":     {0, nil, 0, failure.Quarantined},
-		"another request's one": {-1, nil, 0, failure.Quarantined},
+		"answered":              {1, []func(context.Context, Dispatch) (*Reply, error){whole}, 1, 0, ""},
+		"crashes its replica":   {1, []func(context.Context, Dispatch) (*Reply, error){sendError(true), whole}, 1, 0, failure.OutcomeUnknown},
+		"rejected, so not run":  {1, []func(context.Context, Dispatch) (*Reply, error){replyAs(Rejected), whole}, 2, 1, ""},
+		"not written":           {1, []func(context.Context, Dispatch) (*Reply, error){sendError(false), whole}, 2, 1, ""},
+		"of another daemon":     {0, nil, 0, 0, failure.Quarantined},
+		"another request's one": {-1, nil, 0, 0, failure.Quarantined},
 	} {
 		s := newSetup(t, routing.Stream, 2, test.script...)
-		s.core.Quarantine, s.call.PromptParts = &fakeQuarantine{trialDue: true, trials: test.trials}, promptParts
+		fake := &fakeQuarantine{trialDue: true, trials: test.trials}
+		s.core.Quarantine, s.call.PromptParts = fake, promptParts
 		failed, _ := s.serve(t)
 		if test.kind == "" {
 			require.Nil(t, failed, name)
@@ -256,5 +270,34 @@
 			require.Equal(t, test.kind, failed.Kind, name)
 		}
 		require.Len(t, s.driver.dispatches, test.dispatches, name)
+		require.Equal(t, test.withdrawn, fake.withdrawn, name)
+	}
+}
+
+// Guards against a trial that is spent although no connection to a replica opened.
+func TestTrialBeginsOnlyOnceAConnectionIsOpen(t *testing.T) {
+	s := newSetup(t, routing.Stream, 2, reply(http.StatusOK, "id: 1\ndata: a\n\n", false))
+	fake := &fakeQuarantine{trialDue: true, trials: 1}
+	s.core.Quarantine, s.call.PromptParts = fake, promptParts
+	refusing := &refusingDriver{refusals: 2, next: s.driver}
+	s.core.Driver = refusing
+	failed, _ := s.serve(t)
+	require.Nil(t, failed)
+	require.Zero(t, refusing.refusals)
+	require.Zero(t, fake.trials, "the trial began with the dispatch that was written")
+	require.Zero(t, fake.withdrawn)
+}
+
+// refusingDriver opens no connection for some dispatches.
+type refusingDriver struct {
+	refusals int
+	next     Driver
+}
+
+func (d *refusingDriver) Send(ctx context.Context, dispatch Dispatch) (*Reply, error) {
+	if d.refusals > 0 {
+		d.refusals--
+		return nil, &SendError{Cause: errors.New("connection refused")}
 	}
+	return d.next.Send(ctx, dispatch)
 }
--- a/core/wait.go
+++ b/core/wait.go
@@ -207,8 +207,7 @@
 	startedAt := time.Now()
 	defer func() { state.waitTime += time.Since(startedAt) }()
 	for {
-		needsTrial, failed := c.awaitQuarantine(ctx, state)
-		if failed != nil {
+		if failed := c.awaitQuarantine(ctx, state); failed != nil {
 			return nil, failed
 		}
 		changed := c.Fleet.Changed(state.Service.Name, state.Target)
@@ -217,7 +216,7 @@
 		pick, miss := c.choose(ctx, state, requirements, now)
 		if pick != nil {
 			if c.awaitReservation(ctx, state, pick) {
-				return c.checkTrial(ctx, state, pick, needsTrial)
+				return c.checkCallActive(ctx, state, pick)
 			}
 			requirements.NotBefore = state.denied.notBefore()
 			continue
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -116,5 +116,15 @@
 
 // unclearedReplicas returns the replicas that crashed with a part and of whose crashes it is not cleared, sorted.
 func (e *evidence) unclearedReplicas(part PartHash) []string {
-	return slices.Sorted(maps.Keys(e.uncleared[part]))
+	return sortedNames(e.uncleared[part])
 }
+
+// popularityOf returns how often a part was answered before the crashes that it is not cleared of, as popularity.class.
+func (e *evidence) popularityOf(part PartHash) (popularity uint8) {
+	for replica := range e.uncleared[part] {
+		popularity = max(popularity, e.crashes[replica].parts[part].popularity)
+	}
+	return popularity
+}
+
+func sortedNames(names map[string]bool) []string { return slices.Sorted(maps.Keys(names)) }
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -100,7 +100,11 @@
 	popularity      popularity
 	suspectParts    map[PartHash]*suspectPart
 	partsOutdated   bool          // the ledger has changed since suspectParts was determined
-	partsChanged    chan struct{} // closed and replaced when a part is held, quarantined or free again
+	partsChanged    chan struct{} // closed and replaced when a part is held, quarantined or free again, or a trial begins or ends
+	// trialsInProgress holds the parts of which this daemon is about to begin a trial, and since when.
+	trialsInProgress map[PartHash]time.Time
+	// resolveAfter holds when to ask again for the outcome of a part's latest trial.
+	resolveAfter map[PartHash]time.Time
 	// unannounced holds clearances that are not part of a report yet, as replicas by part.
 	unannounced map[PartHash][]string
 }
@@ -117,6 +121,7 @@
 	g.probedInBackoff = map[string]time.Time{}
 	g.abandoned = abandonedRequests{}
 	g.suspectParts, g.partsChanged, g.unannounced = map[PartHash]*suspectPart{}, make(chan struct{}), map[PartHash][]string{}
+	g.trialsInProgress, g.resolveAfter = map[PartHash]time.Time{}, map[PartHash]time.Time{}
 	g.lostReports, g.lostSignal = map[string]int64{}, make(chan struct{}, 1)
 	g.pending = pendingReport{key: g.newKey(), revision: firstPending}
 }
@@ -345,6 +350,9 @@
 		g.Log.WithField(logging.Cause, err.Error()).WithFields(logging.RevisionFields(event.Pair.ModRevision)).Warn("replica crash report could not be decoded and is ignored")
 		return
 	}
+	if report.Trial != nil && !event.AfterRestore && g.ledger.isOutdated(event.Pair) {
+		return // this daemon has changed the record since
+	}
 	g.ledger.put(event.Pair.Key, report, event.Pair.ModRevision, g.Now())
 	for _, crash := range report.Crashes {
 		for _, suspect := range g.abandoned.takeRecent(crash.Replica, g.Now()) {
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/finchspoke/finchspoke/kv"
 )
 
 const (
@@ -49,12 +51,12 @@
 }
 
 // put adds a report or replaces the one under the same key, which keeps its observation time unless it is of another
-// trial.
+// trial, or of one that was withdrawn.
 func (l *ledger) put(key string, report Report, revision int64, now time.Time) {
 	entry := &ledgerEntry{Report: report, revision: revision, observedAt: now}
 	l.evidence.add(key, report, now)
 	if previous := l.reports[key]; previous != nil {
-		if report.Trial == nil || previous.Trial != nil && previous.Trial.Number == report.Trial.Number {
+		if report.Trial == nil || previous.Trial != nil && previous.Trial.Number == report.Trial.Number && previous.Trial.Withdrawn == report.Trial.Withdrawn {
 			entry.observedAt = previous.observedAt
 		}
 		l.removeFingerprints(key, previous)
@@ -73,6 +75,12 @@
 	}
 }
 
+// isOutdated reports whether a later version of a record is known, and published.
+func (l *ledger) isOutdated(pair kv.Pair) bool {
+	known := l.reports[pair.Key]
+	return known != nil && known.revision < firstPending && pair.ModRevision < known.revision
+}
+
 func (l *ledger) remove(key string) {
 	entry := l.reports[key]
 	if entry == nil {
--- a/quarantine/metrics.go
+++ b/quarantine/metrics.go
@@ -11,6 +11,8 @@
 	// partsRefused and trials concern quarantined parts of prompts.
 	partsRefused prometheus.Counter
 	trials       prometheus.Counter
+	// trialsWithdrawn counts the trials that no replica saw.
+	trialsWithdrawn prometheus.Counter
 }
 
 // NewMetrics creates the metrics and registers them.
@@ -35,6 +37,9 @@
 	metrics.trials = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "finchspoke_quarantine_trials_total", Help: "Trials of quarantined parts of prompts that this daemon began.",
 	})
-	registerer.MustRegister(metrics.refused, metrics.probes, metrics.published, metrics.dropped, metrics.partsRefused, metrics.trials)
+	metrics.trialsWithdrawn = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "finchspoke_quarantine_trials_withdrawn_total", Help: "Trials that this daemon withdrew because no replica saw their requests.",
+	})
+	registerer.MustRegister(metrics.refused, metrics.probes, metrics.published, metrics.dropped, metrics.partsRefused, metrics.trials, metrics.trialsWithdrawn)
 	return metrics
 }
--- a/quarantine/parts_model_test.go
+++ b/quarantine/parts_model_test.go
@@ -51,9 +51,14 @@
 
 // modelReplica is a replica; requests are in flight there.
 type modelReplica struct {
-	incarnation int
-	upAt        time.Time
-	requests    []*modelRequest
+	index, incarnation int
+	upAt               time.Time
+	requests           []*modelRequest
+}
+
+// current returns the replica's process.
+func (r *modelReplica) current() fleet.Incarnation {
+	return fleet.Incarnation{ID: fmt.Sprintf("r%d.%d", r.index, r.incarnation)}
 }
 
 type modelRequest struct {
@@ -65,7 +70,6 @@
 	endsAt     time.Time
 	begun      bool
 	dispatches int
-	onTrial    bool
 }
 
 // partCost counts what one bad part did.
@@ -121,8 +125,8 @@
 	}
 	m.started = time.Now()
 	m.startGuards()
-	for range m.replicaCount {
-		m.replicas = append(m.replicas, &modelReplica{upAt: m.started})
+	for index := range m.replicaCount {
+		m.replicas = append(m.replicas, &modelReplica{index: index, upAt: m.started})
 	}
 	nextUnrelated := m.started.Add(m.unrelatedCrashInterval)
 	number, massCrashed, nextLockstep := 0, false, m.started.Add(modelCalm)
@@ -234,26 +238,20 @@
 	waiting := m.waiting
 	m.waiting = nil
 	for _, request := range waiting {
-		suspect := request.suspect
-		if request.onTrial {
-			suspect.Parts = nil
-		}
-		verdict := request.guard.Check(suspect)
+		verdict := request.guard.Check(request.suspect)
 		switch {
 		case !verdict.HoldUntil.IsZero():
 			m.waiting = append(m.waiting, request)
 			continue
-		case verdict.TrialDue && request.guard.BeginTrial(m.t.Context(), request.suspect):
-			request.onTrial = true
-		case verdict.Refused != nil:
+		case verdict.Refused != nil && !verdict.TrialDue:
 			m.finish(request, true)
 			continue
 		}
-		m.dispatch(request)
+		m.dispatch(request, verdict.TrialDue)
 	}
 }
 
-func (m *partModel) dispatch(request *modelRequest) {
+func (m *partModel) dispatch(request *modelRequest, needsTrial bool) {
 	var up []*modelReplica
 	for _, replica := range m.replicas {
 		if !replica.upAt.After(time.Now()) {
@@ -269,6 +267,10 @@
 		return
 	}
 	replica := up[m.random.IntN(len(up))]
+	if needsTrial && request.guard.BeginTrial(m.t.Context(), request.suspect, Destination{Replica: replica.current(), Address: "address"}, nil) == nil {
+		m.finish(request, true)
+		return
+	}
 	request.dispatches++
 	firstEvent := m.firstEvent
 	if firstEvent == 0 {
@@ -310,7 +312,7 @@
 // crash ends a replica; the requests that it had not begun to answer are retried once.
 func (m *partModel) crash(index int) {
 	replica := m.replicas[index]
-	incarnation := fleet.Incarnation{ID: fmt.Sprintf("r%d.%d", index, replica.incarnation)}
+	incarnation := replica.current()
 	requests := replica.requests
 	replica.requests, replica.upAt = nil, time.Now().Add(m.restart)
 	replica.incarnation++
@@ -323,7 +325,6 @@
 		if request.begun {
 			continue
 		}
-		request.onTrial = false
 		if request.dispatches < modelDispatches {
 			m.waiting = append(m.waiting, request)
 		} else {
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -25,6 +25,11 @@
 	}
 }
 
+// testTrial begins a trial of a request at a replica.
+func testTrial(t *testing.T, guard *Guard, suspect Suspect, replica string) *BegunTrial {
+	return guard.BeginTrial(t.Context(), suspect, Destination{Replica: fleet.Incarnation{ID: replica}, Address: "address"}, nil)
+}
+
 // startPartGuards runs guards whose probes find every replica ended.
 func startPartGuards(t *testing.T, daemons int) (*fakeStore, []*Guard) {
 	store, guards := startGuards(t, daemons, crashedProber{})
@@ -134,18 +139,25 @@
 			require.True(t, guard.Check(promptOf(10+number, "shared", "bad")).TrialDue)
 		}
 		for number, guard := range guards {
-			if guard.BeginTrial(t.Context(), promptOf(10+number, "shared", "bad")) {
+			if testTrial(t, guard, promptOf(10+number, "shared", "bad"), "r-trial") != nil {
 				started++
 			}
 			verdict := guard.Check(promptOf(20+number, "shared", "bad"))
 			require.False(t, verdict.TrialDue)
-			require.InDelta(t, trialDelays[1].Seconds(), verdict.Refused.RetryAfter.Seconds(), 1)
+			require.Nil(t, verdict.Refused, "held for the outcome of the trial")
+			require.InDelta(t, holdTime.Seconds(), time.Until(verdict.HoldUntil).Seconds(), 0.1)
 		}
 		require.Equal(t, 1, started)
 
 		crashUnder(t, guards[0], "r-trial", promptOf(10, "shared", "bad"))
+		time.Sleep(afterHold)
+		for _, guard := range guards {
+			verdict := guard.Check(promptOf(20, "shared", "bad"))
+			require.False(t, verdict.TrialDue)
+			require.InDelta(t, trialDelays[1].Seconds(), verdict.Refused.RetryAfter.Seconds(), 1)
+		}
 		time.Sleep(trialDelays[1] + reportTime)
-		require.True(t, guards[2].BeginTrial(t.Context(), promptOf(30, "shared", "bad")))
+		require.NotNil(t, testTrial(t, guards[2], promptOf(30, "shared", "bad"), "r-trial-2"))
 		guards[2].Begun(HashParts("press", []string{"shared", "bad"}))
 		time.Sleep(reportTime)
 		for _, guard := range guards {
@@ -166,7 +178,7 @@
 		began := 0
 		for number, guard := range m.guards {
 			require.True(t, guard.Check(promptOf(10+number, "bad")).TrialDue)
-			if guard.BeginTrial(t.Context(), promptOf(10+number, "bad")) {
+			if testTrial(t, guard, promptOf(10+number, "bad"), "r-trial") != nil {
 				began++
 			}
 		}
@@ -191,7 +203,7 @@
 			time.Sleep(10 * time.Second)
 			verdict := guards[1].Check(promptOf(100, "bad"))
 			require.NotNil(t, verdict.Refused)
-			if verdict.TrialDue && guards[1].BeginTrial(t.Context(), promptOf(100+trials, "bad")) {
+			if verdict.TrialDue && testTrial(t, guards[1], promptOf(100+trials, "bad"), fmt.Sprintf("t%d", trials)) != nil {
 				crashUnder(t, guards[1], fmt.Sprintf("t%d", trials), promptOf(100+trials, "bad"))
 				trials++
 			}
@@ -209,8 +221,8 @@
 		}
 		time.Sleep(trialDelays[0] + reportTime)
 		store.failNext(kv.ErrUnavailable)
-		require.False(t, guards[0].BeginTrial(t.Context(), promptOf(10, "bad")))
-		require.True(t, guards[0].BeginTrial(t.Context(), promptOf(10, "bad")))
+		require.Nil(t, testTrial(t, guards[0], promptOf(10, "bad"), "r-trial"))
+		require.NotNil(t, testTrial(t, guards[0], promptOf(10, "bad"), "r-trial"))
 	})
 }
 
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -5,6 +5,8 @@
 	"slices"
 
 	"github.com/pkg/errors"
+
+	"github.com/finchspoke/finchspoke/fleet"
 )
 
 // Crash is the unplanned end of a replica's process, with the requests of one daemon that the replica had.
@@ -23,9 +25,30 @@
 }
 
 // Trial is a request with a quarantined part that was sent to a replica to find out whether the part still crashes it.
+// Earlier versions write the part and the number alone, and count each trial as one that crashed its replica.
 type Trial struct {
 	Part   []byte `json:"part"`   // its hash
 	Number int    `json:"number"` // of trials so far
+	// Request is the fingerprint of the request.
+	Request []byte `json:"request,omitempty"`
+	// Crashes are some of the crashes for which the part was quarantined.
+	Crashes []string `json:"crashes,omitempty"`
+	// Replicas are those that the latest trials went to, oldest first.
+	Replicas []trialReplica `json:"replicas,omitempty"`
+	// Withdrawn means that no replica saw the request of the latest trial.
+	Withdrawn bool `json:"withdrawn,omitempty"`
+}
+
+// trialReplica is the replica that a trial went to.
+type trialReplica struct {
+	ID      string `json:"id"`
+	Born    int64  `json:"born,omitempty"` // start time, as in fleet.Incarnation
+	Address string `json:"address"`
+}
+
+// Incarnation returns the replica's process.
+func (r trialReplica) Incarnation() fleet.Incarnation {
+	return fleet.Incarnation{ID: r.ID, Born: r.Born}
 }
 
 // Report holds the observations of one daemon within a short time. It is stored as a record of the
@@ -76,6 +99,9 @@
 	for _, crash := range report.Crashes {
 		fingerprints = append(fingerprints, crash.Requests...)
 	}
+	if report.Trial != nil && report.Trial.Request != nil {
+		fingerprints = append(fingerprints, report.Trial.Request)
+	}
 	for _, fingerprint := range fingerprints {
 		if len(fingerprint) != FingerprintBytes {
 			return Report{}, errors.Errorf("fingerprint has %d bytes, want %d", len(fingerprint), FingerprintBytes)
@@ -92,6 +118,9 @@
 	}
 	if r.Trial != nil {
 		hashes = append(hashes, r.Trial.Part)
+		if len(r.Trial.Replicas) > 0 && r.Trial.Request == nil {
+			return errors.New("trial names a replica and no request")
+		}
 	}
 	for _, hash := range hashes {
 		if len(hash) != partHashBytes {
--- a/quarantine/suspectparts.go
+++ b/quarantine/suspectparts.go
@@ -30,7 +30,7 @@
 type Verdict struct {
 	// Refused is why the request must not be dispatched; nil if it may be, now or once it was held.
 	Refused *failure.Error
-	// TrialDue means that the refused request may be dispatched after all if BeginTrial allows it.
+	// TrialDue means that the refused request may be dispatched after all if BeginTrial allows it right before it is written.
 	TrialDue bool
 	// HoldUntil is when to check the request again, at the latest; zero if it need not wait. Changed is closed earlier
 	// if the quarantine has changed.
@@ -43,7 +43,6 @@
 	since         time.Time // when this daemon came to know
 	quarantinedAt time.Time // zero if requests with the part are held at most
 	replicas      int       // whose crashes it explains
-	onTrial       bool      // this daemon is about to begin a trial
 }
 
 func (p *suspectPart) isQuarantined() bool { return p != nil && !p.quarantinedAt.IsZero() }
@@ -65,8 +64,8 @@
 		}
 		holdUntil = latest(holdUntil, latest(state.since, state.quarantinedAt).Add(holdTime))
 		if state.isQuarantined() {
-			blocked = append(blocked, part)
-			trialAt = latest(trialAt, g.nextTrial(part))
+			status := g.trialStatus(part, state.quarantinedAt, g.ledger.evidence.uncleared[part])
+			blocked, trialAt, holdUntil = append(blocked, part), latest(trialAt, status.due), latest(holdUntil, status.heldUntil)
 		}
 	}
 	now := g.Now()
@@ -77,7 +76,7 @@
 		return Verdict{}
 	}
 	g.Metrics.partsRefused.Inc()
-	return Verdict{Refused: g.partFailure(blocked, trialAt), TrialDue: len(blocked) == 1 && !g.suspectParts[blocked[0]].onTrial && !now.Before(trialAt)}
+	return Verdict{Refused: g.partFailure(blocked, trialAt), TrialDue: len(blocked) == 1 && !now.Before(trialAt)}
 }
 
 func latest(a, b time.Time) time.Time {
@@ -216,11 +215,16 @@
 		return true
 	})
 	if changed {
-		close(g.partsChanged)
-		g.partsChanged = make(chan struct{})
+		g.signalPartsChanged()
 	}
 }
 
+// signalPartsChanged wakes requests on hold. The caller holds the mutex.
+func (g *Guard) signalPartsChanged() {
+	close(g.partsChanged)
+	g.partsChanged = make(chan struct{})
+}
+
 // updateSuspectPart updates a part that explains crashes, and reports whether that changes what requests with it may do.
 // The caller holds the mutex.
 func (g *Guard) updateSuspectPart(part PartHash, cause culprit, quarantine bool) (changed bool) {
@@ -244,7 +248,8 @@
 		logging.PartHash: part.String(), logging.Crashes: state.replicas, logging.Outcome: outcome, logging.AgeMs: g.Now().Sub(state.since).Milliseconds(),
 	})
 	if state.isQuarantined() {
-		entry = entry.WithField(logging.TrialInMs, g.nextTrial(part).Sub(g.Now()).Milliseconds())
+		due := g.trialStatus(part, state.quarantinedAt, g.ledger.evidence.uncleared[part]).due
+		entry = entry.WithField(logging.TrialInMs, due.Sub(g.Now()).Milliseconds())
 		if trial := g.ledger.trials[part]; trial != nil {
 			entry = entry.WithField(logging.Trials, trial.Trial.Number)
 		}
--- /dev/null
+++ b/quarantine/trial_test.go
@@ -0,0 +1,176 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/finchspoke/finchspoke/fleet"
+)
+
+// startTrialGuards starts guards that have quarantined the part "bad" after some crashes, and whose first trial is due.
+// Probes find replicas as the prober says.
+func startTrialGuards(t *testing.T, daemons, crashes int) (*fakeProber, []*Guard) {
+	prober := &fakeProber{results: map[string]Liveness{}}
+	_, guards := startGuards(t, daemons, prober)
+	for number := range crashes {
+		replica := fmt.Sprintf("r%d", number)
+		prober.setResult(replica, NotRunning, 0)
+		crashUnder(t, guards[0], replica, promptOf(number, "bad"))
+	}
+	time.Sleep(trialDelays[0] + afterHold)
+	return prober, guards
+}
+
+// requireTrialIn checks when the next trial of the part "bad" is due at all guards.
+func requireTrialIn(t *testing.T, guards []*Guard, want time.Duration) {
+	t.Helper()
+	for _, guard := range guards {
+		verdict := guard.Check(promptOf(1000, "bad"))
+		require.NotNil(t, verdict.Refused)
+		require.False(t, verdict.TrialDue)
+		require.InDelta(t, want.Seconds(), verdict.Refused.RetryAfter.Seconds(), 1)
+	}
+}
+
+// Guards against a trial that counts although its request was rejected, or never written, so that the next one comes a
+// minute later.
+func TestAWithdrawnTrialIsFollowedByAnotherSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, guards := startTrialGuards(t, 2, CrashThreshold)
+		for number := range 5 {
+			trial := testTrial(t, guards[number%2], promptOf(10, "bad"), "r-full")
+			require.NotNil(t, trial)
+			require.True(t, guards[number%2].WithdrawTrial(trial))
+			requireTrialIn(t, guards, trialDelays[0])
+			time.Sleep(trialDelays[0] + reportTime)
+			for _, guard := range guards {
+				require.True(t, guard.Check(promptOf(11, "bad")).TrialDue)
+			}
+		}
+	})
+}
+
+// Guards against a request whose trial was rejected and that is refused although other replicas could take it, and
+// against two trials at once.
+func TestARequestGoesOnWithItsWithdrawnTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, guards := startTrialGuards(t, 1, CrashThreshold)
+		suspect, to := promptOf(10, "bad"), Destination{Replica: fleet.Incarnation{ID: "r-next"}, Address: "address"}
+		trial := testTrial(t, guards[0], suspect, "r-full")
+		require.Nil(t, guards[0].BeginTrial(t.Context(), promptOf(11, "bad"), to, nil), "another request")
+		require.True(t, guards[0].WithdrawTrial(trial))
+		next := guards[0].BeginTrial(t.Context(), suspect, to, trial)
+		require.NotNil(t, next)
+		require.Nil(t, guards[0].BeginTrial(t.Context(), suspect, to, trial), "the trial has gone on already")
+		require.False(t, guards[0].WithdrawTrial(trial.again()), "only the latest trial can be withdrawn")
+	})
+}
+
+// again returns the trial as it was before it was withdrawn.
+func (t *BegunTrial) again() *BegunTrial {
+	copied := *t
+	copied.withdrawn = false
+	copied.records = append([]trialRecord{}, t.records...)
+	copied.records[0].trial.Replicas = []trialReplica{{ID: "r-full"}}
+	return &copied
+}
+
+// Guards against a part that stays quarantined because the daemon of its trial was killed, although the replica runs on, and
+// against more trials of a part whose trial ended its replica unheard.
+func TestATrialWithoutAReportedOutcomeIsResolvedByAnotherDaemon(t *testing.T) {
+	for liveness, next := range map[Liveness]time.Duration{Running: 0, NotRunning: trialDelays[1] - outcomeDelay - 2*afterHold, Unknown: unresolvedRetryDelay} {
+		synctest.Test(t, func(t *testing.T) {
+			prober, guards := startTrialGuards(t, 2, CrashThreshold)
+			prober.setResult("r-trial", liveness, 0)
+			require.NotNil(t, testTrial(t, guards[0], promptOf(10, "bad"), "r-trial"))
+			time.Sleep(afterHold)
+			requireTrialIn(t, guards[1:], outcomeDelay-afterHold)
+			time.Sleep(outcomeDelay)
+			trial := testTrial(t, guards[1], promptOf(11, "bad"), "r-trial-2")
+			require.Equal(t, liveness == Running, trial != nil, liveness)
+			if trial == nil {
+				time.Sleep(afterHold)
+				requireTrialIn(t, guards[1:], next)
+			}
+		})
+	}
+}
+
+// Guards against trials in quick succession whose outcomes no daemon reports.
+func TestTrialsWithoutReportedOutcomesBecomeRarer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prober, guards := startTrialGuards(t, 1, CrashThreshold)
+		trials := 0
+		for until := time.Now().Add(5 * time.Minute); time.Now().Before(until); time.Sleep(time.Second) {
+			replica := fmt.Sprintf("r-trial-%d", trials)
+			prober.setResult(replica, Running, 0)
+			if testTrial(t, guards[0], promptOf(10, "bad"), replica) != nil {
+				trials++
+			}
+		}
+		require.LessOrEqual(t, trials, 10)
+	})
+}
+
+// Guards against a part that is quarantined for a second time, after it was freed, and waits for as long as if its earlier
+// trial had failed.
+func TestASecondQuarantineBeginsWithAnEarlyTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prober, guards := startTrialGuards(t, 2, CrashThreshold)
+		require.NotNil(t, testTrial(t, guards[0], promptOf(10, "bad"), "r-trial"))
+		guards[0].Begun(HashParts("press", []string{"bad"}))
+		time.Sleep(time.Second)
+		require.Zero(t, guards[1].Check(promptOf(11, "bad")))
+		for number := range CrashThreshold {
+			replica := fmt.Sprintf("r-later-%d", number)
+			prober.setResult(replica, NotRunning, 0)
+			crashUnder(t, guards[1], replica, promptOf(20+number, "bad"))
+		}
+		time.Sleep(afterHold + reportTime)
+		requireTrialIn(t, guards, trialDelays[0])
+		time.Sleep(trialDelays[0])
+		require.NotNil(t, testTrial(t, guards[1], promptOf(30, "bad"), "r-again"))
+	})
+}
+
+// Guards against trials that end more replicas than a part may, and against putting off the first trial of a part that was
+// answered until an outage of many replicas.
+func TestTrialsArePutOffOnceAPartHasEndedAsManyReplicasAsItMay(t *testing.T) {
+	for name, test := range map[string]struct {
+		crashes  int
+		answered bool
+		want     time.Duration
+	}{
+		"few crashes":                  {CrashThreshold, false, trialDelays[0]},
+		"as many as allowed":           {maxAllowedCrashes, false, trialDelays[1]},
+		"as many, answered until then": {maxAllowedCrashes, true, trialDelays[0]},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			prober := &fakeProber{results: map[string]Liveness{}}
+			_, guards := startGuards(t, 2, prober)
+			if test.answered {
+				guards[0].Begun(HashParts("press", []string{"bad"}))
+			}
+			for number := range test.crashes {
+				replica := fmt.Sprintf("r%d", number)
+				prober.setResult(replica, NotRunning, 0)
+				crashUnder(t, guards[0], replica, promptOf(number, "bad"))
+			}
+			time.Sleep(afterHold + reportTime)
+			requireTrialIn(t, guards, test.want)
+			if test.crashes == maxAllowedCrashes && !test.answered {
+				return
+			}
+			time.Sleep(trialDelays[0])
+			require.NotNil(t, testTrial(t, guards[0], promptOf(10, "bad"), "r-trial"), name)
+			prober.setResult("r-trial", NotRunning, 0)
+			crashUnder(t, guards[0], "r-trial", promptOf(10, "bad"))
+			time.Sleep(afterHold + reportTime)
+			requireTrialIn(t, guards, map[bool]time.Duration{true: trialDelays[2], false: trialDelays[1]}[test.answered])
+		})
+	}
+}
