Quarantine: a whole request is tried like a part of prompts

Cause: only a whole answer frees a quarantined request, and each attempt was refused; unlike a part of prompts it had no trial.

Change: one attempt over all daemons is tried a second after the quarantine began, and after trials that ended their replicas a minute, ten and 55 minutes later, by the same code. Retry-After names the next trial. A request that is quarantined as a whole and for one part begins both trials with one write.

Why it works: the first replica that can run the request decides. The rule on such requests allows three dispatches after the third crash; two come within ten minutes.

--- a/logging/messages.go
+++ b/logging/messages.go
@@ -42,7 +42,7 @@
 	MessageSuspectCleared            = "request served whole after replicas had ended"
 	MessagePartQuarantined           = "part of prompts crashes replicas"
 	MessagePartCleared               = "part of prompts cleared"
-	MessagePartTrial                 = "trial of a quarantined part of prompts"
+	MessageTrial                     = "trial of a quarantined request or part of prompts"
 	MessageTrialDispatched           = "trial dispatched to a replica"
 	MessageDependencyLost            = "dependency lost"
 	MessageStoreRestored             = "records of a restored key-value service taken"
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -100,11 +100,11 @@
 	popularity      popularity
 	suspectParts    map[PartHash]*suspectPart
 	partsOutdated   bool          // the ledger has changed since suspectParts was determined
-	partsChanged    chan struct{} // closed and replaced when a part is held, quarantined or free again, or a trial begins or ends
-	// trialsInProgress holds the parts of which this daemon is about to begin a trial, and since when.
-	trialsInProgress map[PartHash]time.Time
-	// resolveAfter holds when to ask again for the outcome of a part's latest trial.
-	resolveAfter map[PartHash]time.Time
+	partsChanged    chan struct{} // closed and replaced when a part is held, quarantined or free again, a request is free again, or a trial begins or ends
+	// trialsInProgress holds of what this daemon is about to begin a trial, and since when.
+	trialsInProgress map[subject]time.Time
+	// resolveAfter holds when to ask again for the outcome of a subject's latest trial.
+	resolveAfter map[subject]time.Time
 	// unannounced holds clearances that are not part of a report yet, as replicas by part.
 	unannounced map[PartHash][]string
 }
@@ -121,7 +121,7 @@
 	g.probedInBackoff = map[string]time.Time{}
 	g.abandoned = abandonedRequests{}
 	g.suspectParts, g.partsChanged, g.unannounced = map[PartHash]*suspectPart{}, make(chan struct{}), map[PartHash][]string{}
-	g.trialsInProgress, g.resolveAfter = map[PartHash]time.Time{}, map[PartHash]time.Time{}
+	g.trialsInProgress, g.resolveAfter = map[subject]time.Time{}, map[subject]time.Time{}
 	g.lostReports, g.lostSignal = map[string]int64{}, make(chan struct{}, 1)
 	g.pending = pendingReport{key: g.newKey(), revision: firstPending}
 }
@@ -129,17 +129,12 @@
 // newKey returns a unique record key, so that no other daemon writes the same record.
 func (g *Guard) newKey() string { return g.Prefix + uuid.NewString() }
 
-// blocked returns the error for a quarantined request, or nil if it is not quarantined as a whole. The caller holds
-// the mutex.
-func (g *Guard) blocked(request Fingerprint) *failure.Error {
-	history := g.ledger.crashHistory(request)
-	if !history.Blocked() {
-		return nil
-	}
-	g.Metrics.refused.Inc()
+// requestFailure returns the error for a quarantined request. The caller holds the mutex.
+func (g *Guard) requestFailure(request Fingerprint, trialAt time.Time) *failure.Error {
+	replicas := g.ledger.crashHistory(request).Replicas
 	return failure.New(failure.Quarantined, "retry this request only after the given time; other requests are not affected",
-		"%d replicas crashed while they had this request: %s", len(history.Replicas), strings.Join(history.Replicas, ", ")).
-		WithRetryAfter(max(time.Second, history.Until.Sub(g.Now())))
+		"%d replicas crashed while they had this request: %s", len(replicas), strings.Join(replicas, ", ")).
+		WithRetryAfter(max(time.Second, trialAt.Sub(g.Now())))
 }
 
 // ConnectionBroken probes a replica whose connection broke while it had a request, and records a
@@ -308,6 +303,7 @@
 	}
 	g.pending.Served = append(g.pending.Served, request[:])
 	g.queuePending()
+	g.signalPartsChanged()
 	g.Log.WithField(logging.Fingerprint, request.String()).Info(logging.MessageSuspectCleared)
 }
 
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -35,8 +35,8 @@
 	reports map[string]*ledgerEntry // by record key
 	// suspects maps each request of a report, suspect or served, to the keys of the records that name it.
 	suspects map[Fingerprint]map[string]bool
-	evidence *evidence                 // against parts of prompts
-	trials   map[PartHash]*ledgerEntry // the latest trial of each part
+	evidence *evidence                // against parts of prompts
+	trials   map[subject]*ledgerEntry // the latest trial of each subject
 }
 
 // ledgerEntry is a report with the metadata of its record.
@@ -47,7 +47,7 @@
 }
 
 func newLedger() *ledger {
-	return &ledger{reports: map[string]*ledgerEntry{}, suspects: map[Fingerprint]map[string]bool{}, evidence: newEvidence(), trials: map[PartHash]*ledgerEntry{}}
+	return &ledger{reports: map[string]*ledgerEntry{}, suspects: map[Fingerprint]map[string]bool{}, evidence: newEvidence(), trials: map[subject]*ledgerEntry{}}
 }
 
 // put adds a report or replaces the one under the same key, which keeps its observation time unless it is of another
@@ -65,7 +65,7 @@
 	}
 	l.reports[key] = entry
 	if report.Trial != nil {
-		l.trials[PartHash(report.Trial.Part)] = entry
+		l.trials[report.Trial.subject()] = entry
 	}
 	for _, request := range report.fingerprints() {
 		if l.suspects[request] == nil {
@@ -90,7 +90,7 @@
 	l.removeFingerprints(key, entry)
 	l.evidence.remove(key, entry.replicas())
 	if entry.Trial != nil {
-		delete(l.trials, PartHash(entry.Trial.Part))
+		delete(l.trials, entry.Trial.subject())
 	}
 }
 
@@ -135,8 +135,8 @@
 type CrashHistory struct {
 	// Replicas are the incarnations that crashed while they had the request, sorted.
 	Replicas []string
-	// Until is the end of the quarantine; zero if the request is not quarantined.
-	Until time.Time
+	// Since is when the quarantine began; zero if the request is not quarantined.
+	Since time.Time
 }
 
 // Blocked reports whether the request is quarantined.
@@ -165,7 +165,7 @@
 	history := CrashHistory{Replicas: slices.Sorted(maps.Keys(observed))}
 	if history.Blocked() {
 		times := slices.SortedFunc(maps.Values(observed), time.Time.Compare)
-		history.Until = times[len(times)-CrashThreshold].Add(quarantineTTL)
+		history.Since = times[CrashThreshold-1]
 	}
 	return history
 }
@@ -175,7 +175,7 @@
 	since = report.observedAt
 	named := report.replicas()
 	for part, cause := range culprits {
-		isTrial := report.Trial != nil && PartHash(report.Trial.Part) == part
+		isTrial := report.Trial != nil && report.Trial.subject() == part.subject()
 		if isTrial || slices.ContainsFunc(named, func(replica string) bool { return cause.replicas[replica] }) {
 			quarantines = true
 			if cause.latest.After(since) {
@@ -183,6 +183,9 @@
 			}
 		}
 	}
+	if report.Trial != nil && len(report.Trial.Part) == 0 {
+		return l.crashHistory(Fingerprint(report.Trial.Request)).Blocked(), since
+	}
 	for _, crash := range report.Crashes {
 		for _, fingerprint := range crash.Requests {
 			if l.crashHistory(Fingerprint(fingerprint)).Blocked() {
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -24,11 +24,12 @@
 	Replicas []string `json:"replicas"`
 }
 
-// Trial is a request with a quarantined part that was sent to a replica to find out whether the part still crashes it.
-// Earlier versions write the part and the number alone, and count each trial as one that crashed its replica.
+// Trial is a quarantined request, or one with a quarantined part, that was sent to a replica to find out whether it still
+// crashes the replica. Earlier versions write the part and the number alone, count each trial as one that crashed its
+// replica, and know no trials of whole requests.
 type Trial struct {
-	Part   []byte `json:"part"`   // its hash
-	Number int    `json:"number"` // of trials so far
+	Part   []byte `json:"part,omitempty"` // its hash; empty in a trial of a whole request
+	Number int    `json:"number"`         // of trials so far
 	// Request is the fingerprint of the request.
 	Request []byte `json:"request,omitempty"`
 	// Crashes are some of the crashes for which the part was quarantined.
@@ -117,9 +118,11 @@
 		hashes = append(hashes, clearance.Part)
 	}
 	if r.Trial != nil {
-		hashes = append(hashes, r.Trial.Part)
-		if len(r.Trial.Replicas) > 0 && r.Trial.Request == nil {
-			return errors.New("trial names a replica and no request")
+		if len(r.Trial.Part) > 0 {
+			hashes = append(hashes, r.Trial.Part)
+		}
+		if r.Trial.Request == nil && (len(r.Trial.Part) == 0 || len(r.Trial.Replicas) > 0) {
+			return errors.New("trial names no request")
 		}
 	}
 	for _, hash := range hashes {
--- a/quarantine/suspectparts.go
+++ b/quarantine/suspectparts.go
@@ -52,22 +52,17 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.updateIfOutdated()
-	if failed := g.blocked(suspect.Request); failed != nil {
-		return Verdict{Refused: failed}
-	}
 	var holdUntil, trialAt time.Time
-	var blocked []PartHash
 	for _, part := range suspect.Parts {
-		state := g.suspectParts[part]
-		if state == nil {
-			continue
-		}
-		holdUntil = latest(holdUntil, latest(state.since, state.quarantinedAt).Add(holdTime))
-		if state.isQuarantined() {
-			status := g.trialStatus(part, state.quarantinedAt, g.ledger.evidence.uncleared[part])
-			blocked, trialAt, holdUntil = append(blocked, part), latest(trialAt, status.due), latest(holdUntil, status.heldUntil)
+		if state := g.suspectParts[part]; state != nil {
+			holdUntil = latest(holdUntil, latest(state.since, state.quarantinedAt).Add(holdTime))
 		}
 	}
+	blocked := g.quarantinedIn(suspect)
+	for _, of := range blocked {
+		status := g.trialStatus(of)
+		trialAt, holdUntil = latest(trialAt, status.due), latest(holdUntil, status.heldUntil)
+	}
 	now := g.Now()
 	switch {
 	case now.Before(holdUntil):
@@ -75,8 +70,15 @@
 	case len(blocked) == 0:
 		return Verdict{}
 	}
-	g.Metrics.partsRefused.Inc()
-	return Verdict{Refused: g.partFailure(blocked, trialAt), TrialDue: len(blocked) == 1 && !now.Before(trialAt)}
+	verdict := Verdict{TrialDue: mayShareTrial(blocked) && !now.Before(trialAt)}
+	if blocked[0].part == nil {
+		g.Metrics.refused.Inc()
+		verdict.Refused = g.requestFailure(suspect.Request, trialAt)
+	} else {
+		g.Metrics.partsRefused.Inc()
+		verdict.Refused = g.partFailure(blocked, trialAt)
+	}
+	return verdict
 }
 
 func latest(a, b time.Time) time.Time {
@@ -87,9 +89,13 @@
 }
 
 // partFailure returns the error for a request with quarantined parts. The caller holds the mutex.
-func (g *Guard) partFailure(blocked []PartHash, trialAt time.Time) *failure.Error {
+func (g *Guard) partFailure(blocked []quarantined, trialAt time.Time) *failure.Error {
+	var parts []PartHash
+	for _, of := range blocked {
+		parts = append(parts, PartHash(of.part))
+	}
 	return failure.New(failure.Quarantined, "retry this request only after the given time, or send the prompt without the part; requests without it are not affected",
-		"replicas crashed as they began to answer prompts with part %s: %s", joinParts(blocked), strings.Join(g.ledger.evidence.unclearedReplicas(blocked[0]), ", ")).
+		"replicas crashed as they began to answer prompts with part %s: %s", joinParts(parts), strings.Join(g.ledger.evidence.unclearedReplicas(parts[0]), ", ")).
 		WithRetryAfter(max(time.Second, trialAt.Sub(g.Now())))
 }
 
@@ -248,9 +254,10 @@
 		logging.PartHash: part.String(), logging.Crashes: state.replicas, logging.Outcome: outcome, logging.AgeMs: g.Now().Sub(state.since).Milliseconds(),
 	})
 	if state.isQuarantined() {
-		due := g.trialStatus(part, state.quarantinedAt, g.ledger.evidence.uncleared[part]).due
-		entry = entry.WithField(logging.TrialInMs, due.Sub(g.Now()).Milliseconds())
-		if trial := g.ledger.trials[part]; trial != nil {
+		if of, ok := g.quarantinedPart(part); ok {
+			entry = entry.WithField(logging.TrialInMs, g.trialStatus(of).due.Sub(g.Now()).Milliseconds())
+		}
+		if trial := g.ledger.trials[part.subject()]; trial != nil {
 			entry = entry.WithField(logging.Trials, trial.Trial.Number)
 		}
 		entry.Warn(logging.MessagePartQuarantined)
--- a/quarantine/trial_test.go
+++ b/quarantine/trial_test.go
@@ -174,3 +174,105 @@
 		})
 	}
 }
+
+// crashAllUnder lets replicas crash at once while each has some requests.
+func crashAllUnder(t *testing.T, guards []*Guard, prober *fakeProber, suspects ...Suspect) {
+	for number := range CrashThreshold {
+		replica := fmt.Sprintf("r%d", number)
+		prober.setResult(replica, NotRunning, 0)
+		crashUnder(t, guards[number%len(guards)], replica, suspects...)
+	}
+}
+
+// Guards against requests that are alike and that all daemons refuse for an hour, although the replicas that crashed with
+// them are back.
+func TestAQuarantinedRequestIsFreedByItsTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prober := &fakeProber{results: map[string]Liveness{}}
+		_, guards := startGuards(t, 3, prober)
+		crashAllUnder(t, guards, prober, testSuspect(1))
+		time.Sleep(trialDelays[0] + reportTime)
+		begun := 0
+		for _, guard := range guards {
+			require.True(t, guard.Check(testSuspect(1)).TrialDue)
+		}
+		for _, guard := range guards {
+			if testTrial(t, guard, testSuspect(1), "r-trial") != nil {
+				begun++
+			}
+		}
+		require.Equal(t, 1, begun)
+		for _, guard := range guards {
+			require.False(t, guard.Check(testSuspect(1)).HoldUntil.IsZero(), "held for the outcome of the trial")
+		}
+		guards[0].Served(testFingerprint(1))
+		time.Sleep(reportTime)
+		for _, guard := range guards {
+			require.Zero(t, guard.Check(testSuspect(1)))
+		}
+	})
+}
+
+// Guards against a quarantined request whose trials end replica after replica.
+func TestARequestThatFailsItsTrialsStaysQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prober := &fakeProber{results: map[string]Liveness{}}
+		_, guards := startGuards(t, 2, prober)
+		crashAllUnder(t, guards, prober, testSuspect(1))
+		trials := 0
+		for until := time.Now().Add(10 * time.Minute); time.Now().Before(until); time.Sleep(time.Second) {
+			replica := fmt.Sprintf("t%d", trials)
+			if testTrial(t, guards[trials%2], testSuspect(1), replica) == nil {
+				require.NotZero(t, guards[0].Check(testSuspect(1)))
+				continue
+			}
+			trials++
+			prober.setResult(replica, NotRunning, 0)
+			crashUnder(t, guards[0], replica, testSuspect(1))
+		}
+		require.Equal(t, maxAllowedCrashes-CrashThreshold, trials)
+	})
+}
+
+// Guards against prompts that are alike and quarantined both as a whole and for a part, so that no trial frees either.
+func TestARequestAndAPartOfItsPromptShareATrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prober := &fakeProber{results: map[string]Liveness{}}
+		_, guards := startGuards(t, 1, prober)
+		alike := promptOf(1, "shared")
+		for number := range 3 * CrashThreshold {
+			replica := fmt.Sprintf("r%d", number)
+			prober.setResult(replica, NotRunning, 0)
+			suspect := promptOf(10+number, "shared")
+			if number < CrashThreshold {
+				suspect = alike
+			}
+			crashUnder(t, guards[0], replica, suspect)
+		}
+		time.Sleep(afterHold)
+		subjects := guards[0].quarantinedIn(alike)
+		require.Len(t, subjects, 2, "the request and the part")
+		time.Sleep(trialDelays[1])
+		require.NotNil(t, testTrial(t, guards[0], alike, "r-trial"))
+		guards[0].Begun(alike.Parts)
+		guards[0].Served(alike.Request)
+		require.Zero(t, guards[0].Check(alike))
+	})
+}
+
+// Guards against the trial of a request that expires before its quarantine does.
+func TestTrialsOfRequestsAreKeptAsLongAsTheirQuarantine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prober := &fakeProber{results: map[string]Liveness{}}
+		_, guards := startGuards(t, 1, prober)
+		crashAllUnder(t, guards, prober, testSuspect(1))
+		time.Sleep(trialDelays[0] + reportTime)
+		require.NotNil(t, testTrial(t, guards[0], testSuspect(1), "r-trial"))
+		prober.setResult("r-trial", NotRunning, 0)
+		crashUnder(t, guards[0], "r-trial", testSuspect(1))
+		time.Sleep(suspectTTL + 2*sweepInterval)
+		require.NotEmpty(t, guards[0].ledger.trials)
+		time.Sleep(quarantineTTL)
+		require.Empty(t, guards[0].ledger.trials)
+	})
+}
