Quarantine: an answered trial does not count for the next quarantine

Callers: a request whose links to all replicas were cut twice would be refused for a minute after the second cut, although its first trial had been answered.

Cause: a trial counts as one that ended its replica if that process is among the crashes of the present quarantine. Links that refuse connections charge the same living processes each time, so that the trial of the first quarantine counted in the second.

Evidence: TestAnAnsweredTrialDoesNotCountForTheNextQuarantine, before: Retry-After 59.56 s where 1 s is due, FAIL. Now it passes, three quarantines in a row.

Change: the daemon whose trial was answered removes its record, if no other trial has begun since. Why it works: without a record the next quarantine begins with its first trial. If the removal fails, the record expires as before.

--- a/core/quarantine.go
+++ b/core/quarantine.go
@@ -21,6 +21,8 @@
 	// WithdrawTrial undoes a trial whose request no replica saw, and reports whether the request may go on with it. It
 	// blocks for a short, bounded time.
 	WithdrawTrial(trial *quarantine.BegunTrial) bool
+	// EndTrial ends a trial whose request was answered.
+	EndTrial(trial *quarantine.BegunTrial)
 	// ConnectionBroken reports that the connection to a replica broke while it had a request. If
 	// that puts the request into quarantine, it returns once the quarantine is in effect.
 	ConnectionBroken(ctx context.Context, replica fleet.Incarnation, address string, suspect quarantine.Suspect)
@@ -99,10 +101,17 @@
 		return
 	}
 	c.logTrialDispatch(state, pick, outcome)
-	unseen := outcome.result == NotWritten || outcome.result == NotStarted
-	if !unseen || !c.Quarantine.WithdrawTrial(state.trial) {
-		state.trial = nil
+	switch outcome.result {
+	case NotWritten, NotStarted:
+		if c.Quarantine.WithdrawTrial(state.trial) {
+			return
+		}
+	case Answered:
+		if outcome.status < http.StatusMultipleChoices {
+			c.Quarantine.EndTrial(state.trial)
+		}
 	}
+	state.trial = nil
 }
 
 // admitDispatch returns the check that a request may still be sent to its replica, right before it is written.
--- a/core/quarantine_test.go
+++ b/core/quarantine_test.go
@@ -24,7 +24,7 @@
 	heldChecks                int                     // how many checks say that the request is to wait
 	trialDue                  bool                    // a refused request may be dispatched as a trial
 	trials                    int                     // that may begin
-	withdrawn                 int                     // trials
+	withdrawn, ended          int                     // trials
 }
 
 func (q *fakeQuarantine) Check(suspect quarantine.Suspect) quarantine.Verdict {
@@ -57,6 +57,8 @@
 	return true
 }
 
+func (q *fakeQuarantine) EndTrial(*quarantine.BegunTrial) { q.ended++ }
+
 func (q *fakeQuarantine) ConnectionBroken(_ context.Context, _ fleet.Incarnation, _ string, suspect quarantine.Suspect) {
 	q.broken++
 	q.suspects = append(q.suspects, suspect)
@@ -271,6 +273,7 @@
 		}
 		require.Len(t, s.driver.dispatches, test.dispatches, name)
 		require.Equal(t, test.withdrawn, fake.withdrawn, name)
+		require.Equal(t, test.kind == "", fake.ended == 1, "%s: an answered trial ends", name)
 	}
 }
 
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -114,6 +114,28 @@
 	return true
 }
 
+// EndTrial ends a trial whose request was answered: it counts for no later quarantine. It does not block.
+func (g *Guard) EndTrial(trial *BegunTrial) {
+	if len(trial.records) == 0 {
+		return
+	}
+	var txn kv.Txn
+	for _, record := range trial.records {
+		txn.Conditions = append(txn.Conditions, kv.Condition{Key: record.key, ModRevision: trial.revision})
+		txn.Deletes = append(txn.Deletes, record.key)
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), trialTimeout)
+		defer cancel()
+		_, err := g.Store.Commit(ctx, txn)
+		entry := g.trialEntry(trial.records, Fingerprint(trial.records[0].trial.Request)).WithField(logging.Outcome, "answered")
+		if err != nil { // the record expires
+			entry = entry.WithField(logging.Cause, err.Error())
+		}
+		entry.Info(logging.MessageTrial)
+	}()
+}
+
 // trialEntry returns a log entry about a trial.
 func (g *Guard) trialEntry(records []trialRecord, request Fingerprint) *logrus.Entry {
 	entry := g.Log.WithFields(nil)
--- a/quarantine/trial_test.go
+++ b/quarantine/trial_test.go
@@ -276,3 +276,27 @@
 		require.Empty(t, guards[0].ledger.trials)
 	})
 }
+
+// Guards against a request that is refused for a minute after a second outage, because its answered trial counts as one that
+// ended its replica: links that were cut and refused connections charge the same processes again.
+func TestAnAnsweredTrialDoesNotCountForTheNextQuarantine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prober := &fakeProber{results: map[string]Liveness{}}
+		_, guards := startGuards(t, 2, prober)
+		for range 3 {
+			crashAllUnder(t, guards, prober, testSuspect(1))
+			time.Sleep(afterHold + reportTime)
+			for _, guard := range guards {
+				refused := guard.Check(testSuspect(1)).Refused
+				require.NotNil(t, refused)
+				require.LessOrEqual(t, refused.RetryAfter, trialDelays[0])
+			}
+			time.Sleep(trialDelays[0])
+			trial := testTrial(t, guards[0], testSuspect(1), "r1")
+			require.NotNil(t, trial)
+			guards[0].Served(testFingerprint(1))
+			guards[0].EndTrial(trial)
+			time.Sleep(10 * time.Second)
+		}
+	})
+}
