Quarantine: outages of all replicas and restarts of all daemons in the model of parts

The model had one crash of half of the replicas and no restart of daemons, so that it could not show a kind of request that stays refused after an outage. Four cases are added: one outage; four in series, two of them a second apart, with all daemons killed in between; one beside a part that does crash replicas; three replicas and three daemons. Probes find out whether a process still runs, in place of finding each ended.

--- a/quarantine/parts_model_test.go
+++ b/quarantine/parts_model_test.go
@@ -32,11 +32,14 @@
 	bad                    []string   // the parts that crash replicas
 	documents              int        // other second parts of prompts
 	unrelatedCrashInterval time.Duration
-	massCrashAt            time.Duration // when half of the replicas crash for another cause; zero: never
-	silentStoreAt          time.Duration // from when the store is unavailable; zero: never
-	lockstep               time.Duration // interval at which all daemons get a crashing request at the same moment; zero: random
-	firstEvent             time.Duration // until a replica begins to answer; zero: random
-	restart                time.Duration // until a crashed replica has restarted and loaded its model
+	massCrashAt            time.Duration   // when half of the replicas crash for another cause; zero: never
+	outages                []time.Duration // when all replicas crash for another cause
+	daemonsKilledAt        time.Duration   // when all daemons are killed and start again; zero: never
+	silentStoreAt          time.Duration   // from when the store is unavailable; zero: never
+	lockstep               time.Duration   // interval at which all daemons get a crashing request at the same moment; zero: random
+	firstEvent             time.Duration   // until a replica begins to answer; zero: random
+	settledAt              time.Duration   // from when sound requests count at the earliest
+	restart                time.Duration   // until a crashed replica has restarted and loaded its model
 	random                 *rand.Rand
 
 	t        *testing.T
@@ -70,6 +73,7 @@
 	endsAt     time.Time
 	begun      bool
 	dispatches int
+	trial      *BegunTrial // the dispatch is this trial; nil if it is none
 }
 
 // partCost counts what one bad part did.
@@ -107,6 +111,12 @@
 		event := kv.Event{Pair: kv.Pair{Key: put.Key, Value: put.Value, ModRevision: s.revision}}
 		time.AfterFunc(s.delay, func() { s.notify(event) })
 	}
+	for _, key := range txn.Deletes {
+		delete(s.records, key)
+		delete(s.revisions, key)
+		event := kv.Event{Pair: kv.Pair{Key: key, ModRevision: s.revision}, Deleted: true}
+		time.AfterFunc(s.delay, func() { s.notify(event) })
+	}
 	return kv.TxnResult{Succeeded: true, Revision: s.revision}, nil
 }
 
@@ -155,6 +165,16 @@
 				m.crash(replica)
 			}
 		}
+		if len(m.outages) > 0 && time.Since(m.started) > m.outages[0] {
+			m.outages = m.outages[1:]
+			for replica := range m.replicas {
+				m.crash(replica)
+			}
+		}
+		if m.daemonsKilledAt > 0 && time.Since(m.started) > m.daemonsKilledAt {
+			m.daemonsKilledAt = 0
+			m.restartDaemons()
+		}
 		m.store.setDown(m.silentStoreAt > 0 && time.Since(m.started) > m.silentStoreAt)
 		m.dispatchWaiting()
 		m.progress()
@@ -172,10 +192,28 @@
 // startGuards starts the guards of all daemons on one store.
 func (m *partModel) startGuards() {
 	m.store = &delayedStore{fakeStore: fakeStore{records: map[string][]byte{}, revisions: map[string]int64{}}, delay: m.propagation}
+	m.addGuards()
+}
+
+// restartDaemons replaces the guards by new ones that read the records. Requests in flight are lost.
+func (m *partModel) restartDaemons() {
+	m.waiting, m.guards = nil, nil
+	for _, replica := range m.replicas {
+		replica.requests = nil
+	}
+	m.addGuards()
+	m.store.mutex.Lock()
+	defer m.store.mutex.Unlock()
+	for key, value := range m.store.records {
+		m.store.notify(kv.Event{Pair: kv.Pair{Key: key, Value: value, ModRevision: m.store.revisions[key]}})
+	}
+}
+
+func (m *partModel) addGuards() {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	for range m.daemons {
-		guard := &Guard{Prefix: "ends/", Store: m.store, Prober: crashedProber{}, IsDraining: func(string) bool { return false },
+		guard := &Guard{Prefix: "ends/", Store: m.store, Prober: m, IsDraining: func(string) bool { return false },
 			BackoffUntil: func(string) time.Time { return time.Time{} }, Leading: func() bool { return false }, DaemonCount: func() int { return m.daemons }, Draw: m.draw,
 			Now: time.Now, Metrics: NewMetrics(prometheus.NewRegistry()), Log: log}
 		guard.Prepare()
@@ -191,6 +229,16 @@
 	s.down = down
 }
 
+// Probe implements Prober. A process that has ended was replaced by another incarnation.
+func (m *partModel) Probe(_ context.Context, probed fleet.Incarnation, _ string) Liveness {
+	for _, replica := range m.replicas {
+		if replica.current() == probed {
+			return Running
+		}
+	}
+	return NotRunning
+}
+
 // crashedProber finds every probed replica ended, since the model only breaks connections by crashes.
 type crashedProber struct{}
 
@@ -267,9 +315,12 @@
 		return
 	}
 	replica := up[m.random.IntN(len(up))]
-	if needsTrial && request.guard.BeginTrial(m.t.Context(), request.suspect, Destination{Replica: replica.current(), Address: "address"}, nil) == nil {
-		m.finish(request, true)
-		return
+	if needsTrial {
+		request.trial = request.guard.BeginTrial(m.t.Context(), request.suspect, Destination{Replica: replica.current(), Address: "address"}, nil)
+		if request.trial == nil {
+			m.finish(request, true)
+			return
+		}
 	}
 	request.dispatches++
 	firstEvent := m.firstEvent
@@ -298,6 +349,9 @@
 			}
 			request.begun = true
 			request.guard.Begun(request.suspect.Parts)
+			if request.trial != nil {
+				request.guard.EndTrial(request.trial)
+			}
 			m.finish(request, false)
 		}
 		if crashedBy != "" {
@@ -358,7 +412,7 @@
 func (m *partModel) summarize() summary {
 	got := summary{reports: m.store.recordCount()}
 	var texts []string
-	lastAllowed := m.started.Add(modelCalm)
+	lastAllowed := latest(m.started.Add(modelCalm), m.started.Add(m.settledAt-2*spreadTime))
 	for _, part := range m.bad {
 		cost := m.result[part]
 		texts = append(texts, fmt.Sprintf("%s %d", part, len(cost.crashes)))
@@ -413,6 +467,10 @@
 			lockstep: 300 * time.Millisecond, firstEvent: 100 * time.Millisecond, restart: 500 * time.Millisecond},
 		"two parts at the same replica": {crashing: [][]string{{shared, "bad"}, {shared, "worse"}}, bad: []string{"bad", "worse"}, daemons: 3, replicaCount: 1, soundRate: 75,
 			lockstep: 1500 * time.Millisecond, firstEvent: 100 * time.Millisecond, restart: 500 * time.Millisecond},
+		"outage":                {crashing: [][]string{{shared}}, crashRate: -1, outages: []time.Duration{5 * time.Second}},
+		"outages, killed":       {crashing: [][]string{{shared}}, crashRate: -1, outages: []time.Duration{5 * time.Second, 14 * time.Second, 15 * time.Second, 21 * time.Second}, daemonsKilledAt: 18 * time.Second, settledAt: 25 * time.Second},
+		"outage, bad part":      {crashing: second, bad: []string{"bad"}, outages: []time.Duration{7 * time.Second}, daemonsKilledAt: 10 * time.Second, settledAt: 14 * time.Second},
+		"few replicas, outages": {crashing: [][]string{{shared}}, crashRate: -1, daemons: 3, replicaCount: 3, outages: []time.Duration{5 * time.Second, 11 * time.Second}, daemonsKilledAt: 12 * time.Second, settledAt: 16 * time.Second},
 		"one daemon":            {crashing: second, bad: []string{"bad"}, daemons: 1},
 		"thirty daemons":        {crashing: second, bad: []string{"bad"}, daemons: 30, replicaCount: 60, soundRate: 150, crashRate: 10},
 		"three hundred daemons": {crashing: second, bad: []string{"bad"}, daemons: 300, replicaCount: 600, soundRate: 1500, crashRate: 20},
