Quarantine: the replica of a trial that seems to have crashed is probed again

Cause: the trial is in flight when the second cut comes; its probe is refused, which counts as the end of its replica, and that verdict was final.

Change: where the latest trial's replica is reported to have crashed and its start time is known, daemons that get requests for the subject probe it again after two seconds, then half as often each time. If the same process answers, the trial counts as one without an outcome, so that the next may begin after one more probe.

Why it works: a process that has ended never answers under its start time again, so a part that does crash replicas gets no trial sooner than before (TestTheReplicaOfATrialIsProbedAgain). Records of earlier versions count as before (TestTrialsOfEarlierVersionsCount).

--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -105,6 +105,9 @@
 	trialsInProgress map[subject]time.Time
 	// resolveAfter holds when to ask again for the outcome of a subject's latest trial.
 	resolveAfter map[subject]time.Time
+	// foundRunning holds the number of a subject's latest trial if its replica was found running although it is reported to
+	// have crashed.
+	foundRunning map[subject]int
 	// unannounced holds clearances that are not part of a report yet, as replicas by part.
 	unannounced map[PartHash][]string
 }
@@ -122,6 +125,7 @@
 	g.abandoned = abandonedRequests{}
 	g.suspectParts, g.partsChanged, g.unannounced = map[PartHash]*suspectPart{}, make(chan struct{}), map[PartHash][]string{}
 	g.trialsInProgress, g.resolveAfter = map[subject]time.Time{}, map[subject]time.Time{}
+	g.foundRunning = map[subject]int{}
 	g.lostReports, g.lostSignal = map[string]int64{}, make(chan struct{}, 1)
 	g.pending = pendingReport{key: g.newKey(), revision: firstPending}
 }
--- a/quarantine/publish.go
+++ b/quarantine/publish.go
@@ -131,6 +131,7 @@
 	for _, key := range keys {
 		g.ledger.remove(key)
 	}
+	g.forgetTrials()
 	g.updateSuspectParts()
 	g.mutex.Unlock()
 	if !g.Leading() {
--- a/quarantine/subject.go
+++ b/quarantine/subject.go
@@ -51,6 +51,8 @@
 	heldUntil time.Time
 	// unresolved is the latest trial if its outcome is unknown; nil otherwise.
 	unresolved *Trial
+	// ended is the latest trial if its replica is reported to have crashed; nil otherwise.
+	ended *Trial
 }
 
 // trialStatus returns when the next trial of a subject is due. The caller holds the mutex.
@@ -67,8 +69,11 @@
 		return trialStatus{due: since.Add(trialDelays[0])}
 	}
 	ended, unreported := entry.Trial.outcomes(of.crashes)
+	if unreported == 0 && g.foundRunning[of.subject] == entry.Trial.Number {
+		unreported = 1
+	}
 	if unreported == 0 {
-		return trialStatus{due: since.Add(of.delayAfter(ended))}
+		return trialStatus{due: since.Add(of.delayAfter(ended)), ended: entry.Trial}
 	}
 	status := trialStatus{due: since.Add(min(outcomeDelay<<(unreported-1), trialDelays[1])), heldUntil: entry.observedAt.Add(holdTime), unresolved: entry.Trial}
 	status.due = latest(status.due, g.resolveAfter[of.subject])
--- a/quarantine/suspectparts.go
+++ b/quarantine/suspectparts.go
@@ -62,6 +62,9 @@
 	for _, of := range blocked {
 		status := g.trialStatus(of)
 		trialAt, holdUntil = latest(trialAt, status.due), latest(holdUntil, status.heldUntil)
+		if status.ended != nil {
+			g.recheckCrash(of.subject, status.ended)
+		}
 	}
 	now := g.Now()
 	switch {
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -218,6 +219,9 @@
 		if previous.Trial.concerns(of.crashes) {
 			record.trial.Replicas = slices.Clone(previous.Trial.Replicas)
 		}
+		if g.foundRunning[of.subject] == previous.Trial.Number { // it did not end its replica
+			record.trial.Replicas = record.trial.Replicas[:max(0, len(record.trial.Replicas)-1)]
+		}
 	}
 	record.trial.Replicas = append(record.trial.Replicas, trialReplica{ID: to.Replica.ID, Born: to.Replica.Born, Address: to.Address})
 	record.trial.Replicas = record.trial.Replicas[max(0, len(record.trial.Replicas)-maxTrialReplicas):]
@@ -268,21 +272,56 @@
 		liveness := g.probe(ctx, replica.Incarnation(), replica.Address, g.chargeProbe)
 		g.trialEntry([]trialRecord{{trial: *trial}}, Fingerprint(trial.Request)).
 			WithFields(logrus.Fields{logging.Replica: replica.Incarnation().String(), logging.Outcome: "replica " + liveness.String()}).Info(logging.MessageTrial)
-		switch liveness {
-		case Running:
+		if liveness == Running {
 			continue
-		case NotRunning:
+		}
+		if liveness == NotRunning {
 			suspect := Suspect{Request: Fingerprint(trial.Request)}
 			if trial.Part != nil {
 				suspect.Parts = []PartHash{PartHash(trial.Part)}
 			}
 			g.recordCrash(replica.Incarnation(), suspect)
-		case Unknown:
-			g.mutex.Lock()
-			g.resolveAfter[trial.subject()] = g.Now().Add(unresolvedRetryDelay)
-			g.mutex.Unlock()
 		}
+		g.mutex.Lock()
+		g.resolveAfter[trial.subject()] = g.Now().Add(unresolvedRetryDelay)
+		delete(g.foundRunning, trial.subject())
+		g.mutex.Unlock()
 		return false
 	}
 	return true
 }
+
+// forgetTrials drops what is known of trials whose records have gone. The caller holds the mutex.
+func (g *Guard) forgetTrials() {
+	maps.DeleteFunc(g.resolveAfter, func(of subject, _ time.Time) bool { return g.ledger.trials[of] == nil })
+	maps.DeleteFunc(g.foundRunning, func(of subject, _ int) bool { return g.ledger.trials[of] == nil })
+}
+
+// recheckCrash probes the replica of a trial that is reported to have crashed, from time to time: a link that refuses
+// connections looks like the end of a replica that runs on. If it runs, the trial counts as one without an outcome. A
+// replica without a known start time cannot be told from its successor. The caller holds the mutex.
+func (g *Guard) recheckCrash(of subject, trial *Trial) {
+	if len(trial.Replicas) == 0 {
+		return // written by an earlier version
+	}
+	replica := trial.Replicas[len(trial.Replicas)-1]
+	observedAt, now := g.ledger.trials[of].observedAt, g.Now()
+	if replica.Born == 0 || now.Sub(observedAt) < outcomeDelay || now.Before(g.resolveAfter[of]) {
+		return
+	}
+	g.resolveAfter[of] = now.Add(now.Sub(observedAt)) // half as often each time
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		if g.probe(ctx, replica.Incarnation(), replica.Address, g.chargeProbe) != Running {
+			return
+		}
+		g.trialEntry([]trialRecord{{trial: *trial}}, Fingerprint(trial.Request)).
+			WithFields(logrus.Fields{logging.Replica: replica.Incarnation().String(), logging.Outcome: "replica running after all"}).Info(logging.MessageTrial)
+		g.mutex.Lock()
+		defer g.mutex.Unlock()
+		g.foundRunning[of] = trial.Number
+		delete(g.resolveAfter, of)
+		g.signalPartsChanged()
+	}()
+}
--- a/quarantine/trial_test.go
+++ b/quarantine/trial_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"encoding/base64"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/finchspoke/finchspoke/fleet"
+	"github.com/finchspoke/finchspoke/kv"
 )
 
 // startTrialGuards starts guards that have quarantined the part "bad" after some crashes, and whose first trial is due.
@@ -300,3 +302,55 @@
 		}
 	})
 }
+
+// Guards against a subject that is refused for a minute because the link to the replica of its trial was cut, which looked
+// like the end of that replica, and against more trials if the replica has ended.
+func TestTheReplicaOfATrialIsProbedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for name, suspect := range map[string]Suspect{"part": promptOf(10, "bad"), "request": testSuspect(1)} {
+			for _, runs := range []bool{true, false} {
+				prober := &fakeProber{results: map[string]Liveness{}}
+				_, guards := startGuards(t, 2, prober)
+				crashAllUnder(t, guards, prober, suspect)
+				time.Sleep(trialDelays[0] + afterHold + reportTime)
+				to := Destination{Replica: fleet.Incarnation{ID: "r-trial", Born: 1}, Address: "address"}
+				require.NotNil(t, guards[0].BeginTrial(t.Context(), suspect, to, nil), name)
+				prober.setResult("r-trial", NotRunning, 0)
+				guards[0].ConnectionBroken(t.Context(), to.Replica, to.Address, suspect)
+				if runs {
+					prober.setResult("r-trial", Running, 0)
+				}
+				probed := prober.calls()
+				due := false
+				for until := time.Now().Add(trialDelays[1] - 5*time.Second); time.Now().Before(until) && !due; time.Sleep(500 * time.Millisecond) {
+					due = guards[1].Check(suspect).TrialDue
+				}
+				require.Equal(t, runs, due, name)
+				require.LessOrEqual(t, prober.calls()-probed, 6, "probes become rarer")
+				if runs {
+					require.NotNil(t, guards[1].BeginTrial(t.Context(), suspect, to, nil), name)
+				}
+				time.Sleep(2 * quarantineTTL)
+				for _, guard := range guards {
+					require.Empty(t, guard.resolveAfter, name)
+					require.Empty(t, guard.foundRunning, name)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a daemon that fails on the record of a trial that an earlier version began, or that counts none of these.
+func TestTrialsOfEarlierVersionsCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, guards := startTrialGuards(t, 1, CrashThreshold)
+		part := hashPart("press", "bad")
+		value, err := Report{Trial: &Trial{Part: part[:], Number: 1}}.Encode()
+		require.NoError(t, err)
+		require.Equal(t, `{"trial":{"part":"`+base64.StdEncoding.EncodeToString(part[:])+`","number":1}}`, string(value), "as earlier versions write it")
+		guards[0].Observe(kv.Event{Pair: kv.Pair{Key: guards[0].trialKey(part.subject()), Value: value, ModRevision: 100}})
+		requireTrialIn(t, guards, trialDelays[1])
+		time.Sleep(2 * outcomeDelay)
+		requireTrialIn(t, guards, trialDelays[1]-2*outcomeDelay)
+	})
+}
