--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -99,8 +99,10 @@
 	abandoned       abandonedRequests
 	popularity      popularity
 	suspectParts    map[PartHash]*suspectPart
-	partsOutdated   bool          // the ledger has changed since suspectParts was determined
-	partsChanged    chan struct{} // closed and replaced when a part is held, quarantined or free again, a request is free again, or a trial begins or ends
+	partsOutdated   bool // the ledger has changed since suspectParts was determined
+	// partsChanged is closed and replaced when a part is held, quarantined or free again, when a request is free again, and
+	// when a trial begins or ends.
+	partsChanged chan struct{}
 	// trialsInProgress holds of what this daemon is about to begin a trial, and since when.
 	trialsInProgress map[subject]time.Time
 	// resolveAfter holds when to ask again for the outcome of a subject's latest trial.
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -46,9 +46,9 @@
 func (g *Guard) trialKey(of subject) string { return g.Prefix + "trial-" + string(of) }
 
 // BeginTrial begins a trial for a request that is about to be sent to a replica, and returns nil if there may be none: it
-// finds out whether the request, or the quarantined part of its prompt, still crashes replicas. Of all daemons, one may. earlier is a trial of
-// the same request that no replica saw, and that goes on with this one; nil if there was none. It blocks for a short,
-// bounded time.
+// finds out whether the request, or the quarantined part of its prompt, still crashes replicas. Of all daemons, one may.
+// earlier is a trial of the same request that no replica saw, and that goes on with this one; nil if there was none. It
+// blocks for a short, bounded time.
 func (g *Guard) BeginTrial(ctx context.Context, suspect Suspect, to Destination, earlier *BegunTrial) *BegunTrial {
 	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
 	defer cancel()
