Upstream: a response with an invalid status is refused

Callers: a replica in trouble answered with a status of 600 or 999, and callers got it as an answer. After a 101, which nobody had requested, the bytes of another protocol were read as the answer. (The reported status of 000 was refused before, as are 001, 099, +20 and -00; the test keeps that.)

Cause: net/http takes each status of three digits, and upstream only refused those below 100; 101 was skipped like an interim response.

Evidence: TestAResponseWithAnInvalidStatusIsRefused. Before: 600 and 999 are taken for a response, as is what follows 101, FAIL; now each is refused as one to a request that may have run, and its connection closed.

Change: package wellformed checks what net/http does not: a status outside 100 to 599 (RFC 9110, section 15) and a switch of protocols that was not requested (15.2.2).

The reader of a broken head can rely on nothing in it, Not-Executed included, so the request counts as one that may have run.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/finchspoke/finchspoke/delivery"
+	"github.com/finchspoke/finchspoke/wellformed"
 )
 
 const (
@@ -194,10 +195,10 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read the response head")
 		}
-		switch {
-		case response.StatusCode < http.StatusContinue:
-			return nil, errors.Errorf("the response has the status %d", response.StatusCode)
-		case response.StatusCode >= http.StatusOK:
+		if err := wellformed.CheckHead(response); err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
 	}
--- /dev/null
+++ b/upstream/malformed_test.go
@@ -0,0 +1,45 @@
+package upstream
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// requireMalformed fails the test unless a response, after which its replica closes the connection, is refused as one to a
+// request that may have run.
+func requireMalformed(t *testing.T, response string) {
+	t.Helper()
+	pool, address := NewPool(nil, nil), startEarly(t, response, nil)
+	taken, err := pool.Do(t.Context(), request(t, address, http.MethodPost, "1", "x"))
+	var failed *Error
+	if assert.ErrorAs(t, err, &failed, "%q was taken for a response", response) {
+		assert.True(t, failed.RequestWritten, "%q", response)
+	} else {
+		_ = taken.Close()
+	}
+	assert.Empty(t, pool.idle[address], "%q", response)
+}
+
+// Guards against a response whose status is not one of HTTP, or stands for a switch of protocols that nobody requested.
+func TestAResponseWithAnInvalidStatusIsRefused(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "+20", "-00", "600", "999", "1000", "20", "2O0", "", "101"} {
+		requireMalformed(t, "HTTP/1.1 "+status+" X\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody")
+		requireMalformed(t, "HTTP/1.1 "+status+" X\r\nId: 1\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody")
+	}
+}
+
+func TestAResponseWithAValidStatusIsTaken(t *testing.T) {
+	for _, status := range []int{200, 226, 299, 304, 404, 499, 500, 599} {
+		address := startServer(t, func(_, _ int, _ *http.Request) string {
+			return fmt.Sprintf("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 %d X\r\nId: 1\r\nContent-Length: 0\r\n\r\n", status)
+		})
+		response, err := NewPool(nil, nil).Do(t.Context(), request(t, address, http.MethodPost, "1", "x"))
+		require.NoError(t, err)
+		require.Equal(t, status, response.Status)
+		require.NoError(t, response.Close())
+	}
+}
