Upstream: a response with a malformed field name is refused

Callers: a replica in trouble sent a head in which the name of a field held a blank. Callers got it as an answer, with that line passed on, or with a body that was not the replica's: "Content-Length : 4" is not read as a length, so that the body ends with the connection, and "Transfer-Encoding : chunked" delivers the marks of the chunks.

Cause: net/http takes names with blanks, in the middle and before the colon, and leaves it to its users to refuse them. Nothing here did.

Evidence: TestAResponseWithAMalformedFieldNameIsRefused and TestAResponseWithAMalformedTrailerIsNotWhole, 19 names, first and last in the head, in place of a length and of a coding, in interim heads, in trailers, in the trailer of a response that is skipped. Names with a control byte, a separator or a byte over 127, and lines without a name or a colon were refused before; the tests keep that.

Change: package wellformed also checks that each name is a token (RFC 9110, section 5.1), and upstream checks each head and, at the end of a body, its trailer. RFC 9112, section 5.1, forbids a blank between name and colon; a proxy may only remove it or refuse. It is refused: what the replica meant is not known.

Why it works: net/http gives a name with a blank unchanged, so that all of them are seen before anything of the head is used. Unusual names that are tokens are taken (TestAResponseWithUnusualFieldNamesIsTaken).

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -160,6 +160,9 @@
 			return nil, errors.New("received a response to another request, whose body has no known end")
 		}
 		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, remaining+1))
+		if err == nil {
+			err = wellformed.CheckTrailer(response)
+		}
 		if err != nil {
 			return nil, errors.Wrap(err, "skip a response to another request")
 		}
--- a/upstream/malformed_test.go
+++ b/upstream/malformed_test.go
@@ -43,3 +43,43 @@
 		require.NoError(t, response.Close())
 	}
 }
+
+// malformedNames are names of response fields, with the colon, that are no tokens.
+var malformedNames = []string{
+	"Na me:", "Content-Length :", "Content-Length  :", "Transfer-Encoding :", "Status :", "Name\t:", "Na\tme:", "Na\x01me:", "Na\x00me:", "Na\x7fme:",
+	"Na\rme:", "Na\xe9me:", "Na(me:", "Na@me:", "Na/me:", "Na\"me:", "Na{me:", ":", "Name",
+}
+
+// Guards against a response in which the name of a field is no token: what the field states is not known, and neither is
+// where the body ends.
+func TestAResponseWithAMalformedFieldNameIsRefused(t *testing.T) {
+	for _, name := range malformedNames {
+		for _, value := range []string{"", " 4", " chunked"} {
+			field := name + value + "\r\n"
+			requireMalformed(t, "HTTP/1.1 200 OK\r\n"+field+"Id: 1\r\nContent-Length: 4\r\n\r\nbody")
+			requireMalformed(t, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n"+field+"\r\nbody")
+			requireMalformed(t, "HTTP/1.1 200 OK\r\nId: 1\r\n"+field+"\r\n4\r\nbody\r\n0\r\n\r\n")
+			requireMalformed(t, "HTTP/1.1 103 Early Hints\r\n"+field+"\r\n"+reply("1", "body"))
+		}
+	}
+}
+
+// Guards against a body that counts as whole although the fields behind its last chunk cannot be read.
+func TestAResponseWithAMalformedTrailerIsNotWhole(t *testing.T) {
+	for _, name := range malformedNames {
+		address := startEarly(t, "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n4\r\nbody\r\n0\r\n"+name+" 1\r\n\r\n", nil)
+		pool := NewPool(nil, nil)
+		text, err := fetch(t, pool, request(t, address, http.MethodPost, "1", "x"))
+		assert.Error(t, err, "%q", name)
+		assert.Equal(t, "body", text)
+		assert.Empty(t, pool.idle[address], "%q", name)
+		requireMalformed(t, "HTTP/1.1 200 OK\r\nId: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"+name+" 1\r\n\r\n"+reply("1", "body"))
+	}
+}
+
+func TestAResponseWithUnusualFieldNamesIsTaken(t *testing.T) {
+	address := startEarly(t, "HTTP/1.1 103 X\r\n!#$%&'*+-.^_`|~09: a\r\n\r\nHTTP/1.1 200 OK\r\nid:1\r\n!#$%&'*+-.^_`|~09: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n!#$: 1\r\n\r\n", nil)
+	text, err := fetch(t, NewPool(nil, nil), request(t, address, http.MethodPost, "1", "x"))
+	require.NoError(t, err)
+	require.Equal(t, "body", text)
+}
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/finchspoke/finchspoke/wellformed"
 )
 
 const (
@@ -52,10 +54,13 @@
 	return n, err
 }
 
-// confirmEnd returns io.EOF if the body may be whole. A body that ends with its connection is not whole if the connection
-// ended before the replica had received the whole request: the connection was reset, which the kernel may have told the
-// write of the request alone, or the replica has ended.
+// confirmEnd returns io.EOF if the body may be whole. It is not if its trailer is malformed. A body that ends with its
+// connection is not whole if the connection ended before the replica had received the whole request: the connection was
+// reset, which the kernel may have told the write of the request alone, or the replica has ended.
 func (r *Response) confirmEnd() error {
+	if err := wellformed.CheckTrailer(r.response); err != nil {
+		return err
+	}
 	if !r.endsWithConnection() {
 		return io.EOF
 	}
--- a/wellformed/wellformed.go
+++ b/wellformed/wellformed.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // The statuses of HTTP; others are invalid (RFC 9110, section 15).
@@ -23,5 +24,20 @@
 	case status == http.StatusSwitchingProtocols:
 		return errors.Errorf("the response has the status %d, although no other protocol was requested", status)
 	}
+	return checkNames(response.Header)
+}
+
+// CheckTrailer returns why the fields behind the last chunk of a body are malformed; nil if they are not. They are known once
+// the body has been read to its end.
+func CheckTrailer(response *http.Response) error { return checkNames(response.Trailer) }
+
+// checkNames returns an error if a name of the fields that were received is no token. One with a blank may stand for another
+// field, even for the length of the body.
+func checkNames(fields http.Header) error {
+	for name, values := range fields {
+		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) {
+			return errors.Errorf("the name %q of a response field is not valid", name)
+		}
+	}
 	return nil
 }
