Malformed heads: clients of the services refuse field names like upstream

Leaders and operators: a 429, 503 or 404 with a malformed head counted as the key-value service's statement that a write did not take place, or that a lease had ended; a 200 as a lease that was renewed. In finchspoke serve the same for the service, for load orders and inventories of engines, for the list of machines, and for a change of the settings: one answered with status 000 was reported as accepted.

These clients use net/http's transport, which also skips interim heads, and reads trailers, without a check of their names.

Change: wellformed.Transport also checks interim heads and trailers, and is the transport of all these clients. It bounds interim responses itself, since net/http stops counting their bytes once somebody looks at them.

Why it works: a malformed response is an error of the call, which each client already treats as an unknown outcome.

--- a/adminapi/adminapi.go
+++ b/adminapi/adminapi.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/finchspoke/finchspoke/failure"
+	"github.com/finchspoke/finchspoke/wellformed"
 	"github.com/finchspoke/finchspoke/home"
 	"github.com/finchspoke/finchspoke/placement"
 )
@@ -106,6 +107,8 @@
 	maxResponseBytes = 64 << 20
 )
 
+var httpClient = &http.Client{Transport: wellformed.Transport{Base: http.DefaultTransport}}
+
 // Client calls a daemon's operator interface.
 type Client struct {
 	Address string // host:port
@@ -137,7 +140,7 @@
 	if c.Token != "" {
 		httpRequest.Header.Set("Authorization", "Bearer "+c.Token)
 	}
-	response, err := http.DefaultClient.Do(httpRequest)
+	response, err := httpClient.Do(httpRequest)
 	if err != nil {
 		return failure.Wrap(err, failure.Unavailable, remedy, "the daemon at %s did not answer", c.Address).WithExecution(failure.Unknown)
 	}
--- a/engine/client.go
+++ b/engine/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/finchspoke/finchspoke/sleep"
 	"github.com/finchspoke/finchspoke/upstream"
+	"github.com/finchspoke/finchspoke/wellformed"
 )
 
 const (
@@ -40,14 +41,14 @@
 // NewClient returns a client with separate connections for control and requests, so that many running
 // requests do not delay orders.
 func NewClient() *Client {
-	transport := func(single bool) *http.Transport {
-		return &http.Transport{
+	transport := func(single bool) http.RoundTripper {
+		return wellformed.Transport{Base: &http.Transport{
 			DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			DisableKeepAlives:  single,
 			IdleConnTimeout:    idleTimeout,
 			DisableCompression: true,
 			ReadBufferSize:     readBufferBytes,
-		}
+		}}
 	}
 	return &Client{
 		requests:    upstream.NewPool(nil, nil),
--- a/kv/client.go
+++ b/kv/client.go
@@ -13,6 +13,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
+
+	"github.com/finchspoke/finchspoke/wellformed"
 )
 
 // Paths of the etcd v3 JSON gateway.
@@ -42,11 +44,11 @@
 func NewClient(address string) *Client {
 	return &Client{
 		base: "http://" + address,
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: wellformed.Transport{Base: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: requestTimeout}).DialContext,
 			MaxIdleConnsPerHost: 4,
 			IdleConnTimeout:     time.Minute,
-		}},
+		}}},
 		limiter: rate.NewLimiter(clientRate, clientRateBurst),
 	}
 }
--- a/kv/malformed_test.go
+++ b/kv/malformed_test.go
@@ -33,3 +33,16 @@
 		requireUncertain(t, "HTTP/1.1 "+status+" X\r\nContent-Length: 2\r\n\r\n{}")
 	}
 }
+
+// Guards against a response in which the name of a field is no token: what the field states is not known.
+func TestAResponseWithAMalformedFieldNameIsUncertain(t *testing.T) {
+	for _, response := range []string{
+		"HTTP/1.1 200 OK\r\nNa me: x\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}",
+		"HTTP/1.1 429 X\r\nRetry-After : 1\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 103 Early Hints\r\nNa me: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nNa me: x\r\n\r\n",
+	} {
+		requireUncertain(t, response)
+	}
+}
--- a/machinelist/machinelist.go
+++ b/machinelist/machinelist.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/finchspoke/finchspoke/wellformed"
 )
 
 // Path is the URL path of the list.
@@ -56,8 +58,8 @@
 func NewClient(address string) *Client {
 	return &Client{
 		url: "http://" + address + Path,
-		http: &http.Client{Timeout: timeout, Transport: &http.Transport{
-			MaxIdleConnsPerHost: idleConnCount, IdleConnTimeout: idleTimeout}},
+		http: &http.Client{Timeout: timeout, Transport: wellformed.Transport{Base: &http.Transport{
+			MaxIdleConnsPerHost: idleConnCount, IdleConnTimeout: idleTimeout}}},
 	}
 }
 
--- a/wellformed/transport.go
+++ b/wellformed/transport.go
@@ -1,17 +1,33 @@
 package wellformed
 
 import (
+	"io"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 
 	"github.com/pkg/errors"
 )
 
+// maxInterimResponses bounds the interim responses before a response.
+const maxInterimResponses = 16
+
 // Transport fails requests whose response is malformed. It implements http.RoundTripper.
 type Transport struct{ Base http.RoundTripper }
 
 // RoundTrip implements http.RoundTripper.
 func (t Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := t.Base.RoundTrip(request)
+	interim := 0
+	traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		Got1xxResponse: func(status int, header textproto.MIMEHeader) error {
+			// Without this bound net/http reads interim responses without an end, as this function gets them.
+			if interim++; interim > maxInterimResponses {
+				return errors.Errorf("more than %d interim responses from %s", maxInterimResponses, request.URL.Host)
+			}
+			return CheckHead(&http.Response{StatusCode: status, Header: http.Header(header)})
+		},
+	})
+	response, err := t.Base.RoundTrip(request.WithContext(traced))
 	if err != nil {
 		return nil, err
 	}
@@ -19,6 +35,7 @@
 		_ = response.Body.Close()
 		return nil, errors.Wrapf(err, "malformed response from %s", request.URL.Host)
 	}
+	response.Body = &checkedBody{response.Body, response}
 	return response, nil
 }
 
@@ -28,3 +45,20 @@
 		closer.CloseIdleConnections()
 	}
 }
+
+// checkedBody is a body that does not end without an error if its trailer is malformed.
+type checkedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(data []byte) (int, error) {
+	n, err := b.ReadCloser.Read(data)
+	if err == io.EOF {
+		if malformed := CheckTrailer(b.response); malformed != nil {
+			return n, malformed
+		}
+	}
+	return n, err
+}
