Malformed heads: a response of another major version is refused

Callers: a response with the version HTTP/0.9, HTTP/2.0 or HTTP/3.7 in its first line was taken, though nothing says what its head and body mean.

Cause: net/http takes each version of two digits, and nothing here looked at it.

Evidence: TestAResponseOfAnotherMajorVersionIsRefused. Before: 0.0, 0.9, 2.0, 3.7 and 9.9 are taken, in final and interim heads, FAIL; now none.

Change: wellformed.CheckHead refuses a major version other than 1.

Why it works: RFC 9110, section 2.5, lets a recipient read a higher minor version as one that it knows, and no other major one. HTTP/1.0 to 1.9 are taken as before (TestAResponseOfAnotherMinorVersionIsTaken). Where net/http reads interim heads itself, for the services, it does not tell their version.

--- a/upstream/malformed_test.go
+++ b/upstream/malformed_test.go
@@ -83,3 +83,19 @@
 	require.NoError(t, err)
 	require.Equal(t, "body", text)
 }
+
+// Guards against a response of another version of HTTP, whose head and body are not known to mean the same.
+func TestAResponseOfAnotherMajorVersionIsRefused(t *testing.T) {
+	for _, version := range []string{"HTTP/0.9", "HTTP/0.0", "HTTP/2.0", "HTTP/3.7", "HTTP/9.9", "HTTP/1.10", "HTTP/11.1", "http/1.1", "ICY"} {
+		requireMalformed(t, version+" 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody")
+		requireMalformed(t, version+" 103 X\r\n\r\n"+reply("1", "body"))
+	}
+}
+
+func TestAResponseOfAnotherMinorVersionIsTaken(t *testing.T) {
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.1", "HTTP/1.2", "HTTP/1.9"} {
+		text, err := fetch(t, NewPool(nil, nil), request(t, startEarly(t, version+" 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody", nil), http.MethodPost, "1", "x"))
+		require.NoError(t, err, version)
+		require.Equal(t, "body", text)
+	}
+}
--- a/wellformed/transport.go
+++ b/wellformed/transport.go
@@ -24,7 +24,7 @@
 			if interim++; interim > maxInterimResponses {
 				return errors.Errorf("more than %d interim responses from %s", maxInterimResponses, request.URL.Host)
 			}
-			return CheckHead(&http.Response{StatusCode: status, Header: http.Header(header)})
+			return CheckHead(&http.Response{ProtoMajor: 1, StatusCode: status, Header: http.Header(header)}) // the version is not told
 		},
 	})
 	response, err := t.Base.RoundTrip(request.WithContext(traced))
--- a/wellformed/transport_test.go
+++ b/wellformed/transport_test.go
@@ -37,6 +37,8 @@
 func TestMalformedResponsesFailARequest(t *testing.T) {
 	for _, response := range []string{
 		"HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\nbody",
+		"HTTP/0.9 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+		"HTTP/3.7 200 OK\r\nContent-Length: 4\r\n\r\nbody",
 		"HTTP/1.1 600 X\r\nContent-Length: 4\r\n\r\nbody",
 		"HTTP/1.1 101 X\r\nUpgrade: x\r\n\r\n" + whole,
 		"HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody",
--- a/wellformed/wellformed.go
+++ b/wellformed/wellformed.go
@@ -18,6 +18,9 @@
 // CheckHead returns why the head of a response, which may be an interim one, is malformed; nil if it is not. Requests do not
 // ask for a switch of protocols, so that one is malformed too: what follows it is no response.
 func CheckHead(response *http.Response) error {
+	if response.ProtoMajor != 1 {
+		return errors.Errorf("the response has the version %s, not HTTP/1", response.Proto)
+	}
 	switch status := response.StatusCode; {
 	case status < minStatus || status > maxStatus:
 		return errors.Errorf("the response has the status %03d, which is not valid", status)
