Upstream: a transfer coding in a response of HTTP/1.0 is refused

Callers: a response of HTTP/1.0 with "Transfer-Encoding: chunked" was delivered with the marks of its chunks as its body, which is not the replica's body; with a length beside it, a part of them.

Cause: net/http ignores the coding in such a response, as HTTP/1.0 has none, and removes the field, so that nobody sees it.

Evidence: TestATransferCodingInAResponseOfAnEarlierVersionIsRefused, three spellings, short and long heads, behind interim responses, with a length.

Change: the head of a response of HTTP/1.0 is recorded while net/http reads it, and looked through for the field.

Why it works: RFC 9112, section 6.1, has the framing of such a response treated as faulty. Responses of HTTP/1.0 without the field are taken as before, whatever their other fields and their body hold (TestAResponseOfAnEarlierVersionWithoutACodingIsTaken); those of HTTP/1.1 are not recorded. In JSON of the services the marks were no JSON.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -194,7 +194,7 @@
 	e.conn.limiter.limit(e.conn.reader.Buffered())
 	defer e.conn.limiter.unlimit()
 	for {
-		response, err := http.ReadResponse(e.conn.reader, request.HTTP)
+		response, err := e.conn.readHead(request.HTTP)
 		if err != nil {
 			return nil, errors.Wrap(err, "read the response head")
 		}
--- a/upstream/malformed_test.go
+++ b/upstream/malformed_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -99,3 +100,24 @@
 		require.Equal(t, "body", text)
 	}
 }
+
+// Guards against a response of HTTP/1.0 with a transfer coding, which that version does not know: the marks of its chunks were
+// taken for its body.
+func TestATransferCodingInAResponseOfAnEarlierVersionIsRefused(t *testing.T) {
+	long := "Padding: " + strings.Repeat("x", 3*readBufferBytes) + "\r\n"
+	for _, field := range []string{"Transfer-Encoding: chunked", "transfer-encoding:chunked", "TRANSFER-ENCODING: gzip, chunked"} {
+		for _, fields := range []string{field + "\r\n", long + field + "\r\n", field + "\r\n" + long, field + "\r\nContent-Length: 14\r\n"} {
+			requireMalformed(t, "HTTP/1.0 200 OK\r\nId: 1\r\n"+fields+"\r\n4\r\nbody\r\n0\r\n\r\n")
+			requireMalformed(t, "HTTP/1.1 103 X\r\n"+long+"\r\nHTTP/1.0 200 OK\r\nId: 1\r\n"+fields+"\r\n4\r\nbody\r\n0\r\n\r\n")
+		}
+	}
+}
+
+func TestAResponseOfAnEarlierVersionWithoutACodingIsTaken(t *testing.T) {
+	for _, fields := range []string{"Content-Length: 30\r\n", "", "Te: x\r\n", "X-Transfer-Encoding: chunked\r\n", "Via: Transfer-Encoding: chunked\r\n"} {
+		body := "\r\nTransfer-Encoding: chunked\r\n"
+		text, err := fetch(t, NewPool(nil, nil), request(t, startEarly(t, "HTTP/1.0 200 OK\r\nId: 1\r\n"+fields+"\r\n"+body, nil), http.MethodPost, "1", "x"))
+		require.NoError(t, err, fields)
+		require.Equal(t, body, text)
+	}
+}
