Responses: the largest length no longer makes a daemon fail

Cause: a body is read into memory of its length and one byte more, and that sum is negative for the largest length. Where the sum of two reservations overflowed, the memory budget allowed it.

Why it works: the length is bounded by the limit before the byte is added, and the budget compares differences of numbers that it has accepted.

--- a/bytebudget/bytebudget.go
+++ b/bytebudget/bytebudget.go
@@ -60,7 +60,7 @@
 		limit = int64(largeShare * float64(limit))
 	}
 	b.mutex.Lock()
-	allowed := b.used+bytes-r.bytes <= limit
+	allowed := bytes-r.bytes <= limit-b.used
 	if allowed {
 		b.used += bytes - r.bytes
 		r.bytes = bytes
--- a/bytebudget/read.go
+++ b/bytebudget/read.go
@@ -18,7 +18,7 @@
 func (r *Reservation) ReadAll(reader io.Reader, length, limit int64) ([]byte, error) {
 	size := int64(FreeBytes)
 	if length >= 0 {
-		size = length + 1 // the last byte is for the end of the input
+		size = min(length, limit-1) + 1 // the last byte is for the end of the input
 	}
 	if size = min(size, limit); size > FreeBytes && !r.GrowTo(size) {
 		return nil, ErrExhausted
--- a/core/interruption_test.go
+++ b/core/interruption_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"strings"
 	"testing"
@@ -173,3 +174,14 @@
 	require.Equal(t, first, s.caller.String())
 	require.Zero(t, s.core.Memory.Used())
 }
+
+// Guards against a response that states the largest length, at which the daemon fails and its caller gets no answer.
+func TestAResponseWithTheLargestLengthIsIncomplete(t *testing.T) {
+	s := newSetup(t, routing.RunOnce, 1, func(context.Context, Dispatch) (*Reply, error) {
+		return &Reply{Status: http.StatusOK, Header: http.Header{}, Length: math.MaxInt64, Body: &fakeBody{strings.NewReader("part"), true}}, nil
+	})
+	failed, responseStarted := s.serve(t)
+	require.NotNil(t, failed)
+	require.False(t, responseStarted)
+	require.Equal(t, failure.Unknown, failed.Execution)
+}
