Records: a handler that panics does not end the mirror

Operators: after one record over which reading failed, a daemon followed no record any more until it was started again.

Cause: the panic left the mirror's lock held. The supervisor started the service anew, which then waited for that lock for good, and said nothing.

Change: a panic of a handler is logged with the record's key and revision, and where in the program it came from, and that record is ignored.

Why it works: whatever reading one record does, the mirror goes on behind it, in the same batch. A record that is rejected without a panic is unchanged.

--- a/logging/fields.go
+++ b/logging/fields.go
@@ -23,6 +23,8 @@
 	Execution           = "execution"
 	Evidence            = "evidence"
 	Cause               = "cause"
+	RecordKey           = "record_key"
+	Stack               = "stack"
 	Source              = "source"
 	Retry               = "retry"
 	Payment             = "payment"
--- a/logging/messages.go
+++ b/logging/messages.go
@@ -14,6 +14,7 @@
 	MessageReportsRewritten          = "reports that a restore took away are written again"
 	MessageRestoredReplicaOnHold     = "replica back in a restored registry gets nothing new for a while"
 	MessageEntryRejected             = "registry entry not used"
+	MessageRecordIgnored             = "record ignored, as reading it failed"
 	MessageRegistrySummary           = "registry followed"
 	MessageLoadOrder                 = "load order"
 	MessageOrdersPaused              = "load orders paused or resumed"
--- a/records/records.go
+++ b/records/records.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"time"
@@ -352,12 +354,23 @@
 	for _, event := range events {
 		for _, registered := range m.handlers {
 			if strings.HasPrefix(event.Pair.Key, registered.prefix) {
-				registered.handle(event)
+				m.handle(registered, event)
 			}
 		}
 	}
 }
 
+// handle calls a handler. If it panics over a record, that record is ignored, so that the others are still followed.
+func (m *Mirror) handle(registered registeredHandler, event kv.Event) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			m.log.WithFields(logrus.Fields{logging.RecordKey: event.Pair.Key, logging.Cause: fmt.Sprint(cause), logging.Stack: string(debug.Stack())}).
+				WithFields(logging.RevisionFields(event.Pair.ModRevision)).Error(logging.MessageRecordIgnored)
+		}
+	}()
+	registered.handle(event)
+}
+
 // Revision returns the store's revision up to which changes are applied; zero before the first
 // list.
 func (m *Mirror) Revision() int64 {
