Election: a record that names no daemon is no record of a leader

Operators: after another writer had overwritten the leader's record with {}, null or some other object, the leader gave up its term and no daemon took it, so that nothing was loaded any more.

Cause: a record that cannot be decoded is ignored, and the leader goes on; one that can be decoded into nothing counted as that of a leader without a name.

Evidence: TestALeaderGoesOnAfterItsRecordWasOverwritten, six values. Before: {}, null and {"epoch":-1} FAIL (no load within 15 s); nesting, 1e400 and an empty value pass. Now all pass.

Why it works: no daemon writes a record without its name, so that such a record says nothing of who leads.

Open: once that leader is lost, no daemon becomes the leader, since no lease removes the other writer's record (TestALeaderIsElectedAfterOneWhoseRecordWasOverwrittenIsLost, 2 of 2 plays; before this change the record stopped all loads at once).

--- a/election/election.go
+++ b/election/election.go
@@ -47,12 +47,15 @@
 // writtenInEra reports whether the record was written in an era of the store.
 func (l Leader) writtenInEra(era int64) bool { return l.Era != nil && *l.Era == era }
 
-// ParseLeader decodes a leader record.
+// ParseLeader decodes a leader record. It rejects one that no daemon can have written.
 func ParseLeader(pair kv.Pair) (Leader, error) {
 	var leader Leader
 	if err := json.Unmarshal(pair.Value, &leader); err != nil {
 		return Leader{}, errors.Wrap(err, "decode the leader record")
 	}
+	if leader.Daemon == "" {
+		return Leader{}, errors.New("the leader record names no daemon")
+	}
 	leader.Fence = pair.ModRevision
 	return leader, nil
 }
