--- a/engine/malformed_test.go
+++ b/engine/malformed_test.go
@@ -71,3 +71,22 @@
 		}
 	}
 }
+
+// Guards against an engine that stops in the middle of the head of its response and closes, which is taken for a response
+// without a body, or for a stream that goes on and ends.
+func TestAHeadOfAnEngineThatEndsEarlyIsNoResponse(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n" + HeaderRequestID + ": r1\r\nContent-Type: text/event-stream\r\n\r\n"
+	for length := range len(head) {
+		address := startEngine(t, head[:length], nil)
+		client := NewClient()
+		_, err := client.Dispatch(t.Context(), Dispatch{Address: address, RequestID: "r1", Path: PathChat, Body: []byte("{}")})
+		assert.Error(t, err, "dispatch: %q", head[:length])
+		_, err = client.Resume(t.Context(), address, "r1", 1)
+		assert.Error(t, err, "resume: %q", head[:length])
+		_, err = client.Order(t.Context(), address, Order{})
+		assert.Error(t, err, "order: %q", head[:length])
+		_, err = client.Inventory(t.Context(), address, 0)
+		assert.Error(t, err, "inventory: %q", head[:length])
+		client.Close()
+	}
+}
--- a/relay/early_test.go
+++ b/relay/early_test.go
@@ -199,3 +199,14 @@
 		require.Equal(t, "body", text)
 	}
 }
+
+// Guards against a replica that stops in the middle of the head of its response and closes, which is taken for a response
+// without a body once it has come through another daemon.
+func TestAHeadThatEndsEarlyIsNoResponseThroughAnotherDaemon(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nResponse: x\r\nContent-Length: 4\r\n\r\nbody"
+	for length := range len(whole) + 1 {
+		address := startEarly(t, whole[:length], nil)
+		text, err := exchangeEarly(t, relayedPool(t, address), address, 1)
+		require.Equal(t, length == len(whole), err == nil, "%q: %q", whole[:length], text)
+	}
+}
