Origins: a read of the registry is no proof of what has served and left

Callers: a daemon was cut off from the others and from the key-value service for a few seconds, while replicas of a new software version joined. Streams began on these through other daemons, broke, and the replicas left again.

Cause: a daemon that too few others answer reads the registry. That read counted as proof of all versions, and the daemon's own watch as proof of those that have left, although it had missed changes. The read came before its mirror had taken them in.

Change: the read includes the leader's record of the versions that served within a minute. Where that does not name the service, a daemon whose records are up to date must have watched the replicas.

Why it works: the leader writes a version there within 0.25 s and keeps it for as long as a stream may be taken up, so that a version the daemon never saw is in it.

--- a/node/origins.go
+++ b/node/origins.go
@@ -9,7 +9,7 @@
 
 // assembleOrigins creates the client that knows which software version began a stream, and the record of versions.
 func (n *Node) assembleOrigins(requestCore *core.Core, adapters Adapters) {
-	reader := &registryReader{store: adapters.Store, prefix: adapters.ReplicaPrefix, decode: adapters.DecodeReplica, now: boottime.Now}
+	reader := &registryReader{store: adapters.Store, prefix: adapters.ReplicaPrefix, decode: adapters.DecodeReplica, recordKey: n.config.VersionsKey, now: boottime.Now}
 	n.origins = &origin.Client{
 		Daemon: n.config.ID, Address: n.config.PeerAddress, Network: origin.PooledNetwork{Pool: transport.NewPool()},
 		Versions: n.versionView, ReadVersions: reader.Versions, Leader: n.election.LeaderAddress, Seeds: n.otherSeeds, Directories: n.replicas.directories,
--- a/origin/client.go
+++ b/origin/client.go
@@ -37,7 +37,7 @@
 	// Versions returns what this daemon knows of the software versions of a service.
 	Versions func(service string) VersionView
 	// ReadVersions reads the versions of a service's replicas from the registry; nil: it is not read.
-	ReadVersions func(ctx context.Context, service string) ([]string, error)
+	ReadVersions func(ctx context.Context, service string) (RegistryVersions, error)
 	// Leader returns the address of the leader; empty if none is known. Seeds returns the addresses of some
 	// daemons. They are asked while no keepers are known.
 	Leader func() string
@@ -233,6 +233,14 @@
 	return decide(known, c.Now())
 }
 
+// RegistryVersions are the software versions of a service that a read of the registry shows.
+type RegistryVersions struct {
+	Versions []string
+	// Recorded states that the leader's record names versions of the service: the versions include those that served within
+	// Horizon and have left.
+	Recorded bool
+}
+
 // confirm completes the view by a read of the registry, for a daemon that too few others answer: most may have ended.
 func (c *Client) confirm(ctx context.Context, service string, known *inquiry) {
 	if c.ReadVersions == nil {
@@ -240,13 +248,13 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readTimeout)
 	defer cancel()
-	versions, err := c.ReadVersions(ctx, service)
+	registry, err := c.ReadVersions(ctx, service)
 	if err != nil {
 		c.Log.WithFields(logrus.Fields{logging.Dependency: "key-value service", logging.Cause: err.Error()}).Info(logging.MessageOriginQueryFailed)
 		return
 	}
-	known.view.Versions = appendMissing(known.view.Versions, versions)
-	known.confirmed = true
+	known.view.Versions = appendMissing(known.view.Versions, registry.Versions)
+	known.confirmed, known.recorded = true, registry.Recorded
 }
 
 // askFor returns the addresses of the daemons that may know an origin, and whether they are to ask others in turn.
--- a/origin/client_test.go
+++ b/origin/client_test.go
@@ -143,7 +143,9 @@
 		resolve := func() Resolution { return left.Resolve(t.Context(), queryOf("a0", "r0")) }
 		require.False(t, resolve().Known)
 		registry, err := []string{"v1"}, error(nil)
-		left.ReadVersions = func(context.Context, string) ([]string, error) { return registry, err }
+		left.ReadVersions = func(context.Context, string) (RegistryVersions, error) {
+			return RegistryVersions{Versions: registry}, err
+		}
 		require.Equal(t, Resolution{Version: "v1", Known: true, Source: SourceInferred}, resolve())
 		registry = twoVersions
 		require.False(t, resolve().Known)
@@ -152,6 +154,31 @@
 	})
 }
 
+// Guards against a daemon that has missed changes, and takes a read of the registry for proof that no other version has served
+// and left meanwhile.
+func TestADaemonThatMissedChangesNeedsTheRecordOfVersions(t *testing.T) {
+	inFleet(t, 3, []string{"v1"}, func(t *testing.T, fleet *testFleet) {
+		fleet.set(func() {
+			for _, d := range fleet.daemons[1:] {
+				d.silent = true
+			}
+		})
+		stale := fleet.daemons[0]
+		registry := RegistryVersions{Versions: []string{"v1"}}
+		stale.ReadVersions = func(context.Context, string) (RegistryVersions, error) { return registry, nil }
+		resolve := func() Resolution { return stale.Resolve(t.Context(), queryOf("a0", "r0")) }
+		fleet.setVersions(VersionView{Versions: []string{"v1"}, Covered: true}, stale)
+		require.False(t, resolve().Known)
+		registry = RegistryVersions{Versions: []string{"v1"}, Recorded: true}
+		require.Equal(t, Resolution{Version: "v1", Known: true, Source: SourceInferred}, resolve())
+		registry.Versions = twoVersions
+		require.False(t, resolve().Known)
+		registry = RegistryVersions{Versions: []string{"v1"}}
+		fleet.setVersions(VersionView{Versions: []string{"v1"}, Covered: true, Current: true}, stale)
+		require.True(t, resolve().Known, "its records are up to date")
+	})
+}
+
 // Guards against refusals in an outage of the key-value service, in which no daemon's records are confirmed, and while
 // some daemons do not answer.
 func TestDaemonsInferInAnOutageIfNearlyAllAnswer(t *testing.T) {
--- a/origin/decide.go
+++ b/origin/decide.go
@@ -20,6 +20,8 @@
 	answers []answer
 	// confirmed states that the view was completed by a read of the registry after the query.
 	confirmed bool
+	// recorded states that this read includes the versions that served within Horizon and have left.
+	recorded bool
 }
 
 // decide determines which version began a stream, or why that is not known.
@@ -112,10 +114,15 @@
 	return views
 }
 
-// covered reports whether a version that served within Horizon would be known to one of the daemons.
+// covered reports whether a version that served within Horizon would be known to one of the daemons. A read of the registry
+// shows what serves now: for versions that have served and left it needs a record of these, or a daemon that has missed no
+// change.
 func (i inquiry) covered(now time.Time) bool {
+	if i.confirmed && i.recorded {
+		return true
+	}
 	for _, view := range i.views() {
-		if view.Covered || servedThroughout(view, now) {
+		if view.Covered && (view.Current || !i.confirmed) || servedThroughout(view, now) {
 			return true
 		}
 	}
--- a/origin/record.go
+++ b/origin/record.go
@@ -49,20 +49,28 @@
 	Services map[string][]string `json:"services"`
 }
 
+// RecordedVersions returns the versions in a record, by service.
+func RecordedVersions(pair kv.Pair) (map[string][]string, error) {
+	var value recordValue
+	err := json.Unmarshal(pair.Value, &value)
+	return value.Services, errors.Wrapf(err, "decode the record %s", pair.Key)
+}
+
 // Observe takes a change of the record.
 func (r *VersionRecord) Observe(event kv.Event) {
 	if event.Pair.Key != r.Key {
 		return
 	}
-	var value recordValue
+	var services map[string][]string
 	if !event.Deleted {
-		if err := json.Unmarshal(event.Pair.Value, &value); err != nil {
-			r.Log.WithField(logging.Cause, errors.Wrapf(err, "decode the record %s", r.Key).Error()).Warn("record of software versions ignored")
+		var err error
+		if services, err = RecordedVersions(event.Pair); err != nil {
+			r.Log.WithField(logging.Cause, err.Error()).Warn("record of software versions ignored")
 		}
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.services, r.revision = value.Services, event.Pair.ModRevision
+	r.services, r.revision = services, event.Pair.ModRevision
 	if event.Deleted {
 		r.revision = 0
 	}
