Tests: responses that a recipient may mend, and lengths that are not known

Nothing was changed for these. A length beside chunks, a folded line and bare line feeds break rules that RFC 9112 lets a recipient mend (sections 6.3, 5.2, 2.2): the end of the body is known, and what is passed on is well formed, without the length. Lengths that differ, or are no numbers, and other transfer codings were refused before.

--- a/upstream/malformed_test.go
+++ b/upstream/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -121,3 +122,34 @@
 		require.Equal(t, body, text)
 	}
 }
+
+// Responses that break a rule which RFC 9112 lets a recipient mend: a length beside a transfer coding, of which the coding
+// counts and the length is not passed on (section 6.3); a folded line, read as one (section 5.2); bare line feeds (section 2.2).
+func TestResponsesThatARecipientMayMendAreTaken(t *testing.T) {
+	for name, response := range map[string]string{
+		"a length beside chunks":         "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\nFolded: a b\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"another length beside chunks":   "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\nTransfer-Encoding: chunked\r\nFolded: a b\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"a folded line":                  "HTTP/1.1 200 OK\r\nId: 1\r\nFolded: a\r\n \t b\r\nContent-Length: 4\r\n\r\nbody",
+		"bare line feeds":                "HTTP/1.1 200 OK\nId: 1\nFolded: a b\nContent-Length: 4\n\nbody",
+		"the same length more than once": "HTTP/1.1 200 OK\r\nId: 1\r\nFolded: a b\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\nbody",
+	} {
+		taken, err := NewPool(nil, nil).Do(t.Context(), request(t, startEarly(t, response, nil), http.MethodPost, "1", "x"))
+		require.NoError(t, err, name)
+		require.Equal(t, "a b", taken.Header.Get("Folded"), name)
+		require.Equal(t, taken.Chunked, taken.Header.Get("Content-Length") == "", name)
+		body, err := io.ReadAll(taken)
+		require.NoError(t, err, name)
+		require.Equal(t, "body", string(body), name)
+	}
+}
+
+// Guards against a body whose end two fields of the head state differently, or that a field states in no known way.
+func TestAResponseWhoseLengthIsNotKnownIsRefused(t *testing.T) {
+	for _, fields := range []string{
+		"Content-Length: 4\r\nContent-Length: 5\r\n", "Content-Length: 4, 5\r\n", "Content-Length: -4\r\n", "Content-Length: +4\r\n", "Content-Length: 4 4\r\n", "Content-Length: 0x4\r\n",
+		"Content-Length: 99999999999999999999\r\n", "Content-Length: four\r\n", "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+		"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding: chunked, identity\r\n", "Name: a\x00b\r\nContent-Length: 4\r\n", "Name: a\x7fb\r\nContent-Length: 4\r\n",
+	} {
+		requireMalformed(t, "HTTP/1.1 200 OK\r\nId: 1\r\n"+fields+"\r\nbody")
+	}
+}
