Tests: deliberate bugs in what ends an unframed response are caught

Of eight mutants of the waits for the request, four were missed: a failed write that is ignored, a relay that does not await the acknowledgement, one that closes the replica's connection at a failed write, and an asking daemon that takes each end of the call (this one for want of a run of its test). Now each fails a test: replicas have a small read buffer, so that shorter requests cannot have been received either; a connection of which the kernel tells nothing; a replica whose response is read slowly after a write has failed.

--- a/relay/early_test.go
+++ b/relay/early_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -20,13 +21,14 @@
 	"github.com/finchspoke/finchspoke/upstream"
 )
 
-// Sizes of request bodies. The kernels and buffers on the way hold some megabytes, so that a replica which reads none of a
-// body may have received all of a small one, and not of a large one.
+// Sizes of request bodies. A replica that reads none of one has not received all of a large one, by its read buffer.
 var (
 	uploadSizes      = []int{1 << 10, 64 << 10, 1 << 20, 8 << 20}
-	largeUploadSizes = []int{32 << 20}
+	largeUploadSizes = []int{512 << 10, 2 << 20, 32 << 20}
 )
 
+const replicaReadBuffer = 32 << 10
+
 // relayedPool returns a pool whose requests all go through a daemon that relays to a replica.
 func relayedPool(t *testing.T, replicaAddress string) *upstream.Pool {
 	t.Helper()
@@ -53,7 +55,7 @@
 
 func startEarly(t *testing.T, response string, end raw.End) string {
 	t.Helper()
-	replica := &raw.Server{Respond: raw.Text(response), End: end}
+	replica := &raw.Server{Respond: raw.Text(response), End: end, ReadBuffer: replicaReadBuffer}
 	require.NoError(t, replica.Start())
 	t.Cleanup(replica.Stop)
 	return replica.Address()
@@ -144,6 +146,38 @@
 	}
 }
 
+// failingConn is a connection to a replica that has failed: nothing more can be written, and what has been received is read
+// slowly.
+type failingConn struct{ net.Conn }
+
+func (failingConn) Write([]byte) (int, error) { return 0, syscall.ECONNRESET }
+
+func (c failingConn) Read(data []byte) (int, error) {
+	time.Sleep(20 * time.Millisecond)
+	return c.Conn.Read(data[:min(len(data), 32)])
+}
+
+// Guards against a relay that gives up a whole response because the rest of the request cannot be written.
+func TestAWholeResponseIsRelayedAfterAFailedWrite(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nContent-Length: 64\r\n\r\n"
+	body := strings.Repeat("y", 64)
+	target := startReplica(t)
+	relaying := startDaemon(t, target)
+	relaying.server.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dial(ctx, address)
+		return failingConn{conn}, err
+	}
+	opened, accepted := open(t, relaying, target)
+	_, err := io.WriteString(accepted, response+body)
+	require.NoError(t, err)
+	_, err = opened.Write([]byte("request"))
+	require.NoError(t, err)
+	received := make([]byte, len(response)+len(body))
+	_, err = io.ReadFull(opened, received)
+	require.NoError(t, err)
+	require.Equal(t, response+body, string(received))
+}
+
 // earlierServer relays like daemons of earlier versions: it knows no end of a request, and ends its call once the replica
 // has closed the connection.
 type earlierServer struct{ Server }
--- a/standin/raw/raw.go
+++ b/standin/raw/raw.go
@@ -3,10 +3,14 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // requestBufferBytes bounds how much of a request's body is read with its head.
@@ -21,6 +25,8 @@
 	Respond func(request *http.Request) string
 	// End ends the connection; nil means Close.
 	End End
+	// ReadBuffer bounds, in bytes, what the kernel takes of a request that is not read; zero: as the system does.
+	ReadBuffer int
 
 	listener net.Listener
 }
@@ -35,7 +41,8 @@
 	if s.End == nil {
 		s.End = Close
 	}
-	if s.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+	config := net.ListenConfig{Control: s.setReadBuffer}
+	if s.listener, err = config.Listen(context.Background(), "tcp", "127.0.0.1:0"); err != nil {
 		return err
 	}
 	go func() {
@@ -50,6 +57,20 @@
 	return nil
 }
 
+// setReadBuffer sets the buffer of a socket that is to listen, which its connections get too.
+func (s *Server) setReadBuffer(_, _ string, raw syscall.RawConn) (err error) {
+	if s.ReadBuffer == 0 {
+		return nil
+	}
+	controlErr := raw.Control(func(descriptor uintptr) {
+		err = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, s.ReadBuffer)
+	})
+	if controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
 // Address returns the address of a started server.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
--- a/upstream/early_test.go
+++ b/upstream/early_test.go
@@ -16,17 +16,18 @@
 	"github.com/finchspoke/finchspoke/standin/raw"
 )
 
-// Sizes of request bodies. The kernels of both sides buffer some megabytes, so that a replica which reads none of a body may
-// have received all of a small one, and not of a large one.
+// Sizes of request bodies. A replica that reads none of one has not received all of a large one, by its read buffer.
 var (
 	uploadSizes      = []int{64 << 10, 1 << 20, 8 << 20, 32 << 20}
-	largeUploadSizes = []int{16 << 20, 32 << 20}
+	largeUploadSizes = []int{512 << 10, 2 << 20, 32 << 20}
 )
 
+const replicaReadBuffer = 32 << 10
+
 // startEarly starts a replica that responds to a request before it has read all of its body, and returns its address.
 func startEarly(t *testing.T, response string, end raw.End) string {
 	t.Helper()
-	replica := &raw.Server{Respond: raw.Text(response), End: end}
+	replica := &raw.Server{Respond: raw.Text(response), End: end, ReadBuffer: replicaReadBuffer}
 	require.NoError(t, replica.Start())
 	t.Cleanup(replica.Stop)
 	return replica.Address()
@@ -71,6 +72,24 @@
 	}
 }
 
+// opaqueConn is a connection of which the kernel does not tell what the peer has received.
+type opaqueConn struct{ net.Conn }
+
+// Guards against the same where only the failure of the write shows that the connection was reset.
+func TestAnUnframedResponseIsNotWholeIfTheUploadFails(t *testing.T) {
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := Dial(ctx, address)
+		return opaqueConn{conn}, err
+	}
+	for _, end := range []raw.End{raw.Reset(0), raw.Reset(2 * time.Millisecond), raw.CloseUnread(0), raw.CloseWriteThenReset(2 * time.Millisecond)} {
+		address := startEarly(t, unframed("part"), end)
+		for range 5 {
+			_, err := fetch(t, NewPool(dial, nil), uploadTo(t, address, 32<<20))
+			require.Error(t, err)
+		}
+	}
+}
+
 // Guards against a whole response that is refused because it comes while the request is still being written.
 func TestAWholeEarlyResponseIsDeliveredInEachFraming(t *testing.T) {
 	body := strings.Repeat("y", 40<<10)
