--- a/adminapi/adminapi.go
+++ b/adminapi/adminapi.go
@@ -21,9 +21,9 @@
 	"time"
 
 	"github.com/finchspoke/finchspoke/failure"
-	"github.com/finchspoke/finchspoke/wellformed"
 	"github.com/finchspoke/finchspoke/home"
 	"github.com/finchspoke/finchspoke/placement"
+	"github.com/finchspoke/finchspoke/wellformed"
 )
 
 // Paths of the operator interface.
