Early responses: the end of a relayed request does not hide its response

A relayed request whose end could not be marked was given up, although its response may have been there: the failure is that of the connection, which the read reports. A relay writes nothing for a message without data, as an empty write could take the error of the connection.

--- a/adminapi/adminapi.go
+++ b/adminapi/adminapi.go
@@ -107,6 +107,7 @@
 	maxResponseBytes = 64 << 20
 )
 
+// httpClient sends the calls of all Clients.
 var httpClient = &http.Client{Transport: wellformed.Transport{Base: http.DefaultTransport}}
 
 // Client calls a daemon's operator interface.
--- a/relay/early_test.go
+++ b/relay/early_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -21,14 +20,6 @@
 	"github.com/finchspoke/finchspoke/upstream"
 )
 
-// Sizes of request bodies. A replica that reads none of one has not received all of a large one, by its read buffer.
-var (
-	uploadSizes      = []int{1 << 10, 64 << 10, 1 << 20, 8 << 20}
-	largeUploadSizes = []int{512 << 10, 2 << 20, 32 << 20}
-)
-
-const replicaReadBuffer = 32 << 10
-
 // relayedPool returns a pool whose requests all go through a daemon that relays to a replica.
 func relayedPool(t *testing.T, replicaAddress string) *upstream.Pool {
 	t.Helper()
@@ -53,41 +44,32 @@
 	return string(data), err
 }
 
+// start starts a server and returns its address.
+func start(t *testing.T, server *raw.Server) string {
+	t.Helper()
+	require.NoError(t, server.Start())
+	t.Cleanup(server.Stop)
+	return server.Address()
+}
+
 func startEarly(t *testing.T, response string, end raw.End) string {
 	t.Helper()
-	replica := &raw.Server{Respond: raw.Text(response), End: end, ReadBuffer: replicaReadBuffer}
-	require.NoError(t, replica.Start())
-	t.Cleanup(replica.Stop)
-	return replica.Address()
+	return start(t, &raw.Server{Respond: raw.Text(response), End: end, ReadBuffer: raw.EarlyReadBuffer})
 }
 
 // Guards against a response that ends with its connection and is taken for a whole one, although the replica has reset the
 // connection while the request was still on its way through another daemon.
 func TestARelayedUnframedResponseIsNotWholeIfTheReplicaResetsDuringTheUpload(t *testing.T) {
 	const plays = 5
-	for _, variant := range []struct {
-		name  string
-		end   func(delay time.Duration) raw.End
-		sizes []int
-	}{
-		{"a reset", raw.Reset, uploadSizes},
-		{"a close of a connection with unread data", raw.CloseUnread, uploadSizes[1:]},
-		{"a close for writing, then a reset", raw.CloseWriteThenReset, largeUploadSizes},
-	} {
-		for _, size := range variant.sizes {
-			for _, length := range []int{0, 100, 40 << 10} {
-				for _, delay := range []time.Duration{0, 2 * time.Millisecond, 20 * time.Millisecond} {
-					address := startEarly(t, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("y", length), variant.end(delay))
-					pool, taken := relayedPool(t, address), 0
-					for range plays {
-						if _, err := exchangeEarly(t, pool, address, size); err == nil {
-							taken++
-						}
-					}
-					assert.Zero(t, taken, "%s after %s, upload of %d bytes, %d bytes of a body: taken for whole in %d of %d plays", variant.name, delay, size, length, taken, plays)
-				}
+	for part := range raw.EarlyParts() {
+		address, taken := start(t, part.Server("")), 0
+		pool := relayedPool(t, address)
+		for range plays {
+			if _, err := exchangeEarly(t, pool, address, part.Upload); err == nil {
+				taken++
 			}
 		}
+		assert.Zero(t, taken, "taken for whole in some of %d plays: %s", plays, part)
 	}
 }
 
@@ -117,31 +99,13 @@
 
 // Guards against a whole response that is refused because it comes while the request is still on its way.
 func TestAWholeEarlyResponseIsRelayedInEachFraming(t *testing.T) {
-	body := strings.Repeat("y", 40<<10)
-	framings := map[string]string{
-		"length":     fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body),
-		"chunks":     fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
-		"connection": "HTTP/1.1 200 OK\r\n\r\n" + body,
-	}
-	ends := map[string]raw.End{
-		"closes after the rest":               raw.Close,
-		"closes for writing, takes the rest":  raw.CloseWriteFirst,
-		"resets, whole by length or by chunk": raw.Reset(2 * time.Millisecond),
-	}
-	for framing, response := range framings {
-		for name, end := range ends {
-			if framing == "connection" && strings.HasPrefix(name, "resets") {
-				continue
-			}
-			address := startEarly(t, response, end)
-			pool := relayedPool(t, address)
-			for _, size := range uploadSizes {
-				for range 5 {
-					text, err := exchangeEarly(t, pool, address, size)
-					assert.NoError(t, err, "%s, the replica %s, upload of %d bytes", framing, name, size)
-					assert.Equal(t, len(body), len(text))
-				}
-			}
+	for whole := range raw.EarlyWholes() {
+		address := start(t, whole.Server(""))
+		pool := relayedPool(t, address)
+		for range 5 {
+			text, err := exchangeEarly(t, pool, address, whole.Upload)
+			require.NoError(t, err, whole)
+			require.Equal(t, raw.EarlyBody, text)
 		}
 	}
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -117,7 +117,8 @@
 	if err := s.deliver(stream, replica); err != nil {
 		return err
 	}
-	// The end of the replica's connection may be that of a whole response only if the replica has received the request.
+	// The end of the replica's connection may be that of a whole response only if the replica has received the request. The
+	// wait ends at the latest when the asking daemon leaves.
 	if err := <-request; err != nil {
 		return errors.Wrap(err, "write to the replica")
 	}
@@ -158,8 +159,10 @@
 			report(err)
 			return
 		}
-		if _, err := replica.Write(message.GetData()); err != nil {
-			report(err)
+		if data := message.GetData(); len(data) > 0 {
+			if _, err := replica.Write(data); err != nil {
+				report(err)
+			}
 		}
 		if message.GetEnd() {
 			report(nil)
--- a/upstream/early_test.go
+++ b/upstream/early_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -16,21 +15,18 @@
 	"github.com/finchspoke/finchspoke/standin/raw"
 )
 
-// Sizes of request bodies. A replica that reads none of one has not received all of a large one, by its read buffer.
-var (
-	uploadSizes      = []int{64 << 10, 1 << 20, 8 << 20, 32 << 20}
-	largeUploadSizes = []int{512 << 10, 2 << 20, 32 << 20}
-)
-
-const replicaReadBuffer = 32 << 10
+// start starts a server and returns its address.
+func start(t *testing.T, server *raw.Server) string {
+	t.Helper()
+	require.NoError(t, server.Start())
+	t.Cleanup(server.Stop)
+	return server.Address()
+}
 
 // startEarly starts a replica that responds to a request before it has read all of its body, and returns its address.
 func startEarly(t *testing.T, response string, end raw.End) string {
 	t.Helper()
-	replica := &raw.Server{Respond: raw.Text(response), End: end, ReadBuffer: replicaReadBuffer}
-	require.NoError(t, replica.Start())
-	t.Cleanup(replica.Stop)
-	return replica.Address()
+	return start(t, &raw.Server{Respond: raw.Text(response), End: end, ReadBuffer: raw.EarlyReadBuffer})
 }
 
 // unframed returns the head and a part of a response that ends with its connection.
@@ -46,29 +42,14 @@
 // connection while the request was still being written.
 func TestAnUnframedResponseIsNotWholeIfTheReplicaResetsDuringTheUpload(t *testing.T) {
 	const plays = 5
-	for _, variant := range []struct {
-		name  string
-		end   func(delay time.Duration) raw.End
-		sizes []int
-	}{
-		{"a reset", raw.Reset, uploadSizes},
-		{"a close of a connection with unread data", raw.CloseUnread, uploadSizes},
-		{"a close for writing, then a reset", raw.CloseWriteThenReset, largeUploadSizes},
-	} {
-		for _, size := range variant.sizes {
-			for _, length := range []int{0, 100, 40 << 10} {
-				for _, delay := range []time.Duration{0, 2 * time.Millisecond, 20 * time.Millisecond} {
-					address := startEarly(t, unframed(strings.Repeat("y", length)), variant.end(delay))
-					taken := 0
-					for range plays {
-						if _, err := fetch(t, NewPool(nil, nil), uploadTo(t, address, size)); err == nil {
-							taken++
-						}
-					}
-					assert.Zero(t, taken, "%s after %s, upload of %d bytes, %d bytes of a body: taken for whole in %d of %d plays", variant.name, delay, size, length, taken, plays)
-				}
+	for part := range raw.EarlyParts() {
+		address, taken := start(t, part.Server("Id: 1\r\n")), 0
+		for range plays {
+			if _, err := fetch(t, NewPool(nil, nil), uploadTo(t, address, part.Upload)); err == nil {
+				taken++
 			}
 		}
+		assert.Zero(t, taken, "taken for whole in some of %d plays: %s", plays, part)
 	}
 }
 
@@ -92,30 +73,12 @@
 
 // Guards against a whole response that is refused because it comes while the request is still being written.
 func TestAWholeEarlyResponseIsDeliveredInEachFraming(t *testing.T) {
-	body := strings.Repeat("y", 40<<10)
-	framings := map[string]string{
-		"length":     reply("1", body),
-		"chunks":     fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
-		"connection": unframed(body),
-	}
-	ends := map[string]raw.End{
-		"closes after the rest":               raw.Close,
-		"closes for writing, takes the rest":  raw.CloseWriteFirst,
-		"resets, whole by length or by chunk": raw.Reset(2 * time.Millisecond),
-	}
-	for framing, response := range framings {
-		for name, end := range ends {
-			if framing == "connection" && strings.HasPrefix(name, "resets") {
-				continue
-			}
-			address := startEarly(t, response, end)
-			for _, size := range uploadSizes {
-				for range 5 {
-					text, err := fetch(t, NewPool(nil, nil), uploadTo(t, address, size))
-					require.NoError(t, err, "%s, the replica %s, upload of %d bytes", framing, name, size)
-					require.Equal(t, body, text)
-				}
-			}
+	for whole := range raw.EarlyWholes() {
+		address := start(t, whole.Server("Id: 1\r\n"))
+		for range 5 {
+			text, err := fetch(t, NewPool(nil, nil), uploadTo(t, address, whole.Upload))
+			require.NoError(t, err, whole)
+			require.Equal(t, raw.EarlyBody, text)
 		}
 	}
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -82,7 +82,7 @@
 		go func() {
 			defer close(e.upload.written)
 			if _, e.upload.err = e.conn.Write(request.Body); e.upload.err == nil {
-				e.upload.err = e.endRequest()
+				e.endRequest()
 			}
 		}()
 		return nil
@@ -91,18 +91,15 @@
 	if err := writer.Flush(); err != nil {
 		return &Error{RequestWritten: counting.written > 0, cause: errors.Wrap(err, "write")}
 	}
-	if err := e.endRequest(); err != nil {
-		return &Error{RequestWritten: true, cause: err}
-	}
+	e.endRequest()
 	return nil
 }
 
 // endRequest is called once the whole request has been written.
-func (e *exchange) endRequest() error {
+func (e *exchange) endRequest() {
 	if tracker, able := e.conn.Conn.(requestTracker); able {
-		return tracker.EndRequest()
+		_ = tracker.EndRequest() // a failure ends the connection, which the read of the response reports
 	}
-	return nil
 }
 
 // awaitDelivery waits until the replica has received the whole request. It returns an error if the connection ends first.
