Tests: the waits for a relayed upload end, in both daemons

The wait of the asking daemon ends with its context and with the response; the relay then lets the replica's connection go. That was tested for direct connections only.

What Dial must provide for that bound is now said where it is declared.

--- a/relay/early_test.go
+++ b/relay/early_test.go
@@ -208,3 +208,37 @@
 		require.Equal(t, length == len(whole), err == nil, "%q: %q", whole[:length], text)
 	}
 }
+
+// Guards against a wait without an end, in both daemons, for a replica that has ended its response and takes no more of the
+// request.
+func TestTheWaitForARelayedUploadEndsWithTheContextAndWithTheResponse(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	address := startEarly(t, "HTTP/1.1 200 OK\r\n\r\npart", func(conn *net.TCPConn, _ io.Reader) {
+		_ = conn.CloseWrite()
+		<-release
+	})
+	for _, closed := range []bool{false, true} {
+		relaying := startDaemonFor(t, address)
+		relaying.server.Dial = upstream.Dial // bounds how long a replica may take nothing
+		pool := upstream.NewPool(func(context.Context, string) (net.Conn, error) { return nil, errors.New("the direct path is cut") }, nil)
+		pool.SetRelay(clientOf(relaying).Open)
+		httpRequest, err := http.NewRequest(http.MethodPost, "http://shop.example/", nil)
+		require.NoError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		response, err := pool.Do(ctx, upstream.Request{Address: address, Replica: replicaID, HTTP: httpRequest, Body: make([]byte, 32<<20)})
+		require.NoError(t, err)
+		time.AfterFunc(50*time.Millisecond, func() {
+			if closed {
+				_ = response.Close()
+			} else {
+				cancel()
+			}
+		})
+		data, err := io.ReadAll(response)
+		require.Error(t, err)
+		require.Equal(t, "part", string(data))
+		require.Eventually(t, func() bool { return relaying.server.Connections() == 0 }, 5*time.Second, time.Millisecond, "the relay still holds the connection")
+	}
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -45,7 +45,8 @@
 	Resolve func(replica string) (address string, found bool)
 	// IsDown reports whether this daemon's last attempt to connect to an address has failed.
 	IsDown func(address string) bool
-	// Dial opens connections to replicas.
+	// Dial opens connections to replicas. A write to one that takes nothing must fail after a bounded time: until then the
+	// relay does not notice that the asking daemon has left.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Attached returns the daemons that are attached to this one, the leader; false if it is not the leader.
 	Attached func() (peers []Peer, leads bool)
